--- /dev/null
+++ b/_scripts/generate-wire.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Regenerates the committed message code; needs protoc on the PATH.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$(mktemp -d)
+trap 'rm -rf "$bin"' EXIT
+GOBIN="$bin" go install google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+PATH="$bin:$PATH" protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. internal/wire/message/message.proto
