--- /dev/null
+++ b/internal/rules/statement/doc.go
@@ -0,0 +1,2 @@
+// Package statement parses, checks, formats and compares the operators' rules, one rule a line.
+package statement
--- /dev/null
+++ b/internal/state/store/types.go
@@ -0,0 +1,13 @@
+package store
+
+// Paths and parameters of the store's HTTP protocol.
+const (
+	KeysPath       = "/v1/keys/"
+	LeasesPath     = "/v1/leases/"
+	ParamBase      = "base"
+	ParamLease     = "lease"
+	ParamAfter     = "after"
+	ParamWaitMs    = "wait_ms"
+	ParamTtlMs     = "ttl_ms"
+	HeaderRevision = "Store-Revision"
+)
--- /dev/null
+++ b/internal/wire/link/server.go
@@ -0,0 +1,43 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server serves the messages of other processes until it is closed.
+type Server struct {
+	listener net.Listener
+	cancel   context.CancelFunc
+	done     chan struct{}
+	once     sync.Once
+}
+
+// Serve answers calls on listener by handler until Close.
+func Serve(listener net.Listener, handler drpc.Handler, onError func(error)) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{listener: listener, cancel: cancel, done: make(chan struct{})}
+	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions(), Log: onError})
+	go func() {
+		defer close(s.done)
+		if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+			onError(err)
+		}
+	}()
+	return s
+}
+
+// Address returns the address being served.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends all calls in progress and waits for them.
+func (s *Server) Close() {
+	s.once.Do(s.cancel)
+	<-s.done
+}
