--- a/internal/hub/interfaces.go
+++ b/internal/hub/interfaces.go
@@ -60,3 +60,9 @@
 	// Pick returns the index of the chosen candidate, or -1 when none may be chosen.
 	Pick(candidates []Candidate, affinity uint64) int
 }
+
+// Topology lays out who takes which chunk from whom.
+type Topology interface {
+	// Layout returns the layout for self among participants, which are sorted by ID and include self.
+	Layout(root string, self string, participants []Member, chunks int) Layout
+}
--- a/internal/hub/types.go
+++ b/internal/hub/types.go
@@ -132,3 +132,15 @@
 	}
 	return m.Sequence > other.Sequence
 }
+
+// Layout says from whom one process may take the chunks of one manifest.
+type Layout struct {
+	// Neighbours are the members whose chunks may all be taken.
+	Neighbours []string
+	// Crossings are members in other regions, whose chunks are taken as Crossing allows.
+	Crossings []string
+	// Origin lists, by rank, the chunks to take from the origin; a rank above 0 acts when those below have not.
+	Origin [][]int
+	// Crossing lists, by rank, the chunks to take over the link of the region.
+	Crossing [][]int
+}
--- /dev/null
+++ b/internal/process/journal/journal.go
@@ -0,0 +1,142 @@
+package journal
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/phuslu/log"
+)
+
+// Subsystems that log.
+const (
+	Routing   = "routing"
+	Placement = "placement"
+	State     = "state"
+	Process   = "process"
+)
+
+// All selects every subsystem in SetLevel.
+const All = "all"
+
+// Formats of log lines.
+const (
+	FormatJson    = "json"
+	FormatConsole = "console"
+)
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+// Options choose the form of the log lines.
+type Options struct {
+	Writer io.Writer
+	// Format is FormatJson or FormatConsole.
+	Format string
+	// Level is the level of every subsystem at the start.
+	Level string
+	// Async moves writing off the calling goroutine.
+	Async bool
+}
+
+// Journal holds one logger for each subsystem.
+type Journal struct {
+	loggers map[string]*log.Logger
+	async   *log.AsyncWriter
+}
+
+// New returns a journal, or an error for an unknown format or level.
+func New(o Options) (*Journal, error) {
+	level, err := parseLevel(o.Level)
+	if err != nil {
+		return nil, err
+	}
+	j := &Journal{loggers: map[string]*log.Logger{}}
+	writer, err := j.writer(o)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range Subsystems() {
+		j.loggers[name] = &log.Logger{
+			Level:     level,
+			TimeField: "Time",
+			Writer:    writer,
+			Context:   log.NewContext(nil).Str("Subsystem", name).Value(),
+		}
+	}
+	return j, nil
+}
+
+func (j *Journal) writer(o Options) (log.Writer, error) {
+	var writer log.Writer
+	switch o.Format {
+	case FormatJson, "":
+		writer = &log.IOWriter{Writer: o.Writer}
+	case FormatConsole:
+		writer = &log.ConsoleWriter{Writer: o.Writer}
+	default:
+		return nil, fmt.Errorf("unknown log format %q: want %s or %s", o.Format, FormatJson, FormatConsole)
+	}
+	if o.Async {
+		const queuedLines = 4096
+		j.async = &log.AsyncWriter{ChannelSize: queuedLines, Writer: writer, DiscardOnFull: true}
+		writer = j.async
+	}
+	return writer, nil
+}
+
+// Discard returns a journal that writes nothing.
+func Discard() *Journal {
+	j, _ := New(Options{Writer: io.Discard, Level: "error"})
+	return j
+}
+
+// Subsystems returns the names of all subsystems.
+func Subsystems() []string {
+	return []string{Routing, Placement, State, Process}
+}
+
+// Levels returns the names of all levels.
+func Levels() []string {
+	return slices.Clone(levels)
+}
+
+// Logger returns the logger of a subsystem.
+func (j *Journal) Logger(subsystem string) *log.Logger {
+	return j.loggers[subsystem]
+}
+
+// SetLevel changes the level of a subsystem, or of all.
+func (j *Journal) SetLevel(subsystem, level string) error {
+	parsed, err := parseLevel(level)
+	if err != nil {
+		return err
+	}
+	if subsystem == All {
+		for _, l := range j.loggers {
+			l.SetLevel(parsed)
+		}
+		return nil
+	}
+	l, ok := j.loggers[subsystem]
+	if !ok {
+		return fmt.Errorf("unknown subsystem %q: want %s or %s", subsystem, strings.Join(Subsystems(), ", "), All)
+	}
+	l.SetLevel(parsed)
+	return nil
+}
+
+// Close writes the lines that are still queued.
+func (j *Journal) Close() error {
+	if j.async == nil {
+		return nil
+	}
+	return j.async.Close()
+}
+
+func parseLevel(level string) (log.Level, error) {
+	if !slices.Contains(levels, level) {
+		return 0, fmt.Errorf("unknown log level %q: want %s", level, strings.Join(levels, ", "))
+	}
+	return log.ParseLevel(level), nil
+}
--- a/internal/rules/ledger/types.go
+++ b/internal/rules/ledger/types.go
@@ -23,10 +23,10 @@
 	// WriteId names the write uniquely, so that a lost reply can be settled by reading back.
 	WriteId string
 	// Base is the revision that the write replaced.
-	Base    uint64
-	Author  string
-	Time    time.Time
-	Text    string
+	Base   uint64
+	Author string
+	Time   time.Time
+	Text   string
 	// Diff is what the write changed of its base.
 	Diff    string
 	History []Entry
--- /dev/null
+++ b/internal/standin/origin/doc.go
@@ -0,0 +1,2 @@
+// Package origin is a stand-in for the weight origin and for the weight store, for tests and experiments.
+package origin
--- /dev/null
+++ b/internal/state/relay/doc.go
@@ -0,0 +1,2 @@
+// Package relay brings the documents of the configuration store into the catalog.
+package relay
--- /dev/null
+++ b/internal/upstream/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the HTTP client of an upstream's model engine.
+package engine
--- /dev/null
+++ b/internal/weights/transfer/client.go
@@ -0,0 +1,95 @@
+package transfer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/link"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// progressTimeout is the longest time between two pieces of a transfer.
+const progressTimeout = 2 * time.Second
+
+// errStalled reports a transfer that made no progress for progressTimeout.
+var errStalled = errors.New("transfer stalled")
+
+// fetchChunk reads one chunk from a peer into buf, which holds the first offset bytes already.
+// It returns the bytes that buf then holds, also with an error, so that another sender can go on from there.
+func fetchChunk(ctx context.Context, conn drpc.Conn, request *message.FetchRequest, buf []byte) (int, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	filled := int(request.GetOffset())
+	watchdog := time.AfterFunc(progressTimeout, func() { cancel(errStalled) })
+	defer watchdog.Stop()
+	stream, err := message.NewDRPCWeightsClient(conn).Fetch(ctx, request)
+	if err != nil {
+		return filled, transferError(ctx, err)
+	}
+	defer stream.Close()
+	for filled < len(buf) {
+		piece, err := stream.Recv()
+		if err != nil {
+			return filled, transferError(ctx, err)
+		}
+		if int(piece.GetOffset()) != filled || filled+len(piece.GetData()) > len(buf) {
+			return filled, fmt.Errorf("piece at %d, want %d: %w", piece.GetOffset(), filled, hub.ErrCorrupt)
+		}
+		filled += copy(buf[filled:], piece.GetData())
+		watchdog.Reset(progressTimeout)
+	}
+	return filled, nil
+}
+
+// transferError prefers the reason for which a context was cancelled over the error that followed from it.
+func transferError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// fetchRange reads one chunk from a weight source into buf from filled on and returns the bytes then held.
+func fetchRange(ctx context.Context, source hub.WeightSource, version string, offset int64, buf []byte, filled int) (int, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(progressTimeout, func() { cancel(errStalled) })
+	defer watchdog.Stop()
+	body, err := source.Read(ctx, version, offset+int64(filled), int64(len(buf)-filled))
+	if err != nil {
+		return filled, transferError(ctx, err)
+	}
+	defer body.Close()
+	for filled < len(buf) {
+		n, err := body.Read(buf[filled:])
+		filled += n
+		if n > 0 {
+			watchdog.Reset(progressTimeout)
+		}
+		if err != nil && filled < len(buf) {
+			return filled, transferError(ctx, err)
+		}
+	}
+	return filled, nil
+}
+
+// readManifest asks a process for a manifest.
+func readManifest(ctx context.Context, client *link.Client, address, digest string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, progressTimeout)
+	defer cancel()
+	peer := message.NewDRPCWeightsClient(client.Pooled(ctx, address))
+	reply, err := peer.ReadManifest(ctx, &message.ManifestRequest{Digest: digest})
+	if err != nil {
+		return nil, fmt.Errorf("manifest from %s: %w", address, err)
+	}
+	return reply.GetManifest(), nil
+}
--- /dev/null
+++ b/internal/weights/transfer/doc.go
@@ -0,0 +1,2 @@
+// Package transfer moves chunks between side processes and from the weight sources.
+package transfer
