process, route, upstream, bench: carry the first request from a caller to an upstream and back

Cause: the thin path. Change: side and entry processes, dispatch, attempts, guard, loader, stand-ins and a harness on loopback.

--- /dev/null
+++ b/internal/bench/harness/harness_test.go
@@ -0,0 +1,93 @@
+package harness
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/standin/engine"
+	client "github.com/oriolehub/oriolehub/internal/upstream/engine"
+)
+
+func withTestHarness(t *testing.T, change func(*Options)) *Harness {
+	t.Helper()
+	d, err := deployment.Named(deployment.Nakhla)
+	assert.NilError(t, err)
+	o := Options{
+		Deployment:        d,
+		Vms:               3,
+		OnceVms:           1,
+		Entries:           1,
+		Engine:            engine.Options{Capacity: 8, ColdCapacity: 1, WarmRequests: 20, TokenTime: time.Millisecond},
+		FencedPercent:     50,
+		MaxConcurrent:     8,
+		SlowStartRequests: 40,
+		Journal:           journal.Discard(),
+	}
+	change(&o)
+	h, err := Start(o)
+	assert.NilError(t, err)
+	t.Cleanup(h.Stop)
+	return h
+}
+
+func randomContent(seed int64, size int) []byte {
+	out := make([]byte, size)
+	rand.New(rand.NewSource(seed)).Read(out)
+	return out
+}
+
+func digestOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+func TestWholePath(t *testing.T) {
+	ctx := t.Context()
+	h := withTestHarness(t, func(*Options) {})
+	content := randomContent(1, 1<<20)
+	version := h.options.Deployment.Version("1")
+	_, err := h.Origin.Publish(version, content, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, h.Apply(ctx, h.options.Deployment.Rules(version)))
+	root := digestOf(content)
+	assert.NilError(t, Await(ctx, 30*time.Second, func() bool { return h.Serving(root) == 3 }))
+	for _, vm := range h.EngineVms() {
+		assert.DeepEqual(t, vm.Engine.Observations().Loads, []string{root})
+	}
+	body := call(t, h, "POST", "/scaler-llm/v1/completions", "r-1", `{"Prompt":"x","Tokens":5}`)
+	assert.Equal(t, body, engine.Completion("r-1", engine.Prompt{Tokens: 5}))
+	call(t, h, "POST", "/ticket-desk/tickets", "r-2", `{}`)
+	assert.Equal(t, h.Runs.Of("r-2"), 1)
+}
+
+func call(t *testing.T, h *Harness, method, path, id, body string) string {
+	t.Helper()
+	var out string
+	err := Await(t.Context(), 10*time.Second, func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, method, "http://"+h.Entries[0].HttpAddress()+path, strings.NewReader(body))
+		assert.NilError(t, err)
+		r.Header.Set(client.HeaderRequestID, id)
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		out = string(data)
+		return resp.StatusCode == http.StatusOK
+	})
+	assert.NilError(t, err, out)
+	return out
+}
--- /dev/null
+++ b/internal/bench/network/doc.go
@@ -0,0 +1,2 @@
+// Package network shapes loopback connections into links with rates, delays and faults, for experiments and tests.
+package network
--- a/internal/hub/interfaces.go
+++ b/internal/hub/interfaces.go
@@ -55,10 +55,18 @@
 	Load(ctx context.Context, order EngineOrder) error
 }
 
+// Candidates are the upstreams among which a Picker chooses.
+type Candidates interface {
+	// Len returns their number.
+	Len() int
+	// At returns one of them as it is now.
+	At(i int) Candidate
+}
+
 // Picker chooses an upstream among candidates; implementations are safe for concurrent use.
 type Picker interface {
-	// Pick returns the index of the chosen candidate, or -1 when none may be chosen.
-	Pick(candidates []Candidate, affinity uint64) int
+	// Pick returns the index of the chosen candidate and of the runner-up, each -1 where there is none.
+	Pick(c Candidates, affinity uint64) (chosen, other int)
 }
 
 // Topology lays out who takes which chunk from whom.
--- a/internal/hub/types.go
+++ b/internal/hub/types.go
@@ -70,20 +70,29 @@
 	Pinned time.Time
 }
 
+// Locality is the distance between an entry process and an upstream.
+type Locality int
+
+// Localities from near to far.
+const (
+	SameDomain Locality = iota
+	SameRegion
+	OtherRegion
+)
+
 // Candidate is one upstream as the choice of an upstream sees it.
 type Candidate struct {
-	Id      string
-	Address string
-	Domain  string
-	Region  string
-	// Root is the digest of the weights being served, empty for plain services.
-	Root string
+	Locality Locality
 	// Limit is the number of concurrent requests that the side process admits.
 	Limit int
 	// Running is the number of requests in progress that this process knows of.
 	Running int
-	// LatencyMs is the recent latency in milliseconds, 0 when unknown.
-	LatencyMs float64
+	// Latency is the recent time to the first part of an answer in seconds, 0 when unknown.
+	Latency float64
+	// Suspect is true where the upstream has not been heard of for a while or has just failed.
+	Suspect bool
+	// Hash places the candidate for prefix affinity.
+	Hash uint64
 }
 
 // Document is one named value that every process holds at its highest known revision.
--- /dev/null
+++ b/internal/process/entry/operator.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/rules/ledger"
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/state/exchange"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// operator answers the operators' commands and queries.
+type operator struct {
+	entry *Entry
+}
+
+// ApplyRules writes a new rules text; faults and conflicts are told in the reply.
+func (o *operator) ApplyRules(ctx context.Context, r *message.ApplyRequest) (*message.ApplyReply, error) {
+	p := o.entry
+	edit := ledger.Edit{Text: r.GetText(), Base: r.GetBase(), Author: r.GetAuthor(), WriteId: r.GetWriteId()}
+	revision, value, err := p.ledger.Apply(ctx, edit)
+	log := p.journal.Logger(journal.State)
+	var faults statement.Faults
+	switch {
+	case err == nil:
+		if value != nil {
+			p.catalog.PutDocument(hub.Document{Name: ledger.Key, Revision: revision, Value: value})
+		}
+		log.Info().Uint64("Revision", revision).Uint64("Base", edit.Base).Str("Author", edit.Author).Msg("rules applied")
+		return &message.ApplyReply{Revision: revision}, nil
+	case errors.As(err, &faults):
+		return &message.ApplyReply{Fault: faults.Error()}, nil
+	case errors.Is(err, ledger.ErrStale):
+		log.Warn().Uint64("Base", edit.Base).Str("Author", edit.Author).Err(err).Msg("rules not applied")
+		return o.conflict(ctx)
+	default:
+		log.Warn().Str("Author", edit.Author).Err(err).Msg("rules not applied")
+		return nil, err
+	}
+}
+
+func (o *operator) conflict(ctx context.Context) (*message.ApplyReply, error) {
+	record, revision, err := o.entry.ledger.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &message.ApplyReply{Conflict: true, CurrentText: record.Text, CurrentRevision: revision}, nil
+}
+
+// ReadRules returns the rules that this process knows, with their history.
+func (o *operator) ReadRules(context.Context, *message.ReadRulesRequest) (*message.RulesReply, error) {
+	d := o.entry.catalog.Document(ledger.Key)
+	if d.Revision == 0 {
+		return &message.RulesReply{}, nil
+	}
+	record, err := ledger.Decode(d.Value)
+	if err != nil {
+		return nil, err
+	}
+	reply := &message.RulesReply{Revision: d.Revision, Text: record.Text}
+	for _, e := range record.History {
+		reply.History = append(reply.History, toHistory(e))
+	}
+	current := ledger.Entry{Revision: d.Revision, Author: record.Author, Time: record.Time, Base: record.Base, Diff: record.Diff}
+	reply.History = append(reply.History, toHistory(current))
+	return reply, nil
+}
+
+func toHistory(e ledger.Entry) *message.HistoryEntry {
+	return &message.HistoryEntry{Revision: e.Revision, Author: e.Author, TimeUnixMs: e.Time.UnixMilli(), Base: e.Base, Diff: e.Diff}
+}
+
+// ReadStatus returns what this process knows of all processes.
+func (o *operator) ReadStatus(context.Context, *message.ReadStatusRequest) (*message.StatusReply, error) {
+	p := o.entry
+	reply := &message.StatusReply{
+		Id:             p.settings.Id,
+		RulesRevision:  p.keeper.Current().RulesRevision,
+		StoreReachable: p.relay.Reachable(),
+	}
+	for _, m := range p.catalog.Members() {
+		reply.Members = append(reply.Members, exchange.ToMember(&m.Member))
+	}
+	for _, d := range p.catalog.Documents() {
+		reply.Documents = append(reply.Documents, &message.DocumentStatus{Name: d.Name, Revision: d.Revision})
+	}
+	return reply, nil
+}
+
+// ReadTrace returns what happened to a request at this process.
+func (o *operator) ReadTrace(_ context.Context, r *message.ReadTraceRequest) (*message.TraceReply, error) {
+	record, err := o.entry.traces.Find(r.GetRequestId())
+	if err != nil {
+		return &message.TraceReply{}, nil
+	}
+	return &message.TraceReply{Found: true, Lines: record.Lines()}, nil
+}
+
+// SetLogLevel changes the level of a subsystem of this process.
+func (o *operator) SetLogLevel(_ context.Context, r *message.SetLogLevelRequest) (*message.SetLogLevelReply, error) {
+	if err := o.entry.journal.SetLevel(r.GetSubsystem(), r.GetLevel()); err != nil {
+		return nil, err
+	}
+	return &message.SetLogLevelReply{}, nil
+}
--- /dev/null
+++ b/internal/process/side/doc.go
@@ -0,0 +1,2 @@
+// Package side assembles the process that runs beside an upstream.
+package side
--- /dev/null
+++ b/internal/process/side/side.go
@@ -0,0 +1,429 @@
+package side
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/admin"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/process/settings"
+	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/exchange"
+	"github.com/oriolehub/oriolehub/internal/state/view"
+	"github.com/oriolehub/oriolehub/internal/upstream/attempt"
+	"github.com/oriolehub/oriolehub/internal/upstream/engine"
+	"github.com/oriolehub/oriolehub/internal/upstream/guard"
+	"github.com/oriolehub/oriolehub/internal/upstream/loader"
+	"github.com/oriolehub/oriolehub/internal/weights/pace"
+	"github.com/oriolehub/oriolehub/internal/weights/replica"
+	"github.com/oriolehub/oriolehub/internal/weights/source"
+	"github.com/oriolehub/oriolehub/internal/weights/topology"
+	"github.com/oriolehub/oriolehub/internal/weights/transfer"
+	"github.com/oriolehub/oriolehub/internal/wire/link"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+const (
+	// heartbeatInterval is the time between two member records where nothing changes.
+	heartbeatInterval = time.Second
+	// changeInterval is the least time between two member records.
+	changeInterval = 200 * time.Millisecond
+	// leaveNotice is the time for which a leaving process tells so before it stops to accept work.
+	leaveNotice = 500 * time.Millisecond
+	// streamPoll is the time between two looks whether all answers have been sent.
+	streamPoll = 20 * time.Millisecond
+	// participantAge is the age of a member record from which its process is not fetched from.
+	participantAge = 6 * time.Second
+)
+
+// Extras replace parts of a side process in experiments and tests.
+type Extras struct {
+	Dial     link.DialFunc
+	Pool     *replica.Pool
+	Topology hub.Topology
+	// WrapWeights puts a server in front of the one that gives chunks.
+	WrapWeights func(message.DRPCWeightsServer) message.DRPCWeightsServer
+	// SourceTransport carries the calls to the weight sources.
+	SourceTransport http.RoundTripper
+	// Listen opens listeners in place of net.Listen.
+	Listen func(address string) (net.Listener, error)
+}
+
+// Side is a running side process.
+type Side struct {
+	settings settings.Side
+	journal  *journal.Journal
+	self     atomic.Pointer[hub.Member]
+
+	catalog  *catalog.Catalog
+	keeper   *view.Keeper
+	link     *link.Client
+	exchange *exchange.Client
+	guard    *guard.Guard
+	ledger   *attempt.Ledger
+	attempts *attempt.Server
+	shelf    *replica.Shelf
+	chunks   *transfer.Server
+	loader   *loader.Loader
+	server   *link.Server
+	content  *http.Server
+	admin    *admin.Server
+	metrics  *metrics.Set
+
+	contentURL string
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+	leaving    atomic.Bool
+}
+
+// Start runs a side process until Stop.
+func Start(s settings.Side, j *journal.Journal, x Extras) (*Side, error) {
+	if x.Dial == nil {
+		x.Dial = link.Dial
+	}
+	if x.Topology == nil {
+		x.Topology = topology.Swarm{}
+	}
+	if x.Listen == nil {
+		x.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	base, err := url.Parse(s.Upstream.Url)
+	if err != nil {
+		return nil, fmt.Errorf("upstream URL: %w", err)
+	}
+	p := newSide(s, j, x)
+	incarnation := uint64(time.Now().UnixMilli())
+	p.catalog = catalog.New(incarnation)
+	p.keeper = view.NewKeeper(p.catalog, j.Logger(journal.State))
+	p.exchange = exchange.NewClient(s.Id, p.catalog, p.link, s.ExchangeInterval.Std(), s.Peers)
+	p.assemble(base, incarnation, x)
+	if err := p.listen(x); err != nil {
+		return nil, err
+	}
+	p.publish(incarnation)
+	p.run()
+	return p, nil
+}
+
+func newSide(s settings.Side, j *journal.Journal, x Extras) *Side {
+	return &Side{
+		settings: s,
+		journal:  j,
+		link:     link.NewClient(x.Dial),
+		ledger:   attempt.NewLedger(),
+		shelf:    replica.NewShelf(int64(s.Weights.MemoryLimit), x.Pool),
+		metrics:  metrics.NewSet(),
+		guard: guard.New(guard.Options{
+			MaxConcurrent:     s.Upstream.MaxConcurrent,
+			StartConcurrent:   s.Upstream.StartConcurrent,
+			SlowStartRequests: s.Upstream.SlowStartRequests,
+		}),
+	}
+}
+
+// assemble wires the parts that don't listen.
+func (p *Side) assemble(base *url.URL, incarnation uint64, x Extras) {
+	s := &p.settings
+	pacer := pace.New(int64(s.Weights.LinkPerSecond))
+	p.chunks = transfer.NewServer(p.shelf, pacer)
+	p.attempts = attempt.NewServer(attempt.ServerOptions{
+		Incarnation: incarnation,
+		Group:       s.Group,
+		Guard:       p.guard,
+		Ledger:      p.ledger,
+		Runner:      attempt.NewRunner(base, pacer.Live),
+		Root:        p.servingRoot,
+		Log:         p.journal.Logger(journal.Routing),
+	})
+	if s.Upstream.Kind != "Engine" {
+		p.guard.Unblock(guard.ReasonNotLoaded)
+		return
+	}
+	var sources []hub.WeightSource
+	for _, u := range s.Weights.Urls {
+		sources = append(sources, source.New(u, x.SourceTransport))
+	}
+	fetcher := transfer.NewFetcher(transfer.Options{
+		Self:                 s.Id,
+		Link:                 p.link,
+		Shelf:                p.shelf,
+		Sources:              sources,
+		Topology:             x.Topology,
+		OriginBytesPerSecond: int64(s.Weights.OriginPerSecond),
+		Participants:         p.participants,
+		Peers:                p.manifestPeers,
+		Log:                  p.journal.Logger(journal.Placement),
+	})
+	p.loader = loader.New(loader.Options{
+		Self:      s.Id,
+		Group:     s.Group,
+		Domain:    s.Domain,
+		Engine:    engine.New(s.Upstream.Url, nil),
+		Guard:     p.guard,
+		Keeper:    p.keeper,
+		Fetch:     fetcher,
+		SourceURL: func(root string) string { return p.contentURL + root },
+		Log:       p.journal.Logger(journal.Placement),
+	})
+}
+
+func (p *Side) servingRoot() string {
+	if p.loader == nil {
+		return ""
+	}
+	return p.loader.ServingRoot()
+}
+
+// participants returns the living side processes whose group is to serve the weights with a root digest.
+func (p *Side) participants(root string) []hub.Member {
+	v := p.keeper.Current()
+	now := time.Now()
+	var out []hub.Member
+	for _, m := range v.Members {
+		if m.Role != hub.RoleSide {
+			continue
+		}
+		target, ok := v.Target(m.Group)
+		alive := now.Sub(m.Seen) < participantAge && m.State != hub.StateGone && m.State != hub.StateLeaving
+		if ok && target.Root == root && (alive || m.Id == p.settings.Id) {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
+// manifestPeers returns the addresses of entry processes, which keep the manifests that they pinned.
+func (p *Side) manifestPeers() []string {
+	var out []string
+	for _, m := range p.keeper.Current().Members {
+		if m.Role == hub.RoleEntry && m.State != hub.StateGone {
+			out = append(out, m.Address)
+		}
+	}
+	if len(out) == 0 {
+		return p.settings.Peers
+	}
+	return out
+}
+
+func (p *Side) listen(x Extras) error {
+	control, err := x.Listen(p.settings.ControlListen)
+	if err != nil {
+		return fmt.Errorf("control listener: %w", err)
+	}
+	content, err := net.Listen("tcp", p.settings.ContentListen)
+	if err != nil {
+		return fmt.Errorf("content listener: %w", err)
+	}
+	adminListener, err := net.Listen("tcp", p.settings.AdminListen)
+	if err != nil {
+		return fmt.Errorf("admin listener: %w", err)
+	}
+	var chunks message.DRPCWeightsServer = p.chunks
+	if x.WrapWeights != nil {
+		chunks = x.WrapWeights(p.chunks)
+	}
+	mux := drpcmux.New()
+	for _, err := range []error{
+		message.DRPCRegisterPeer(mux, exchange.NewServer(p.catalog)),
+		message.DRPCRegisterAttempts(mux, p.attempts),
+		message.DRPCRegisterWeights(mux, chunks),
+	} {
+		if err != nil {
+			return fmt.Errorf("register services: %w", err)
+		}
+	}
+	p.server = link.Serve(control, mux, func(err error) {
+		p.journal.Logger(journal.Process).Debug().Err(err).Msg("connection ended")
+	})
+	p.contentURL = "http://" + content.Addr().String() + contentPath
+	p.content = newContentServer(p.shelf)
+	go func() { _ = p.content.Serve(content) }()
+	p.admin = admin.Start(adminListener, p.metrics, p.ready)
+	p.registerMetrics()
+	return nil
+}
+
+// ready reports why the upstream must not receive work, or nil.
+func (p *Side) ready() error {
+	if r := p.guard.Blocked(); r != guard.ReasonNone {
+		return fmt.Errorf("%s", r)
+	}
+	return nil
+}
+
+func (p *Side) registerMetrics() {
+	p.metrics.NewGauge("oriolehub_upstream_limit", func() float64 { limit, _ := p.guard.Load(); return float64(limit) })
+	p.metrics.NewGauge("oriolehub_upstream_running", func() float64 { _, running := p.guard.Load(); return float64(running) })
+	p.metrics.NewGauge("oriolehub_chunk_bytes_sent", func() float64 { return float64(p.chunks.BytesSent()) })
+	p.metrics.NewGauge("oriolehub_rules_revision", func() float64 { return float64(p.keeper.Current().RulesRevision) })
+}
+
+func (p *Side) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.running.Go(func() { p.keeper.Run(ctx) })
+	p.running.Go(func() { p.exchange.Run(ctx) })
+	p.running.Go(func() { p.ledger.Run(ctx) })
+	p.running.Go(func() { p.followRules(ctx) })
+	p.running.Go(func() { p.heartbeat(ctx) })
+	if p.loader != nil {
+		p.running.Go(func() { p.loader.Run(ctx) })
+	}
+}
+
+// followRules refuses or admits work as the rules say.
+func (p *Side) followRules(ctx context.Context) {
+	for {
+		changed := p.keeper.Changed()
+		v := p.keeper.Current()
+		p.guard.SetBlocked(guard.ReasonNoRules, v.RulesRevision == 0)
+		p.guard.SetBlocked(guard.ReasonDomainOut, v.RulesRevision != 0 && v.Rules.DomainOut(p.settings.Domain))
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// heartbeat publishes the member record when it changes, and regularly.
+func (p *Side) heartbeat(ctx context.Context) {
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(changeInterval):
+		}
+		if p.changed() || time.Since(last) >= heartbeatInterval {
+			last = time.Now()
+			p.publish(p.self.Load().Incarnation)
+		}
+	}
+}
+
+// changed reports whether something in the record is worth telling at once.
+func (p *Side) changed() bool {
+	old, now := p.self.Load(), p.record()
+	return old.State != now.State || old.ServingRoot != now.ServingRoot || old.HeldRoot != now.HeldRoot ||
+		old.Limit != now.Limit || old.Note != now.Note || old.FetchingRoot != now.FetchingRoot
+}
+
+func (p *Side) publish(incarnation uint64) {
+	m := p.record()
+	m.Incarnation = incarnation
+	if old := p.self.Load(); old != nil {
+		m.Sequence = old.Sequence + 1
+	}
+	p.self.Store(&m)
+	p.catalog.PutMember(m)
+}
+
+// record returns what this process tells of itself now.
+func (p *Side) record() hub.Member {
+	limit, running := p.guard.Load()
+	m := hub.Member{
+		Id:            p.settings.Id,
+		Role:          hub.RoleSide,
+		Address:       p.server.Address(),
+		AdminAddress:  p.admin.Address(),
+		Group:         p.settings.Group,
+		Domain:        p.settings.Domain,
+		Region:        p.settings.Region,
+		Limit:         limit,
+		Running:       running,
+		RulesRevision: p.keeper.Current().RulesRevision,
+	}
+	if p.loader != nil {
+		progress := p.loader.Progress()
+		m.ServingVersion, m.ServingRoot = progress.ServingVersion, progress.ServingRoot
+		m.HeldRoot, m.FetchingRoot = progress.HeldRoot, progress.FetchingRoot
+		m.ChunksHeld, m.ChunksTotal = progress.ChunksHeld, progress.ChunksTotal
+		m.Note = progress.Note
+	}
+	m.State = p.state()
+	if m.Note == "" && m.State != hub.StateServing {
+		m.Note = string(p.guard.Blocked())
+	}
+	return m
+}
+
+func (p *Side) state() string {
+	switch r := p.guard.Blocked(); {
+	case p.leaving.Load():
+		return hub.StateLeaving
+	case r == guard.ReasonNone, r == guard.ReasonDomainOut:
+		return hub.StateServing
+	case r == guard.ReasonLoading:
+		return hub.StateLoading
+	default:
+		return hub.StateStarting
+	}
+}
+
+// Address returns the control address.
+func (p *Side) Address() string { return p.server.Address() }
+
+// Member returns the record that the process last told.
+func (p *Side) Member() hub.Member { return *p.self.Load() }
+
+// Guard returns the admission of the upstream.
+func (p *Side) Guard() *guard.Guard { return p.guard }
+
+// BytesSent returns the bytes of chunks sent to other processes.
+func (p *Side) BytesSent() int64 { return p.chunks.BytesSent() }
+
+// Stop leaves: it tells the others, lets the requests in progress finish and ends.
+func (p *Side) Stop(ctx context.Context) {
+	p.leaving.Store(true)
+	p.publish(p.self.Load().Incarnation)
+	p.tell(ctx)
+	sleep(ctx, leaveNotice)
+	p.guard.Block(guard.ReasonLeaving)
+	select {
+	case <-ctx.Done():
+	case <-p.guard.Idle():
+	}
+	for p.attempts.Streams() > 0 && ctx.Err() == nil {
+		sleep(ctx, streamPoll)
+	}
+	p.Kill()
+}
+
+// tell gives the newest record to the known entry processes at once.
+func (p *Side) tell(ctx context.Context) {
+	for _, address := range slices.Compact(append(p.manifestPeers(), p.settings.Peers...)) {
+		_ = p.exchange.Exchange(ctx, address)
+	}
+}
+
+// Kill ends at once, as a crash would.
+func (p *Side) Kill() {
+	p.cancel()
+	p.server.Close()
+	_ = p.content.Close()
+	p.admin.Close(context.Background())
+	_ = p.link.Close()
+	p.running.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/route/dispatch/answer.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// Problem is the body of an answer that the system gives itself.
+type Problem struct {
+	// Outcome is not-run or unknown.
+	Outcome   string
+	RequestId string
+	Reason    string
+	// Advice says what the caller may do.
+	Advice string
+}
+
+const (
+	adviceNotRun  = "The request has not run. It may be sent again."
+	adviceUnknown = "The request may have run and will not be repeated. Look up its result before sending it again."
+)
+
+// sink writes an answer to a caller.
+type sink struct {
+	w        http.ResponseWriter
+	upstream string
+	request  *request
+}
+
+var _ call.Sink = (*sink)(nil)
+
+// Head writes the status and the headers.
+func (s *sink) Head(status int, headers []*message.Header, _ string) error {
+	h := s.w.Header()
+	for _, header := range headers {
+		if !hopByHop[header.GetName()] {
+			h.Add(header.GetName(), header.GetValue())
+		}
+	}
+	h.Set(HeaderOutcome, call.Answered.String())
+	h.Set(HeaderRequestID, s.request.id)
+	h.Set(HeaderUpstream, s.upstream)
+	s.w.WriteHeader(status)
+	return s.flush()
+}
+
+// Body writes a part of the body and passes it on at once.
+func (s *sink) Body(data []byte) error {
+	if _, err := s.w.Write(data); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *sink) flush() error {
+	return http.NewResponseController(s.w).Flush()
+}
+
+// refuse states that a request has not run.
+func refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		seconds := int((retryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeProblem(w, status, Problem{Outcome: call.NotRun.String(), RequestId: id, Reason: reason, Advice: adviceNotRun})
+}
+
+// leaveOpen states that it is not known whether a request ran.
+func leaveOpen(w http.ResponseWriter, id, reason string) {
+	writeProblem(w, http.StatusBadGateway, Problem{Outcome: call.Unknown.String(), RequestId: id, Reason: reason, Advice: adviceUnknown})
+}
+
+func writeProblem(w http.ResponseWriter, status int, p Problem) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, p.Outcome)
+	h.Set(HeaderRequestID, p.RequestId)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func writeFault(w http.ResponseWriter, id string, err error) {
+	var f *fault
+	if !errors.As(err, &f) {
+		f = badRequest("%v", err)
+	}
+	if id == "" || len(id) > maxNameBytes {
+		id = newID()
+	}
+	refuse(w, id, f.status, f.text, 0)
+}
--- /dev/null
+++ b/internal/route/dispatch/dispatcher.go
@@ -0,0 +1,324 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/route/picker"
+	"github.com/oriolehub/oriolehub/internal/route/table"
+	"github.com/oriolehub/oriolehub/internal/route/trace"
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+const (
+	// prefixBytes is the length of the beginning of a body that decides on prefix affinity.
+	prefixBytes = 256
+	// cancelTimeout bounds the message that a caller has left.
+	cancelTimeout = time.Second
+	// roomPoll is the time between two looks for room.
+	roomPoll = 5 * time.Millisecond
+	// quickTries is the number of attempts after which a pause is made before each further one.
+	quickTries = 3
+	// avoidAfterRefusal is the time for which an upstream that refused for a standing reason is avoided.
+	avoidAfterRefusal = 500 * time.Millisecond
+)
+
+// Options are what a dispatcher works with.
+type Options struct {
+	Table  *table.Builder
+	Picker hub.Picker
+	Calls  *call.Client
+	Traces *trace.Book
+	Log    *log.Logger
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+	// QueueWait is the longest time for which a request waits for room.
+	QueueWait time.Duration
+	// MaxQueued bounds the requests that wait at once.
+	MaxQueued int
+	Metrics   *metrics.Set
+}
+
+// Dispatcher answers callers.
+type Dispatcher struct {
+	options  Options
+	retries  budget
+	queued   atomic.Int64
+	leaving  atomic.Bool
+	counters counters
+}
+
+type counters struct {
+	answered, notRun, unknown, cut, retried *metrics.Counter
+	duration                                *metrics.Histogram
+}
+
+// New returns a dispatcher.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{options: o, counters: counters{
+		answered: o.Metrics.NewCounter(`oriolehub_requests_total{outcome="answered"}`),
+		notRun:   o.Metrics.NewCounter(`oriolehub_requests_total{outcome="not-run"}`),
+		unknown:  o.Metrics.NewCounter(`oriolehub_requests_total{outcome="unknown"}`),
+		cut:      o.Metrics.NewCounter(`oriolehub_requests_total{outcome="cut"}`),
+		retried:  o.Metrics.NewCounter(`oriolehub_retries_total`),
+		duration: o.Metrics.NewHistogram(`oriolehub_request_seconds`),
+	}}
+}
+
+// Leave makes the dispatcher refuse new requests.
+func (d *Dispatcher) Leave() { d.leaving.Store(true) }
+
+// ServeHTTP answers one request of a caller.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	req, err := parse(w, r, d.options.MaxBodyBytes)
+	if err != nil {
+		d.counters.notRun.Inc()
+		writeFault(w, r.Header.Get(HeaderRequestID), err)
+		return
+	}
+	if d.leaving.Load() {
+		d.counters.notRun.Inc()
+		refuse(w, req.id, http.StatusServiceUnavailable, "this entry process is stopping", time.Second)
+		return
+	}
+	record := d.options.Traces.Open(req.id)
+	s := &serving{dispatcher: d, writer: w, request: req, record: record, deadline: started.Add(d.options.QueueWait)}
+	d.retries.deposit()
+	outcome := s.serve(r.Context())
+	d.counters.duration.UpdateDuration(started)
+	d.count(outcome)
+	record.Add(trace.Step{Event: "outcome " + outcome.String()})
+	if outcome == call.Cut {
+		// The caller's HTTP library reports a broken answer; a short one could look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (d *Dispatcher) count(o call.Outcome) {
+	switch o {
+	case call.Answered:
+		d.counters.answered.Inc()
+	case call.NotRun:
+		d.counters.notRun.Inc()
+	case call.Unknown:
+		d.counters.unknown.Inc()
+	case call.Cut:
+		d.counters.cut.Inc()
+	}
+}
+
+// serving is the state of one request.
+type serving struct {
+	dispatcher *Dispatcher
+	writer     http.ResponseWriter
+	request    *request
+	record     *trace.Record
+	deadline   time.Time
+	attempts   int
+	idempotent bool
+	lastReason string
+}
+
+func (s *serving) serve(ctx context.Context) call.Outcome {
+	for {
+		t := s.dispatcher.options.Table.Current()
+		g := t.Groups[s.request.group]
+		if g == nil {
+			return s.refuseGroup(t)
+		}
+		s.idempotent = g.Rule.IsIdempotent(s.request.method, s.request.path)
+		u := s.choose(g)
+		if u == nil {
+			if !s.waitRoom(ctx) {
+				return s.refuseFull(g)
+			}
+			continue
+		}
+		if s.attempts >= quickTries && !s.waitRoom(ctx) {
+			return s.refuseFull(g)
+		}
+		result := s.attempt(ctx, t, u)
+		if done, outcome := s.settle(ctx, u, result); done {
+			return outcome
+		}
+	}
+}
+
+func (s *serving) refuseGroup(t *table.Table) call.Outcome {
+	if t.RulesRevision == 0 {
+		refuse(s.writer, s.request.id, http.StatusServiceUnavailable, "no rules are known yet", time.Second)
+		return call.NotRun
+	}
+	refuse(s.writer, s.request.id, http.StatusNotFound, fmt.Sprintf("no rule names the group %q", s.request.group), 0)
+	return call.NotRun
+}
+
+func (s *serving) refuseFull(g *table.Group) call.Outcome {
+	reason := "all upstreams of the group are at their limit"
+	if len(g.Upstreams) == 0 {
+		reason = fmt.Sprintf("none of the %d upstreams of the group is in service", g.Listed)
+	}
+	if s.lastReason != "" {
+		reason += "; the last one tried said: " + s.lastReason
+	}
+	refuse(s.writer, s.request.id, http.StatusServiceUnavailable, reason, time.Second)
+	return call.NotRun
+}
+
+// choose picks an upstream and logs the decision.
+func (s *serving) choose(g *table.Group) *table.Upstream {
+	o := &s.dispatcher.options
+	choice := table.Choice{Group: g, Now: time.Now().UnixNano()}
+	i, other := o.Picker.Pick(&choice, s.affinity(g))
+	if i < 0 {
+		return nil
+	}
+	u := g.Upstreams[i]
+	s.logChoice(&choice, i, other)
+	s.record.Add(trace.Step{Event: "chosen", Upstream: u.Id, Detail: u.Domain})
+	return u
+}
+
+func (s *serving) logChoice(choice *table.Choice, i, other int) {
+	line := s.dispatcher.options.Log.Info()
+	if line == nil {
+		return
+	}
+	score, _ := picker.Score(choice.At(i))
+	u := choice.Group.Upstreams[i]
+	line = line.Str("Request", s.request.id).Str("Account", s.request.account).Str("Group", s.request.group).
+		Str("Upstream", u.Id).Str("Domain", u.Domain).Float64("Score", score).Int("Attempt", s.attempts+1)
+	if other >= 0 {
+		otherScore, _ := picker.Score(choice.At(other))
+		line = line.Str("Other", choice.Group.Upstreams[other].Id).Float64("OtherScore", otherScore)
+	}
+	if s.lastReason != "" {
+		line = line.Str("Reason", "after: "+s.lastReason)
+	}
+	line.Msg("routed")
+}
+
+// affinity returns a hash of the beginning of a prompt, 0 for plain services.
+func (s *serving) affinity(g *table.Group) uint64 {
+	if g.Rule.Kind != statement.KindEngine || len(s.request.body) < prefixBytes {
+		return 0
+	}
+	return xxhash.Sum64(s.request.body[:prefixBytes])
+}
+
+// waitRoom waits a moment for room; it returns false when the request must be refused.
+func (s *serving) waitRoom(ctx context.Context) bool {
+	d := s.dispatcher
+	if time.Now().After(s.deadline) {
+		return false
+	}
+	if d.queued.Add(1) > int64(d.options.MaxQueued) {
+		d.queued.Add(-1)
+		return false
+	}
+	defer d.queued.Add(-1)
+	timer := time.NewTimer(roomPoll)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (s *serving) attempt(ctx context.Context, t *table.Table, u *table.Upstream) call.Result {
+	s.attempts++
+	r := &message.RunRequest{
+		AttemptId:     newID(),
+		RequestId:     s.request.id,
+		Account:       s.request.account,
+		Group:         s.request.group,
+		Method:        s.request.method,
+		Target:        s.request.target,
+		Headers:       s.request.headers,
+		Body:          s.request.body,
+		Idempotent:    s.idempotent,
+		RulesRevision: t.RulesRevision,
+		Incarnation:   u.Incarnation,
+	}
+	u.Begin()
+	defer u.End()
+	result := s.dispatcher.options.Calls.Do(ctx, u.Address, r, &sink{w: s.writer, upstream: u.Id, request: s.request})
+	s.record.Add(trace.Step{Event: result.Outcome.String(), Upstream: u.Id, Attempt: r.GetAttemptId(), Detail: result.Reason})
+	if (result.SinkErr != nil || ctx.Err() != nil) && s.idempotent {
+		s.cancel(u, r.GetAttemptId())
+	}
+	return result
+}
+
+func (s *serving) cancel(u *table.Upstream, attemptID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = s.dispatcher.options.Calls.Cancel(ctx, u.Address, attemptID)
+}
+
+// settle decides whether a request has ended with an attempt, and tells the caller if so.
+func (s *serving) settle(ctx context.Context, u *table.Upstream, r call.Result) (bool, call.Outcome) {
+	if r.Limit > 0 {
+		u.ObserveLoad(r.Limit, r.Running)
+	}
+	s.lastReason = r.Reason
+	switch r.Outcome {
+	case call.Answered:
+		u.ObserveLatency(r.First)
+		return true, call.Answered
+	case call.NotRun:
+		s.avoid(u, r)
+		if ctx.Err() != nil {
+			return true, call.NotRun
+		}
+		if time.Now().After(s.deadline) {
+			refuse(s.writer, s.request.id, http.StatusServiceUnavailable, r.Reason, max(time.Second, r.RetryAfter))
+			return true, call.NotRun
+		}
+		return false, call.NotRun
+	case call.Unknown:
+		u.ObserveFailure()
+		if s.idempotent && ctx.Err() == nil && s.dispatcher.retries.take() {
+			s.dispatcher.counters.retried.Inc()
+			return false, call.Unknown
+		}
+		leaveOpen(s.writer, s.request.id, r.Reason)
+		return true, call.Unknown
+	default:
+		if r.SinkErr == nil {
+			u.ObserveFailure()
+		}
+		return true, call.Cut
+	}
+}
+
+// avoid keeps an upstream that refused from being chosen at once again.
+func (s *serving) avoid(u *table.Upstream, r call.Result) {
+	switch {
+	case !r.Dialed:
+		u.ObserveFailure()
+	case r.Limit > 0 && r.Running >= r.Limit:
+		// The reported load keeps it from being chosen while it is full.
+	default:
+		u.Avoid(avoidAfterRefusal)
+	}
+}
+
+// newID returns a random name for a request or an attempt.
+func newID() string {
+	return rand.Text()
+}
--- /dev/null
+++ b/internal/route/dispatch/request.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"unicode"
+
+	"github.com/oriolehub/oriolehub/internal/upstream/engine"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// Headers between callers and entry processes.
+const (
+	// HeaderAccount names the client account of a request.
+	HeaderAccount = "Client-Account"
+	// HeaderIdempotencyKey names a call that must not run twice even when its caller repeats it.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderOutcome states what became of a request: answered, not-run or unknown.
+	HeaderOutcome = "Oriolehub-Outcome"
+	// HeaderUpstream names the upstream that answered.
+	HeaderUpstream = "Oriolehub-Upstream"
+	// HeaderRequestID names a request; one is made up where the caller gives none.
+	HeaderRequestID = engine.HeaderRequestID
+)
+
+const (
+	defaultAccount = "anonymous"
+	maxNameBytes   = 128
+	maxTargetBytes = 8 << 10
+)
+
+// fault is a request that is refused for its form; it has not run.
+type fault struct {
+	status int
+	text   string
+}
+
+func (f *fault) Error() string { return f.text }
+
+func badRequest(format string, args ...any) *fault {
+	return &fault{status: http.StatusBadRequest, text: fmt.Sprintf(format, args...)}
+}
+
+// request is a checked request of a caller.
+type request struct {
+	id      string
+	account string
+	key     string
+	group   string
+	method  string
+	// path is the part of the URL after the group, as rules name it.
+	path    string
+	target  string
+	headers []*message.Header
+	body    []byte
+}
+
+// parse checks a request and reads its body.
+func parse(w http.ResponseWriter, r *http.Request, maxBody int64) (*request, error) {
+	if err := checkForm(r); err != nil {
+		return nil, err
+	}
+	group, path, ok := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if !ok || group == "" {
+		return nil, &fault{status: http.StatusNotFound, text: "want a path of the form /GROUP/PATH"}
+	}
+	out := &request{
+		id:      r.Header.Get(HeaderRequestID),
+		account: r.Header.Get(HeaderAccount),
+		key:     r.Header.Get(HeaderIdempotencyKey),
+		group:   group,
+		method:  r.Method,
+		path:    "/" + path,
+		target:  "/" + path,
+	}
+	if r.URL.RawQuery != "" {
+		out.target += "?" + r.URL.RawQuery
+	}
+	if out.account == "" {
+		out.account = defaultAccount
+	}
+	if out.id == "" {
+		out.id = newID()
+	}
+	if err := checkNames(out); err != nil {
+		return nil, err
+	}
+	out.headers = forwarded(r.Header)
+	body, err := readBody(w, r, maxBody)
+	if err != nil {
+		return nil, err
+	}
+	out.body = body
+	return out, nil
+}
+
+// checkForm refuses what another HTTP server might read in another way than this one.
+func checkForm(r *http.Request) error {
+	switch {
+	case r.Method == http.MethodConnect:
+		return &fault{status: http.StatusMethodNotAllowed, text: "CONNECT is not served"}
+	case r.Header.Get("Upgrade") != "":
+		return badRequest("protocol upgrades are not served")
+	case len(r.RequestURI) > maxTargetBytes:
+		return &fault{status: http.StatusRequestURITooLong, text: fmt.Sprintf("the target is longer than %d bytes", maxTargetBytes)}
+	case !strings.HasPrefix(r.RequestURI, "/"):
+		return badRequest("want a target that starts with '/'")
+	case r.URL.RawPath != "":
+		return badRequest("escaped separators in the path are not served")
+	case strings.Contains(r.URL.Path, "//"):
+		return badRequest("the path has an empty part")
+	case strings.ContainsFunc(r.URL.Path, unicode.IsControl):
+		return badRequest("the path has a control character")
+	}
+	for part := range strings.SplitSeq(r.URL.Path, "/") {
+		if part == "." || part == ".." {
+			return badRequest("the path has a part %q", part)
+		}
+	}
+	for _, name := range []string{"Content-Length", "Host", HeaderAccount, HeaderIdempotencyKey, HeaderRequestID} {
+		if len(r.Header.Values(name)) > 1 {
+			return badRequest("header %s is given more than once", name)
+		}
+	}
+	return nil
+}
+
+func checkNames(r *request) error {
+	for name, value := range map[string]string{HeaderAccount: r.account, HeaderRequestID: r.id, HeaderIdempotencyKey: r.key} {
+		if len(value) > maxNameBytes {
+			return badRequest("header %s is longer than %d bytes", name, maxNameBytes)
+		}
+		if strings.ContainsFunc(value, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
+			return badRequest("header %s: want printable ASCII without spaces", name)
+		}
+	}
+	return nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, maxBody int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &fault{status: http.StatusRequestEntityTooLarge, text: fmt.Sprintf("the body is larger than %d bytes", maxBody)}
+	case err != nil:
+		return nil, badRequest("the body could not be read: %v", err)
+	}
+	return body, nil
+}
+
+// hopByHop headers speak of one connection only and are not passed on.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// forwarded returns the headers that go to the upstream.
+func forwarded(h http.Header) []*message.Header {
+	dropped := map[string]bool{}
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			dropped[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	var out []*message.Header
+	for name, values := range h {
+		if hopByHop[name] || dropped[name] || name == "Content-Length" || name == HeaderRequestID {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, &message.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/route/picker/baselines.go
@@ -0,0 +1,60 @@
+package picker
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+)
+
+// Names of the policies, as given to Named.
+const (
+	NameTwoChoices = "two-choices"
+	NameRoundRobin = "round-robin"
+	NameLeast      = "least-connections"
+)
+
+// Named returns the policy with a name.
+func Named(name string) (hub.Picker, error) {
+	switch name {
+	case NameTwoChoices, "":
+		return TwoChoices{}, nil
+	case NameRoundRobin:
+		return &RoundRobin{}, nil
+	case NameLeast:
+		return LeastConnections{}, nil
+	}
+	return nil, fmt.Errorf("unknown policy %q: want %s, %s or %s", name, NameTwoChoices, NameRoundRobin, NameLeast)
+}
+
+// RoundRobin takes the candidates in turn, whatever their load.
+type RoundRobin struct {
+	next atomic.Uint64
+}
+
+var _ hub.Picker = (*RoundRobin)(nil)
+
+// Pick returns the next candidate.
+func (r *RoundRobin) Pick(c hub.Candidates, _ uint64) (int, int) {
+	n := c.Len()
+	if n == 0 {
+		return -1, -1
+	}
+	return int(r.next.Add(1) % uint64(n)), -1
+}
+
+// LeastConnections takes the candidate with the fewest requests in progress.
+type LeastConnections struct{}
+
+var _ hub.Picker = LeastConnections{}
+
+// Pick returns the least busy candidate.
+func (LeastConnections) Pick(c hub.Candidates, _ uint64) (int, int) {
+	best, running := -1, 0
+	for i := range c.Len() {
+		if now := c.At(i).Running; best < 0 || now < running {
+			best, running = i, now
+		}
+	}
+	return best, -1
+}
--- /dev/null
+++ b/internal/route/picker/doc.go
@@ -0,0 +1,2 @@
+// Package picker holds the policies that choose an upstream.
+package picker
--- /dev/null
+++ b/internal/route/table/table.go
@@ -0,0 +1,141 @@
+package table
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/state/view"
+)
+
+// suspectAfter is the age of a member record from which its upstream is a last resort.
+const suspectAfter = 4 * time.Second
+
+// Group is one group of upstreams with those that may take requests now.
+type Group struct {
+	Rule      statement.GroupRule
+	Upstreams []*Upstream
+	// Listed is the number of members of the group, in service or not.
+	Listed int
+}
+
+// Choice lets a hub.Picker choose among the upstreams of a group.
+type Choice struct {
+	Group *Group
+	// Now is the time of the choice in Unix nanoseconds.
+	Now int64
+}
+
+var _ hub.Candidates = (*Choice)(nil)
+
+// Len returns the number of upstreams.
+func (c *Choice) Len() int { return len(c.Group.Upstreams) }
+
+// At returns one upstream as it is now.
+func (c *Choice) At(i int) hub.Candidate { return c.Group.Upstreams[i].candidate(c.Now) }
+
+// Table is never changed once published.
+type Table struct {
+	RulesRevision uint64
+	Rules         *statement.Ruleset
+	Groups        map[string]*Group
+}
+
+// Builder publishes a new table when the view changes.
+type Builder struct {
+	domain  string
+	region  string
+	keeper  *view.Keeper
+	known   map[string]*Upstream
+	current atomic.Pointer[Table]
+}
+
+// NewBuilder returns a builder for an entry process in a failure domain and region.
+func NewBuilder(domain, region string, k *view.Keeper) *Builder {
+	b := &Builder{domain: domain, region: region, keeper: k, known: map[string]*Upstream{}}
+	b.current.Store(&Table{Rules: &statement.Ruleset{}, Groups: map[string]*Group{}})
+	return b
+}
+
+// Current returns the newest table.
+func (b *Builder) Current() *Table { return b.current.Load() }
+
+// Run rebuilds the table until ctx ends.
+func (b *Builder) Run(ctx context.Context) {
+	for {
+		changed := b.keeper.Changed()
+		b.Rebuild()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// Rebuild publishes the table of the current view; it must not be called concurrently.
+func (b *Builder) Rebuild() {
+	v := b.keeper.Current()
+	next := &Table{RulesRevision: v.RulesRevision, Rules: v.Rules, Groups: map[string]*Group{}}
+	for i := range v.Rules.Groups {
+		rule := v.Rules.Groups[i]
+		next.Groups[rule.Name] = &Group{Rule: rule}
+	}
+	kept := make(map[string]*Upstream, len(b.known))
+	for i := range v.Members {
+		m := &v.Members[i]
+		g := next.Groups[m.Group]
+		if m.Role != hub.RoleSide || g == nil {
+			continue
+		}
+		g.Listed++
+		u := b.upstream(&m.Member)
+		kept[m.Id] = u
+		u.heardAt.Store(m.Seen.UnixNano())
+		if b.inService(v, &m.Member) {
+			g.Upstreams = append(g.Upstreams, u)
+		}
+	}
+	b.known = kept
+	b.current.Store(next)
+}
+
+// inService reports whether an upstream may receive new work by all that is known here.
+func (b *Builder) inService(v *view.View, m *hub.Member) bool {
+	return m.State == hub.StateServing && !v.Rules.DomainOut(m.Domain)
+}
+
+// upstream returns the state kept for a member, which begins anew with each incarnation.
+func (b *Builder) upstream(m *hub.Member) *Upstream {
+	u := b.known[m.Id]
+	if u == nil || u.Incarnation != m.Incarnation {
+		u = &Upstream{
+			Id:          m.Id,
+			Address:     m.Address,
+			Domain:      m.Domain,
+			Region:      m.Region,
+			Incarnation: m.Incarnation,
+			Locality:    b.locality(m),
+			Hash:        xxhash.Sum64String(m.Id),
+		}
+	}
+	if u.limit.Load() == 0 || m.State != hub.StateServing {
+		u.limit.Store(int64(max(1, m.Limit)))
+	}
+	return u
+}
+
+func (b *Builder) locality(m *hub.Member) hub.Locality {
+	switch {
+	case m.Domain == b.domain:
+		return hub.SameDomain
+	case m.Region == b.region:
+		return hub.SameRegion
+	default:
+		return hub.OtherRegion
+	}
+}
--- /dev/null
+++ b/internal/upstream/guard/doc.go
@@ -0,0 +1,2 @@
+// Package guard decides at the side process whether its upstream may take one more request.
+package guard
