cli/table: one table of commands for the command line, its help and its page

Cause: operators need commands and queries. Change: table over flaggy, processes, stand-ins, rules, rollout, status, explain, settings. Measured: help, suggestions and exit code 2 seen by hand.

--- /dev/null
+++ b/cmd/oriolehub/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds builds the table of all commands.
+package cmds
--- /dev/null
+++ b/cmd/oriolehub/cmds/generate/main.go
@@ -0,0 +1,18 @@
+// Command generate writes the page of the command line.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/oriolehub/oriolehub/cmd/oriolehub/cmds"
+)
+
+const pageMode = 0o644
+
+func main() {
+	if err := os.WriteFile(os.Args[1], []byte(cmds.Table().Page()), pageMode); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/cli/client/client.go
@@ -0,0 +1,97 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/wire/link"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+const (
+	// EnvEntry is the environment variable that names the entry process where no flag does.
+	EnvEntry = "ORIOLEHUB_ENTRY"
+	// defaultEntry is the control address of an entry process on the same machine.
+	defaultEntry = "127.0.0.1:7400"
+	callTimeout  = 15 * time.Second
+)
+
+// Target is how a command reaches an entry process.
+type Target struct {
+	Entry string
+}
+
+// NewTarget returns the target that the environment names.
+func NewTarget() *Target {
+	t := &Target{Entry: os.Getenv(EnvEntry)}
+	if t.Entry == "" {
+		t.Entry = defaultEntry
+	}
+	return t
+}
+
+// Flags returns the flags of a command that talks to an entry process.
+func (t *Target) Flags(more ...table.Flag) []table.Flag {
+	return append(more, table.Flag{Name: "entry", Help: "control address of an entry process; also by " + EnvEntry, Target: &t.Entry})
+}
+
+// Call connects to the entry process and runs f.
+func (t *Target) Call(ctx context.Context, f func(ctx context.Context, c message.DRPCOperatorClient) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l := link.NewClient(link.Dial)
+	defer l.Close()
+	conn, err := l.Fresh(ctx, t.Entry)
+	if err != nil {
+		return fmt.Errorf("entry process %s does not answer: %w", t.Entry, err)
+	}
+	defer conn.Close()
+	return f(ctx, message.NewDRPCOperatorClient(conn))
+}
+
+// Author returns the name of the operator for the history of the rules.
+func Author() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+// WriteJSON writes a value as indented JSON.
+func WriteJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return fmt.Errorf("write JSON: %w", err)
+	}
+	return nil
+}
+
+// ReadRules returns the rules that the entry process knows.
+func (t *Target) ReadRules(ctx context.Context) (*message.RulesReply, error) {
+	var reply *message.RulesReply
+	err := t.Call(ctx, func(ctx context.Context, c message.DRPCOperatorClient) error {
+		var err error
+		reply, err = c.ReadRules(ctx, &message.ReadRulesRequest{})
+		return err
+	})
+	return reply, err
+}
+
+// ReadStatus returns what the entry process knows of all processes.
+func (t *Target) ReadStatus(ctx context.Context) (*message.StatusReply, error) {
+	var reply *message.StatusReply
+	err := t.Call(ctx, func(ctx context.Context, c message.DRPCOperatorClient) error {
+		var err error
+		reply, err = c.ReadStatus(ctx, &message.ReadStatusRequest{})
+		return err
+	})
+	return reply, err
+}
--- /dev/null
+++ b/internal/cli/commands/rules.go
@@ -0,0 +1,115 @@
+package commands
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/oriolehub/oriolehub/internal/cli/client"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// baseNotGiven stands for a base revision that is to be read from the entry process.
+const baseNotGiven = -1
+
+// RulesApply returns the command that puts a rules file in force.
+func RulesApply() *table.Command {
+	target := client.NewTarget()
+	var file string
+	base, author := baseNotGiven, client.Author()
+	return &table.Command{
+		Name:    "rules apply",
+		Section: table.Commands,
+		Help:    "put a rules file in force everywhere",
+		Detail: "The whole file is checked first; nothing is applied if any line is wrong.\n" +
+			"With --base, the file is applied only if that revision is still the current one;\n" +
+			"without it, the base is the revision that the entry process knows now.",
+		Args: []table.Arg{{Name: "FILE", Help: "rules file", Target: &file, Required: true}},
+		Flags: target.Flags(
+			table.Flag{Name: "base", Help: "revision that the file was made from", Target: &base},
+			table.Flag{Name: "author", Help: "name for the history", Target: &author},
+		),
+		Run: func(ctx context.Context, env *table.Env) error {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return fmt.Errorf("read rules: %w", err)
+			}
+			if _, err := statement.Parse(string(text)); err != nil {
+				return table.Exit(table.ExitInvalid, "%s has faults:\n%w", file, err)
+			}
+			if base == baseNotGiven {
+				current, err := target.ReadRules(ctx)
+				if err != nil {
+					return err
+				}
+				base = int(current.GetRevision())
+			}
+			return applyText(ctx, env, target, string(text), uint64(base), author)
+		},
+	}
+}
+
+// applyText writes a rules text and tells the operator what became of it.
+func applyText(ctx context.Context, env *table.Env, target *client.Target, text string, base uint64, author string) error {
+	request := &message.ApplyRequest{Text: text, Base: base, Author: author, WriteId: rand.Text()}
+	var reply *message.ApplyReply
+	err := target.Call(ctx, func(ctx context.Context, c message.DRPCOperatorClient) error {
+		var err error
+		reply, err = c.ApplyRules(ctx, request)
+		return err
+	})
+	switch {
+	case err != nil:
+		return table.Exit(table.ExitUnknown, "the change may or may not have taken effect; see 'rules show': %w", err)
+	case reply.GetFault() != "":
+		return table.Exit(table.ExitInvalid, "the rules have faults:\n%s", reply.GetFault())
+	case reply.GetConflict():
+		fmt.Fprintf(env.Out, "Revision %d is in force, yours was made from %d. What yours would change of it:\n%s",
+			reply.GetCurrentRevision(), base, statement.Diff(reply.GetCurrentText(), text))
+		return table.Exit(table.ExitConflict, "the rules were changed meanwhile; nothing was applied")
+	}
+	fmt.Fprintf(env.Out, "Revision %d is in force.\n", reply.GetRevision())
+	return nil
+}
+
+// RulesFormat returns the command that aligns a rules file.
+func RulesFormat() *table.Command {
+	var file string
+	write := false
+	return &table.Command{
+		Name:    "rules format",
+		Section: table.Commands,
+		Help:    "align the words of a rules file in columns, keeping every comment",
+		Args:    []table.Arg{{Name: "FILE", Help: "rules file", Target: &file, Required: true}},
+		Flags:   []table.Flag{{Name: "write", Help: "write the result to the file in place of printing it", Target: &write}},
+		Run: func(_ context.Context, env *table.Env) error {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return fmt.Errorf("read rules: %w", err)
+			}
+			formatted := statement.Format(string(text))
+			if !write {
+				fmt.Fprint(env.Out, formatted)
+				return nil
+			}
+			return replaceFile(file, formatted)
+		},
+	}
+}
+
+// replaceFile writes a file aside and renames it, so that a failure leaves the old text.
+func replaceFile(file, text string) error {
+	const mode = 0o644
+	aside := file + ".new"
+	if err := os.WriteFile(aside, []byte(text), mode); err != nil {
+		return fmt.Errorf("write rules: %w", err)
+	}
+	if err := os.Rename(aside, file); err != nil {
+		return errors.Join(fmt.Errorf("write rules: %w", err), os.Remove(aside))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/queries/rules.go
@@ -0,0 +1,169 @@
+package queries
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/cli/client"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+)
+
+func jsonFlag(target *bool) table.Flag {
+	return table.Flag{Name: "json", Help: "print JSON", Target: target}
+}
+
+// CheckReport is the JSON answer of a check.
+type CheckReport struct {
+	File   string
+	Valid  bool
+	Faults []statement.Fault
+}
+
+// RulesCheck returns the query that checks a rules file.
+func RulesCheck() *table.Command {
+	var file string
+	var asJSON bool
+	return &table.Command{
+		Name:    "rules check",
+		Section: table.Queries,
+		Help:    "check a rules file and report every fault with line and column",
+		Args:    []table.Arg{{Name: "FILE", Help: "rules file", Target: &file, Required: true}},
+		Flags:   []table.Flag{jsonFlag(&asJSON)},
+		Run: func(_ context.Context, env *table.Env) error {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return fmt.Errorf("read rules: %w", err)
+			}
+			_, err = statement.Parse(string(text))
+			var faults statement.Faults
+			errors.As(err, &faults)
+			if asJSON {
+				if err := client.WriteJSON(env.Out, CheckReport{File: file, Valid: len(faults) == 0, Faults: faults}); err != nil {
+					return err
+				}
+			}
+			if len(faults) > 0 {
+				return table.Exit(table.ExitInvalid, "%s has faults:\n%w", file, faults)
+			}
+			if !asJSON {
+				fmt.Fprintf(env.Out, "%s: no faults.\n", file)
+			}
+			return nil
+		},
+	}
+}
+
+// DiffReport is the JSON answer of a comparison with the rules in force.
+type DiffReport struct {
+	Revision uint64
+	Diff     string
+}
+
+// RulesDiff returns the query that compares a rules file with the rules in force.
+func RulesDiff() *table.Command {
+	target := client.NewTarget()
+	var file string
+	var asJSON bool
+	return &table.Command{
+		Name:    "rules diff",
+		Section: table.Queries,
+		Help:    "show what a rules file would change of the rules in force",
+		Args:    []table.Arg{{Name: "FILE", Help: "rules file", Target: &file, Required: true}},
+		Flags:   target.Flags(jsonFlag(&asJSON)),
+		Run: func(ctx context.Context, env *table.Env) error {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return fmt.Errorf("read rules: %w", err)
+			}
+			current, err := target.ReadRules(ctx)
+			if err != nil {
+				return err
+			}
+			diff := statement.Diff(current.GetText(), string(text))
+			if asJSON {
+				return client.WriteJSON(env.Out, DiffReport{Revision: current.GetRevision(), Diff: diff})
+			}
+			if diff == "" {
+				fmt.Fprintf(env.Out, "Same as revision %d.\n", current.GetRevision())
+				return nil
+			}
+			fmt.Fprintf(env.Out, "Against revision %d:\n%s", current.GetRevision(), diff)
+			return nil
+		},
+	}
+}
+
+// RulesReport is the JSON answer with the rules in force.
+type RulesReport struct {
+	Revision uint64
+	Text     string
+}
+
+// RulesShow returns the query that shows the rules in force.
+func RulesShow() *table.Command {
+	target := client.NewTarget()
+	var asJSON bool
+	return &table.Command{
+		Name:    "rules show",
+		Section: table.Queries,
+		Help:    "show the rules in force at an entry process",
+		Flags:   target.Flags(jsonFlag(&asJSON)),
+		Run: func(ctx context.Context, env *table.Env) error {
+			current, err := target.ReadRules(ctx)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return client.WriteJSON(env.Out, RulesReport{Revision: current.GetRevision(), Text: current.GetText()})
+			}
+			fmt.Fprintf(env.Out, "# revision %d\n%s", current.GetRevision(), current.GetText())
+			return nil
+		},
+	}
+}
+
+// HistoryRow is one revision in the JSON answer of the history.
+type HistoryRow struct {
+	Revision uint64
+	Author   string
+	Time     time.Time
+	Base     uint64
+	Diff     string
+}
+
+// RulesHistory returns the query that lists the revisions of the rules.
+func RulesHistory() *table.Command {
+	target := client.NewTarget()
+	var asJSON bool
+	limit := 20
+	return &table.Command{
+		Name:    "rules history",
+		Section: table.Queries,
+		Help:    "list the revisions of the rules: who, when and what changed",
+		Flags:   target.Flags(jsonFlag(&asJSON), table.Flag{Name: "limit", Help: "newest revisions to list", Target: &limit}),
+		Run: func(ctx context.Context, env *table.Env) error {
+			current, err := target.ReadRules(ctx)
+			if err != nil {
+				return err
+			}
+			rows := []HistoryRow{}
+			for _, e := range current.GetHistory() {
+				rows = append(rows, HistoryRow{
+					Revision: e.GetRevision(), Author: e.GetAuthor(), Time: time.UnixMilli(e.GetTimeUnixMs()).UTC(), Base: e.GetBase(), Diff: e.GetDiff(),
+				})
+			}
+			rows = rows[max(0, len(rows)-limit):]
+			if asJSON {
+				return client.WriteJSON(env.Out, rows)
+			}
+			for _, r := range rows {
+				fmt.Fprintf(env.Out, "revision %d by %s at %s (made from %d)\n%s\n", r.Revision, r.Author, r.Time.Format(time.RFC3339), r.Base, r.Diff)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/queries/settings.go
@@ -0,0 +1,93 @@
+package queries
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/oriolehub/oriolehub/internal/cli/client"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/process/settings"
+)
+
+// SettingsReport is the JSON answer of a check of settings.
+type SettingsReport struct {
+	File   string
+	Valid  bool
+	Faults []settings.Fault
+}
+
+// SettingsCheck returns the query that checks a settings file.
+func SettingsCheck() *table.Command {
+	var file string
+	var asJSON bool
+	role := "entry"
+	return &table.Command{
+		Name:    "settings check",
+		Section: table.Queries,
+		Help:    "check a settings file and report every fault with line and key",
+		Args:    []table.Arg{{Name: "FILE", Help: "settings file", Target: &file, Required: true}},
+		Flags:   []table.Flag{{Name: "role", Help: "entry or side", Target: &role}, jsonFlag(&asJSON)},
+		Run: func(_ context.Context, env *table.Env) error {
+			err := checkSettings(role, file)
+			var faults settings.Faults
+			if err != nil && !errors.As(err, &faults) {
+				return err
+			}
+			if asJSON {
+				if err := client.WriteJSON(env.Out, SettingsReport{File: file, Valid: len(faults) == 0, Faults: faults}); err != nil {
+					return err
+				}
+			}
+			if len(faults) > 0 {
+				return table.Exit(table.ExitInvalid, "%s has faults:\n%w", file, faults)
+			}
+			if !asJSON {
+				fmt.Fprintf(env.Out, "%s: no faults.\n", file)
+			}
+			return nil
+		},
+	}
+}
+
+func checkSettings(role, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	switch role {
+	case "entry":
+		_, err = settings.ParseEntry(file, data)
+	case "side":
+		_, err = settings.ParseSide(file, data)
+	default:
+		return table.Exit(table.ExitUsage, "unknown role %q: want entry or side", role)
+	}
+	return err
+}
+
+// SettingsShow returns the query that prints the defaults.
+func SettingsShow() *table.Command {
+	role := "entry"
+	return &table.Command{
+		Name:    "settings show",
+		Section: table.Queries,
+		Help:    "print the settings that are in force where a file says nothing",
+		Flags:   []table.Flag{{Name: "role", Help: "entry or side", Target: &role}},
+		Run: func(_ context.Context, env *table.Env) error {
+			var text string
+			var err error
+			switch role {
+			case "entry":
+				text, err = settings.Encode(settings.DefaultEntry())
+			case "side":
+				text, err = settings.Encode(settings.DefaultSide())
+			default:
+				return table.Exit(table.ExitUsage, "unknown role %q: want entry or side", role)
+			}
+			fmt.Fprint(env.Out, text)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/table/parse.go
@@ -0,0 +1,191 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+)
+
+// Execute runs the command that args name and returns the exit code.
+func (t *Table) Execute(ctx context.Context, args []string, env *Env) int {
+	if len(args) == 0 || isHelp(args[0]) {
+		fmt.Fprint(env.Out, t.Help())
+		return ExitOK
+	}
+	if args[0] == "--version" {
+		args = []string{"version"}
+	}
+	c, rest, err := t.find(args)
+	if err != nil {
+		fmt.Fprintf(env.Err, "%s: %v\n", t.Program, err)
+		return ExitUsage
+	}
+	if slices.ContainsFunc(rest, isHelp) {
+		fmt.Fprint(env.Out, t.CommandHelp(c))
+		return ExitOK
+	}
+	if err := t.parse(c, rest); err != nil {
+		fmt.Fprintf(env.Err, "%s %s: %v\nSee '%s %s --help'.\n", t.Program, c.Name, err, t.Program, c.Name)
+		return ExitUsage
+	}
+	return t.report(c, c.Run(ctx, env), env)
+}
+
+func (t *Table) report(c *Command, err error, env *Env) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(env.Err, "%s %s: %v\n", t.Program, c.Name, err)
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+	return ExitFailed
+}
+
+func isHelp(arg string) bool {
+	return arg == "--help" || arg == "-h" || arg == "help"
+}
+
+// find returns the command that the first words name and the arguments after them.
+func (t *Table) find(args []string) (*Command, []string, error) {
+	for words := min(2, len(args)); words >= 1; words-- {
+		name := strings.Join(args[:words], " ")
+		for _, c := range t.Commands {
+			if c.Name == name || slices.Contains(c.Aliases, name) {
+				return c, args[words:], nil
+			}
+		}
+	}
+	return nil, nil, t.unknown(args)
+}
+
+func (t *Table) unknown(args []string) error {
+	var under []string
+	for _, c := range t.Commands {
+		if strings.HasPrefix(c.Name, args[0]+" ") {
+			under = append(under, c.Name)
+		}
+	}
+	if len(under) > 0 && (len(args) == 1 || strings.HasPrefix(args[1], "-")) {
+		return fmt.Errorf("want one of: %s", strings.Join(under, ", "))
+	}
+	name := strings.Join(args[:min(2, len(args))], " ")
+	var names []string
+	for _, c := range t.Commands {
+		names = append(names, c.Name)
+	}
+	near := statement.Nearest(name, names)
+	if near == "" {
+		near = statement.Nearest(args[0], names)
+	}
+	if near != "" {
+		return fmt.Errorf("unknown command %q; did you mean %q?", name, near)
+	}
+	return fmt.Errorf("unknown command %q; see '%s --help'", name, t.Program)
+}
+
+// parse checks the words against the command and lets flaggy set the targets.
+func (t *Table) parse(c *Command, args []string) error {
+	if err := checkWords(c, args); err != nil {
+		return err
+	}
+	flaggy.PanicInsteadOfExit = true
+	p := flaggy.NewParser(t.Program + " " + c.Name)
+	p.ShowHelpWithHFlag = false
+	p.ShowHelpOnUnexpected = false
+	p.ShowVersionWithVersionFlag = false
+	p.DisableShowVersionWithVersion()
+	for _, f := range c.Flags {
+		if err := addFlag(p, f); err != nil {
+			return err
+		}
+	}
+	for i, a := range c.Args {
+		p.AddPositionalValue(a.Target, a.Name, i+1, false, a.Help)
+	}
+	return parseRecovering(p, args)
+}
+
+func parseRecovering(p *flaggy.Parser, args []string) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = fmt.Errorf("%v", v)
+		}
+	}()
+	return p.ParseArgs(args)
+}
+
+func addFlag(p *flaggy.Parser, f Flag) error {
+	switch target := f.Target.(type) {
+	case *string:
+		p.String(target, "", f.Name, f.Help)
+	case *int:
+		p.Int(target, "", f.Name, f.Help)
+	case *bool:
+		p.Bool(target, "", f.Name, f.Help)
+	case *float64:
+		p.Float64(target, "", f.Name, f.Help)
+	case *time.Duration:
+		p.Duration(target, "", f.Name, f.Help)
+	default:
+		return fmt.Errorf("flag --%s has no type", f.Name)
+	}
+	return nil
+}
+
+// checkWords reports unknown flags, missing values, and too few or too many arguments.
+func checkWords(c *Command, args []string) error {
+	given := 0
+	for i := 0; i < len(args); i++ {
+		if !strings.HasPrefix(args[i], "-") || args[i] == "-" {
+			given++
+			continue
+		}
+		name, _, joined := strings.Cut(strings.TrimLeft(args[i], "-"), "=")
+		f := c.flag(name)
+		if f == nil {
+			return unknownFlag(c, name)
+		}
+		if _, isBool := f.Target.(*bool); isBool || joined {
+			continue
+		}
+		if i++; i >= len(args) {
+			return fmt.Errorf("flag --%s: missing value", name)
+		}
+	}
+	if given > len(c.Args) {
+		return fmt.Errorf("too many arguments: want %d, have %d", len(c.Args), given)
+	}
+	if given < len(c.Args) && c.Args[given].Required {
+		return fmt.Errorf("missing argument %s", c.Args[given].Name)
+	}
+	return nil
+}
+
+func (c *Command) flag(name string) *Flag {
+	for i := range c.Flags {
+		if c.Flags[i].Name == name {
+			return &c.Flags[i]
+		}
+	}
+	return nil
+}
+
+func unknownFlag(c *Command, name string) error {
+	var names []string
+	for _, f := range c.Flags {
+		names = append(names, f.Name)
+	}
+	if near := statement.Nearest(name, names); near != "" {
+		return fmt.Errorf("unknown flag --%s; did you mean --%s?", name, near)
+	}
+	return fmt.Errorf("unknown flag --%s", name)
+}
--- /dev/null
+++ b/internal/process/settings/encode.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Encode returns settings as YAML, each key in the order of its field.
+func Encode(v any) (string, error) {
+	var b strings.Builder
+	if err := encodeStruct(&b, reflect.ValueOf(v), ""); err != nil {
+		return "", err
+	}
+	return b.String(), nil
+}
+
+func encodeStruct(b *strings.Builder, v reflect.Value, indent string) error {
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		if field.Anonymous {
+			if err := encodeStruct(b, v.Field(i), indent); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := encodeField(b, field.Name, v.Field(i), indent); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func encodeField(b *strings.Builder, name string, v reflect.Value, indent string) error {
+	switch value := v.Interface().(type) {
+	case Duration, Bytes:
+		fmt.Fprintf(b, "%s%s: %v\n", indent, name, value)
+		return nil
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		fmt.Fprintf(b, "%s%s:\n", indent, name)
+		return encodeStruct(b, v, indent+"  ")
+	case reflect.Slice:
+		if v.Len() == 0 {
+			fmt.Fprintf(b, "%s%s: []\n", indent, name)
+			return nil
+		}
+		fmt.Fprintf(b, "%s%s:\n", indent, name)
+		for i := range v.Len() {
+			fmt.Fprintf(b, "%s  - %q\n", indent, v.Index(i).String())
+		}
+		return nil
+	case reflect.String:
+		fmt.Fprintf(b, "%s%s: %q\n", indent, name, v.String())
+		return nil
+	case reflect.Int, reflect.Bool:
+		fmt.Fprintf(b, "%s%s: %v\n", indent, name, v.Interface())
+		return nil
+	}
+	return fmt.Errorf("settings key %s has no YAML form", name)
+}
--- /dev/null
+++ b/internal/rules/statement/edit.go
@@ -0,0 +1,25 @@
+package statement
+
+import "strings"
+
+// Add returns text with one more rule at its end.
+func Add(text, line string) string {
+	if text != "" && !strings.HasSuffix(text, "\n") {
+		text += "\n"
+	}
+	return text + line + "\n"
+}
+
+// Remove returns text without the rules of a keyword for a name.
+func Remove(text string, keyword Keyword, name string) string {
+	var b strings.Builder
+	raw := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	for i, s := range raw {
+		line := splitLine(i+1, s)
+		if line.Keyword == keyword && len(line.Fields) > 1 && line.Fields[1].Text == name {
+			continue
+		}
+		b.WriteString(s + "\n")
+	}
+	return b.String()
+}
