--- /dev/null
+++ b/cmd/oriolehub/processes_test.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/cmd/oriolehub/cmds"
+	"github.com/oriolehub/oriolehub/internal/cli/commands"
+	"github.com/oriolehub/oriolehub/internal/standin/engine"
+)
+
+// envProgram makes the test binary behave as the program itself.
+const envProgram = "ORIOLEHUB_TEST_PROGRAM"
+
+// readyTimeout is generous, so that a busy machine gives the same verdict.
+const readyTimeout = 60 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(envProgram) != "" {
+		os.Exit(cmds.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// process is one process of the program.
+type process struct {
+	cmd  *exec.Cmd
+	line string
+}
+
+// start runs the program and returns once it has printed its first line.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), envProgram+"=1")
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, cmd.Start())
+	p := &process{cmd: cmd}
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	p.line, err = bufio.NewReader(out).ReadString('\n')
+	assert.NilError(t, err, "%v", args)
+	return p
+}
+
+// stop sends SIGTERM and wants a clean exit.
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, p.cmd.Wait())
+}
+
+func (p *process) address() string {
+	words := strings.Fields(p.line)
+	return words[len(words)-1]
+}
+
+// run runs the program to its end.
+func run(t *testing.T, args ...string) string {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), envProgram+"=1")
+	out, err := cmd.CombinedOutput()
+	assert.NilError(t, err, "%v: %s", args, out)
+	return string(out)
+}
+
+// withTestPorts copies an example settings file, replacing its ports by free ones.
+func withTestPorts(t *testing.T, file string, ports map[string]string) string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for from, to := range ports {
+		text = bytes.ReplaceAll(text, []byte("127.0.0.1:"+from), []byte(to))
+	}
+	copied := filepath.Join(t.TempDir(), filepath.Base(file))
+	assert.NilError(t, os.WriteFile(copied, text, 0o600))
+	return copied
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func TestSeparateProcesses(t *testing.T) {
+	for _, tc := range []struct{ deployment, model, engineGroup, onceCall string }{
+		{"nakhla", "scaler-7b@2026-12-03", "scaler-llm", "/ticket-desk/tickets"},
+		{"puhas", "assistant-7b@2026-12-03", "assistant-llm", "/orders-app/orders"},
+	} {
+		t.Run(tc.deployment, func(t *testing.T) {
+			testDeployment(t, tc.deployment, tc.model, tc.engineGroup, tc.onceCall)
+		})
+	}
+}
+
+func testDeployment(t *testing.T, deployment, model, engineGroup, onceCall string) {
+	content := make([]byte, 3<<20+17)
+	rand.New(rand.NewSource(1)).Read(content)
+	file := filepath.Join(t.TempDir(), "weights")
+	assert.NilError(t, os.WriteFile(file, content, 0o600))
+	sum := sha256.Sum256(content)
+	root := "sha256:" + hex.EncodeToString(sum[:])
+
+	examples := filepath.Join("..", "..", "examples", deployment)
+	store := start(t, "standin", "store", "--listen", "127.0.0.1:0")
+	origin := start(t, "standin", "origin", "--listen", "127.0.0.1:0", "--publish", model, "--file", file)
+	first := start(t, "standin", "engine", "--listen", "127.0.0.1:0", "--token-time", "20ms")
+	second := start(t, "standin", "engine", "--listen", "127.0.0.1:0", "--token-time", "20ms", "--fenced=false")
+	desk := start(t, "standin", "service", "--listen", "127.0.0.1:0")
+	ports := map[string]string{
+		"12400": store.address(), "12500": origin.address(), "12701": first.address(), "12702": second.address(), "12703": desk.address(),
+	}
+	for _, port := range []string{"18080", "17400", "17500", "17411", "17412", "17413", "17511", "17512", "17513", "17611", "17612", "17613"} {
+		ports[port] = freeAddress(t)
+	}
+	entry := start(t, "entry", "--settings", withTestPorts(t, filepath.Join(examples, "entry.yaml"), ports))
+	sides := []*process{
+		start(t, "side", "--settings", withTestPorts(t, filepath.Join(examples, "side-engine-1.yaml"), ports)),
+		start(t, "side", "--settings", withTestPorts(t, filepath.Join(examples, "side-engine-2.yaml"), ports)),
+		start(t, "side", "--settings", withTestPorts(t, filepath.Join(examples, "side-service.yaml"), ports)),
+	}
+	out := run(t, "rules", "apply", filepath.Join(examples, "rules.txt"), "--entry", ports["17400"], "--author", "Hoda")
+	assert.Assert(t, strings.Contains(out, "is in force"), out)
+	run(t, "rollout", "watch", engineGroup, "--entry", ports["17400"], "--interval", "100ms")
+
+	for _, p := range []*process{first, second} {
+		var seen engine.Observations
+		getJSON(t, "http://"+p.address()+commands.ObservationsPath, &seen)
+		assert.DeepEqual(t, seen.Loads, []string{root})
+	}
+	caller := "http://" + ports["18080"]
+	untilAnswered(t, caller+onceCall, "once-1")
+	var runs struct{ Runs, Repeated int }
+	getJSON(t, "http://"+desk.address()+commands.RunsPath+"?request=once-1", &runs)
+	assert.Equal(t, runs.Runs, 1)
+
+	stopWhileAnswering(t, caller+"/"+engineGroup+"/v1/completions", sides, entry)
+}
+
+// stopWhileAnswering stops one side and then the entry while answers are under way, and wants each of them whole.
+func stopWhileAnswering(t *testing.T, target string, sides []*process, entry *process) {
+	const calls, tokens = 2, 60
+	var running sync.WaitGroup
+	bodies := make([]string, calls)
+	begun := make(chan struct{}, calls)
+	for i := range calls {
+		running.Go(func() { bodies[i] = readCompletion(t, target, fmt.Sprintf("long-%d", i), tokens, begun) })
+	}
+	for range calls {
+		<-begun
+	}
+	sides[0].stop(t)
+	entry.stop(t)
+	running.Wait()
+	for i, body := range bodies {
+		assert.Equal(t, body, engine.Completion(fmt.Sprintf("long-%d", i), engine.Prompt{Tokens: tokens}))
+	}
+	sides[1].stop(t)
+	sides[2].stop(t)
+}
+
+// readCompletion asks for a completion until it begins, and reads it to its end.
+func readCompletion(t *testing.T, target, id string, tokens int, begun chan<- struct{}) string {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		resp, err := post(target, id, fmt.Sprintf(`{"Prompt":"p","Tokens":%d}`, tokens))
+		if err != nil {
+			t.Errorf("call %s: %v", id, err)
+			begun <- struct{}{}
+			return ""
+		}
+		if resp.StatusCode == http.StatusOK {
+			begun <- struct{}{}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil {
+				t.Errorf("answer %s was cut: %v", id, err)
+			}
+			return string(body)
+		}
+		resp.Body.Close()
+	}
+	t.Errorf("call %s: never answered", id)
+	begun <- struct{}{}
+	return ""
+}
+
+func post(target, id, body string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, target, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("X-Request-Id", id)
+	return http.DefaultClient.Do(r)
+}
+
+// untilAnswered repeats a call for as long as it is refused as not run.
+func untilAnswered(t *testing.T, target, id string) {
+	t.Helper()
+	deadline := time.Now().Add(readyTimeout)
+	for {
+		resp, err := post(target, id, "{}")
+		assert.NilError(t, err)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+		assert.Equal(t, resp.Header.Get("Oriolehub-Outcome"), "not-run")
+		assert.Assert(t, time.Now().Before(deadline), "never answered: %s", resp.Status)
+	}
+}
+
+func getJSON(t *testing.T, url string, out any) {
+	t.Helper()
+	resp, err := http.Get(url)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(out))
+}
--- a/internal/cli/client/client.go
+++ b/internal/cli/client/client.go
@@ -27,18 +27,25 @@
 	Entry string
 }
 
-// NewTarget returns the target that the environment names.
+// NewTarget returns the target of a command whose flag is not given.
 func NewTarget() *Target {
-	t := &Target{Entry: os.Getenv(EnvEntry)}
-	if t.Entry == "" {
-		t.Entry = defaultEntry
+	return &Target{}
+}
+
+// address returns the control address that the flag, the environment or the default names.
+func (t *Target) address() string {
+	if t.Entry != "" {
+		return t.Entry
 	}
-	return t
+	if named := os.Getenv(EnvEntry); named != "" {
+		return named
+	}
+	return defaultEntry
 }
 
 // Flags returns the flags of a command that talks to an entry process.
 func (t *Target) Flags(more ...table.Flag) []table.Flag {
-	return append(more, table.Flag{Name: "entry", Help: "control address of an entry process; also by " + EnvEntry, Target: &t.Entry})
+	return append(more, table.Flag{Name: "entry", Help: "control address of an entry process; else " + EnvEntry + ", else " + defaultEntry, Target: &t.Entry})
 }
 
 // Call connects to the entry process and runs f.
@@ -47,16 +54,19 @@
 	defer cancel()
 	l := link.NewClient(link.Dial)
 	defer l.Close()
-	conn, err := l.Fresh(ctx, t.Entry)
+	conn, err := l.Fresh(ctx, t.address())
 	if err != nil {
-		return fmt.Errorf("entry process %s does not answer: %w", t.Entry, err)
+		return fmt.Errorf("entry process %s does not answer: %w", t.address(), err)
 	}
 	defer conn.Close()
 	return f(ctx, message.NewDRPCOperatorClient(conn))
 }
 
-// Author returns the name of the operator for the history of the rules.
-func Author() string {
+// Author returns the given name, or that of the operating system's user, for the history of the rules.
+func Author(given string) string {
+	if given != "" {
+		return given
+	}
 	u, err := user.Current()
 	if err != nil {
 		return "unknown"
--- a/internal/cli/commands/rollout.go
+++ b/internal/cli/commands/rollout.go
@@ -20,7 +20,7 @@
 }
 
 func newEdit() *edit {
-	return &edit{target: client.NewTarget(), author: client.Author()}
+	return &edit{target: client.NewTarget()}
 }
 
 func (e *edit) command(name, help, detail string, change func(text string, e *edit, history []*message.HistoryEntry) (string, error)) *table.Command {
@@ -32,7 +32,7 @@
 		Args:    []table.Arg{{Name: "GROUP", Help: "group of upstreams", Target: &e.group, Required: true}},
 		Flags: e.target.Flags(
 			table.Flag{Name: "who", Help: "who asked and why, e.g. 'Amr, yard operations: wrong grades'; required", Target: &e.who},
-			table.Flag{Name: "author", Help: "name for the history", Target: &e.author},
+			table.Flag{Name: "author", Help: "name for the history; else the name of the user", Target: &e.author},
 		),
 		Run: func(ctx context.Context, env *table.Env) error {
 			if strings.TrimSpace(e.who) == "" {
--- a/internal/cli/commands/rules.go
+++ b/internal/cli/commands/rules.go
@@ -20,7 +20,7 @@
 func RulesApply() *table.Command {
 	target := client.NewTarget()
 	var file string
-	base, author := baseNotGiven, client.Author()
+	base, author := baseNotGiven, ""
 	return &table.Command{
 		Name:    "rules apply",
 		Section: table.Commands,
@@ -31,7 +31,7 @@
 		Args: []table.Arg{{Name: "FILE", Help: "rules file", Target: &file, Required: true}},
 		Flags: target.Flags(
 			table.Flag{Name: "base", Help: "revision that the file was made from", Target: &base},
-			table.Flag{Name: "author", Help: "name for the history", Target: &author},
+			table.Flag{Name: "author", Help: "name for the history; else the name of the user", Target: &author},
 		),
 		Run: func(ctx context.Context, env *table.Env) error {
 			text, err := os.ReadFile(file)
@@ -55,7 +55,7 @@
 
 // applyText writes a rules text and tells the operator what became of it.
 func applyText(ctx context.Context, env *table.Env, target *client.Target, text string, base uint64, author string) error {
-	request := &message.ApplyRequest{Text: text, Base: base, Author: author, WriteId: rand.Text()}
+	request := &message.ApplyRequest{Text: text, Base: base, Author: client.Author(author), WriteId: rand.Text()}
 	var reply *message.ApplyReply
 	err := target.Call(ctx, func(ctx context.Context, c message.DRPCOperatorClient) error {
 		var err error
--- a/internal/cli/table/parse.go
+++ b/internal/cli/table/parse.go
@@ -83,12 +83,17 @@
 		names = append(names, c.Name)
 	}
 	near := statement.Nearest(name, names)
-	if near == "" {
-		near = statement.Nearest(args[0], names)
-	}
 	if near != "" {
 		return fmt.Errorf("unknown command %q; did you mean %q?", name, near)
 	}
+	var words []string
+	for _, n := range names {
+		first, _, _ := strings.Cut(n, " ")
+		words = append(words, first)
+	}
+	if near := statement.Nearest(args[0], words); near != "" {
+		return fmt.Errorf("unknown command %q; did you mean %q?", args[0], near)
+	}
 	return fmt.Errorf("unknown command %q; see '%s --help'", name, t.Program)
 }
 
