--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/oriolehub/oriolehub/internal/cli/commands"
+	"github.com/oriolehub/oriolehub/internal/cli/experiments"
 	"github.com/oriolehub/oriolehub/internal/cli/queries"
 	"github.com/oriolehub/oriolehub/internal/cli/table"
 )
@@ -41,6 +42,7 @@
 			queries.SettingsCheck(),
 			queries.SettingsShow(),
 			version(),
+			experiments.Try(),
 			commands.StandinStore(),
 			commands.StandinOrigin(),
 			commands.StandinVms(),
--- /dev/null
+++ b/internal/cli/experiments/try.go
@@ -0,0 +1,139 @@
+package experiments
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/bench/trial"
+	"github.com/oriolehub/oriolehub/internal/cli/client"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+)
+
+// maxTryVms bounds the VMs of a trial on one machine.
+const maxTryVms = 200
+
+// Try returns the command that runs the main job on one machine.
+func Try() *table.Command {
+	var file, logFile string
+	var asJSON bool
+	vms, target, name := 16, 20*time.Second, deployment.Nakhla
+	return &table.Command{
+		Name:    "try",
+		Section: table.Experiments,
+		Help:    "push a file to VMs on this machine while live requests flow",
+		Detail: "Real entry and side processes' code runs in this process on loopback, against stand-ins\n" +
+			"of the platform, with links in the proportions of a burst: in the target time, the\n" +
+			"origin's link carries four copies of the file and each VM's link two.",
+		Flags: []table.Flag{
+			{Name: "file", Help: "file to push; made up if not given", Target: &file},
+			{Name: "vms", Help: fmt.Sprintf("VMs with a model engine, up to %d", maxTryVms), Target: &vms},
+			{Name: "target", Help: "target time of the burst", Target: &target},
+			{Name: "deployment", Help: "puhas or nakhla", Target: &name},
+			{Name: "log", Help: "file for the log lines of all processes", Target: &logFile},
+			{Name: "json", Help: "print JSON", Target: &asJSON},
+		},
+		Run: func(ctx context.Context, env *table.Env) error {
+			if vms < 1 || vms > maxTryVms {
+				return table.Exit(table.ExitUsage, "--vms %d: want 1 to %d", vms, maxTryVms)
+			}
+			if target <= 0 {
+				return table.Exit(table.ExitUsage, "--target %s: want more than 0s", target)
+			}
+			d, err := deployment.Named(name)
+			if err != nil {
+				return table.Exit(table.ExitUsage, "%w", err)
+			}
+			j, closeLog, err := openLog(logFile)
+			if err != nil {
+				return err
+			}
+			defer closeLog()
+			s, err := trial.Run(ctx, trial.Options{
+				Deployment: d, File: file, Vms: vms, Target: target, Entries: len(d.Places), Journal: j,
+				Progress: newReporter(env).report,
+			})
+			if err != nil {
+				return err
+			}
+			return showTrial(env, s, asJSON)
+		},
+	}
+}
+
+func showTrial(env *table.Env, s *trial.Summary, asJSON bool) error {
+	var err error
+	if asJSON {
+		err = client.WriteJSON(env.Out, s)
+	} else {
+		err = s.Write(env.Out)
+	}
+	if err != nil {
+		return err
+	}
+	if faults := s.Faults(); len(faults) > 0 {
+		return table.Exit(table.ExitMissed, "%s", strings.Join(faults, "; "))
+	}
+	return nil
+}
+
+// openLog returns a journal that writes to a file, or to nowhere.
+func openLog(file string) (*journal.Journal, func(), error) {
+	if file == "" {
+		return journal.Discard(), func() {}, nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, nil, fmt.Errorf("open log: %w", err)
+	}
+	j, err := journal.New(journal.Options{Writer: f, Level: "info", Async: true})
+	if err != nil {
+		return nil, nil, err
+	}
+	return j, func() { _ = j.Close(); _ = f.Close() }, nil
+}
+
+// reporter shows progress: a bar on a terminal, a line now and then in a log.
+type reporter struct {
+	out      io.Writer
+	terminal bool
+	last     time.Time
+}
+
+func newReporter(env *table.Env) *reporter {
+	return &reporter{out: env.Err, terminal: env.Terminal}
+}
+
+const (
+	barWidth     = 40
+	barInterval  = 200 * time.Millisecond
+	lineInterval = 2 * time.Second
+)
+
+func (r *reporter) report(p trial.Progress) {
+	done := p.Serving == p.Vms
+	interval := lineInterval
+	if r.terminal {
+		interval = barInterval
+	}
+	if time.Since(r.last) < interval && !done {
+		return
+	}
+	r.last = time.Now()
+	text := fmt.Sprintf("%5.1f s  %3.0f%% fetched  %d of %d VMs hold, %d serve  %d requests answered",
+		p.Elapsed.Seconds(), 100*p.Fetched, p.Holding, p.Vms, p.Serving, p.Requests.Answered)
+	if !r.terminal {
+		fmt.Fprintln(r.out, text)
+		return
+	}
+	filled := int(p.Fetched * barWidth)
+	fmt.Fprintf(r.out, "\r[%s%s] %s", strings.Repeat("#", filled), strings.Repeat(" ", barWidth-filled), text)
+	if done {
+		fmt.Fprintln(r.out)
+	}
+}
--- a/internal/upstream/attempt/server.go
+++ b/internal/upstream/attempt/server.go
@@ -18,8 +18,8 @@
 	ledger      *Ledger
 	runner      *Runner
 	// root returns the root digest being served.
-	root    func() string
-	log     *log.Logger
+	root func() string
+	log  *log.Logger
 	// streams counts the connections on which answers are being sent.
 	streams atomic.Int64
 }
--- a/internal/weights/topology/swarm.go
+++ b/internal/weights/topology/swarm.go
@@ -41,20 +41,21 @@
 	if len(near) == len(all) {
 		return layout
 	}
+	owners := plan.Owners(root, all, chunks)
 	crossing := plan.Duties(root+"/"+region, self, near, chunks)
+	crossing[0] = slices.DeleteFunc(crossing[0], func(chunk int) bool { return participants[owners[chunk]].Region == region })
 	layout.Crossing = crossing[:]
-	layout.Crossings = originOwners(root, region, participants, all, crossing[0], chunks)
+	layout.Crossings = foreignOwners(participants, owners, crossing[0])
 	return layout
 }
 
-// originOwners returns the members of other regions that take the given chunks from the origin.
-func originOwners(root, region string, participants []hub.Member, all []string, duties []int, chunks int) []string {
-	owners := plan.Owners(root, all, chunks)
+// foreignOwners returns the members that take the given chunks from the origin, up to maxCrossings.
+func foreignOwners(participants []hub.Member, owners, duties []int) []string {
 	var out []string
 	for _, chunk := range duties {
-		m := participants[owners[chunk]]
-		if m.Region != region && !slices.Contains(out, m.Id) && len(out) < maxCrossings {
-			out = append(out, m.Id)
+		id := participants[owners[chunk]].Id
+		if !slices.Contains(out, id) && len(out) < maxCrossings {
+			out = append(out, id)
 		}
 	}
 	return out
