rules, state, route, upstream: test the guards and show that each test needs its guard

Cause: tests must be seen to fail. Found and mended: a blank first line did not survive two formats (fuzzing), faults without a line came in random order.

--- /dev/null
+++ b/internal/process/journal/journal_test.go
@@ -0,0 +1,40 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLevelsChangeWhileRunning(t *testing.T) {
+	var out bytes.Buffer
+	j, err := New(Options{Writer: &out, Level: "info"})
+	assert.NilError(t, err)
+	j.Logger(Routing).Debug().Msg("hidden")
+	assert.NilError(t, j.SetLevel(Routing, "debug"))
+	j.Logger(Routing).Debug().Msg("shown")
+	j.Logger(State).Debug().Msg("hidden too")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 1)
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal([]byte(lines[0]), &line))
+	assert.Equal(t, line["Subsystem"], Routing)
+	assert.ErrorContains(t, j.SetLevel("x", "info"), "unknown subsystem")
+	assert.ErrorContains(t, j.SetLevel(All, "loud"), "unknown log level")
+}
+
+func BenchmarkDecisionLine(b *testing.B) {
+	j, err := New(Options{Writer: io.Discard, Level: "info", Async: true})
+	assert.NilError(b, err)
+	l := j.Logger(Routing)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Info().Str("Request", "0123456789abcdef").Str("Account", "haulage-co").Str("Group", "scaler-llm").
+			Str("Upstream", "scaler-llm-002").Str("Domain", "upper-a").Float64("Score", 0.001).Int("Attempt", 1).
+			Str("Other", "scaler-llm-005").Float64("OtherScore", 0.001).Msg("routed")
+	}
+}
--- a/internal/process/settings/decode.go
+++ b/internal/process/settings/decode.go
@@ -137,7 +137,9 @@
 	}
 	out := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
 	for i, item := range n.Content {
-		d.value(item, out.Index(i), fmt.Sprintf("%s[%d]", path, i))
+		name := fmt.Sprintf("%s[%d]", path, i)
+		d.lines[name] = item.Line
+		d.value(item, out.Index(i), name)
 	}
 	v.Set(out)
 }
--- a/internal/process/settings/load.go
+++ b/internal/process/settings/load.go
@@ -73,14 +73,10 @@
 	d.want(r.MaxBody > 0, "Requests.MaxBody", "want more than 0B")
 	d.want(r.MaxQueued >= 0, "Requests.MaxQueued", "want 0 or more")
 	d.want(r.MaxConnections > 0, "Requests.MaxConnections", "want 1 or more")
-	for key, v := range map[string]Duration{
-		"Requests.HeaderTimeout": r.HeaderTimeout,
-		"Requests.BodyTimeout":   r.BodyTimeout,
-		"Requests.IdleTimeout":   r.IdleTimeout,
-		"Requests.StopTimeout":   r.StopTimeout,
-	} {
-		d.want(v > 0, key, "want more than 0s")
-	}
+	wantPositive(d, "Requests.HeaderTimeout", r.HeaderTimeout)
+	wantPositive(d, "Requests.BodyTimeout", r.BodyTimeout)
+	wantPositive(d, "Requests.IdleTimeout", r.IdleTimeout)
+	wantPositive(d, "Requests.StopTimeout", r.StopTimeout)
 	d.want(r.QueueWait >= 0, "Requests.QueueWait", "want 0s or more")
 }
 
@@ -95,7 +91,7 @@
 	d.want(u.StartConcurrent > 0 && u.StartConcurrent <= u.MaxConcurrent, "Upstream.StartConcurrent", "want 1 to MaxConcurrent (%d)", u.MaxConcurrent)
 	d.want(u.SlowStartRequests > 0, "Upstream.SlowStartRequests", "want 1 or more")
 	d.want(s.Weights.MemoryLimit > 0, "Weights.MemoryLimit", "want more than 0B")
-	d.want(s.StopTimeout > 0, "StopTimeout", "want more than 0s")
+	wantPositive(d, "StopTimeout", s.StopTimeout)
 	checkURLs(d, "Weights.Urls", s.Weights.Urls)
 	if u.Kind == "Engine" {
 		d.want(len(s.Weights.Urls) > 0, "Weights.Urls", "missing: want the weight store and the origin")
@@ -111,7 +107,7 @@
 	for i, p := range c.Peers {
 		checkAddress(d, fmt.Sprintf("Peers[%d]", i), p)
 	}
-	d.want(c.ExchangeInterval > 0, "ExchangeInterval", "want more than 0s")
+	wantPositive(d, "ExchangeInterval", c.ExchangeInterval)
 	d.want(slices.Contains(journal.Levels(), c.Log.Level), "Log.Level", "%q: want %s", c.Log.Level, strings.Join(journal.Levels(), ", "))
 	d.want(c.Log.Format == journal.FormatJson || c.Log.Format == journal.FormatConsole, "Log.Format", "%q: want %s or %s", c.Log.Format, journal.FormatJson, journal.FormatConsole)
 	checkTLS(d, &c.Tls)
@@ -122,9 +118,17 @@
 	if t.Mode != "mutual" {
 		return
 	}
-	for key, v := range map[string]string{"Tls.AuthorityFile": t.AuthorityFile, "Tls.CertificateFile": t.CertificateFile, "Tls.KeyFile": t.KeyFile} {
-		d.want(v != "", key, "missing: want a PEM file, since Tls.Mode is mutual")
-	}
+	wantFile(d, "Tls.AuthorityFile", t.AuthorityFile)
+	wantFile(d, "Tls.CertificateFile", t.CertificateFile)
+	wantFile(d, "Tls.KeyFile", t.KeyFile)
+}
+
+func wantPositive(d *decoder, key string, v Duration) {
+	d.want(v > 0, key, "want more than 0s")
+}
+
+func wantFile(d *decoder, key, file string) {
+	d.want(file != "", key, "missing: want a PEM file, since Tls.Mode is mutual")
 }
 
 // checkAddress wants an IP address and a port; names are not looked up.
--- a/internal/route/dispatch/request.go
+++ b/internal/route/dispatch/request.go
@@ -130,12 +130,14 @@
 }
 
 func checkNames(r *request) error {
-	for name, value := range map[string]string{HeaderAccount: r.account, HeaderRequestID: r.id, HeaderIdempotencyKey: r.key} {
-		if len(value) > maxNameBytes {
-			return badRequest("header %s is longer than %d bytes", name, maxNameBytes)
+	for _, h := range []struct{ name, value string }{
+		{HeaderAccount, r.account}, {HeaderRequestID, r.id}, {HeaderIdempotencyKey, r.key},
+	} {
+		if len(h.value) > maxNameBytes {
+			return badRequest("header %s is longer than %d bytes", h.name, maxNameBytes)
 		}
-		if strings.ContainsFunc(value, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
-			return badRequest("header %s: want printable ASCII without spaces", name)
+		if strings.ContainsFunc(h.value, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
+			return badRequest("header %s: want printable ASCII without spaces", h.name)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/rules/ledger/ledger_test.go
@@ -0,0 +1,160 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/standin/kv"
+	"github.com/oriolehub/oriolehub/internal/state/store"
+)
+
+func withTestLedger(t *testing.T) (*Ledger, *kv.Server) {
+	t.Helper()
+	s := kv.New()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return New(store.New(server.URL, nil)), s
+}
+
+func rulesText(n int) string {
+	return fmt.Sprintf("Domain d-%d region # Hoda: test\n", n)
+}
+
+func TestApplyKeepsHistory(t *testing.T) {
+	l, _ := withTestLedger(t)
+	base := uint64(0)
+	for i := range 3 {
+		revision, value, err := l.Apply(t.Context(), Edit{Text: rulesText(i), Base: base, Author: "Hoda", WriteId: fmt.Sprint(i)})
+		assert.NilError(t, err)
+		record, err := Decode(value)
+		assert.NilError(t, err)
+		assert.Equal(t, record.Text, rulesText(i))
+		assert.Equal(t, len(record.History), i)
+		base = revision
+	}
+	record, _, err := l.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, record.History[1].Diff, "- Domain d-0 region # Hoda: test\n+ Domain d-1 region # Hoda: test\n")
+}
+
+func TestApplyRefusesFaultsAndWritesNothing(t *testing.T) {
+	l, s := withTestLedger(t)
+	_, _, err := l.Apply(t.Context(), Edit{Text: "Nonsense", WriteId: "w"})
+	var faults statement.Faults
+	assert.Assert(t, errors.As(err, &faults))
+	assert.Equal(t, s.Counts().Writes, uint64(0))
+}
+
+func TestLostReplyIsSettledByReadingBack(t *testing.T) {
+	l, s := withTestLedger(t)
+	s.LoseReplies(1)
+	revision, _, err := l.Apply(t.Context(), Edit{Text: rulesText(1), WriteId: "w"})
+	assert.NilError(t, err)
+	_, current, err := l.Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, revision, current)
+	assert.Equal(t, s.Counts().Writes, uint64(1))
+}
+
+func TestRepeatedApplyWritesOnce(t *testing.T) {
+	l, s := withTestLedger(t)
+	edit := Edit{Text: rulesText(1), WriteId: "w"}
+	first, _, err := l.Apply(t.Context(), edit)
+	assert.NilError(t, err)
+	_, _, err = l.Apply(t.Context(), Edit{Text: rulesText(2), Base: first, WriteId: "v"})
+	assert.NilError(t, err)
+	again, value, err := l.Apply(t.Context(), edit)
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	assert.Assert(t, value == nil)
+	assert.Equal(t, s.Counts().Writes, uint64(2))
+}
+
+// TestRacingEdits lets operators race and wants that every accepted edit was made from the one before it.
+func TestRacingEdits(t *testing.T) {
+	l, s := withTestLedger(t)
+	const operators, edits = 4, 8
+	var mu sync.Mutex
+	bases := map[uint64]uint64{}
+	var running sync.WaitGroup
+	for o := range operators {
+		running.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(o)))
+			for i := range edits {
+				if rng.IntN(4) == 0 {
+					s.LoseReplies(1)
+				}
+				_, base, err := l.Read(t.Context())
+				assert.Check(t, err)
+				edit := Edit{Text: rulesText(o*edits + i), Base: base, WriteId: fmt.Sprintf("%d-%d", o, i)}
+				revision, _, err := l.Apply(t.Context(), edit)
+				if err != nil {
+					assert.Check(t, errors.Is(err, ErrStale), "%v", err)
+					continue
+				}
+				mu.Lock()
+				bases[revision] = base
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	_, revision, err := l.Read(t.Context())
+	assert.NilError(t, err)
+	accepted := 0
+	for revision != 0 {
+		base, ok := bases[revision]
+		assert.Assert(t, ok, "revision %d was not reported to its operator", revision)
+		revision = base
+		accepted++
+	}
+	assert.Equal(t, accepted, len(bases))
+}
+
+func TestTooLargeIsRefusedBeforeWriting(t *testing.T) {
+	l, s := withTestLedger(t)
+	var b strings.Builder
+	rng := rand.New(rand.NewPCG(1, 1))
+	for b.Len() < 3<<20 {
+		fmt.Fprintf(&b, "Domain d%x-%x-%x r # Hoda: %x\n", rng.Uint64(), rng.Uint64(), rng.Uint64(), rng.Uint64())
+	}
+	_, _, err := l.Apply(t.Context(), Edit{Text: b.String(), WriteId: "w"})
+	assert.Assert(t, errors.Is(err, hub.ErrTooLarge), "%v", err)
+	assert.Equal(t, s.Counts().Writes, uint64(0))
+}
+
+func TestHistoryIsCompacted(t *testing.T) {
+	entry := Entry{Diff: strings.Repeat("x", historyBytes/10)}
+	var history []Entry
+	for range 20 {
+		history = append(history, entry)
+	}
+	assert.Assert(t, len(compact(history)) < 10)
+	assert.Assert(t, len(compact(history)) > 5)
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(Record{Text: rulesText(1)})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte("Zx"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		record, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(record)
+		assert.NilError(t, err)
+		_, err = Decode(again)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/rules/statement/lexer.go
+++ b/internal/rules/statement/lexer.go
@@ -7,10 +7,10 @@
 
 // splitLines cuts text into lines with fields and comments; it never fails.
 func splitLines(text string) []Line {
-	text = strings.TrimSuffix(strings.ReplaceAll(text, "\r\n", "\n"), "\n")
 	if text == "" {
 		return nil
 	}
+	text = strings.TrimSuffix(strings.ReplaceAll(text, "\r\n", "\n"), "\n")
 	raw := strings.Split(text, "\n")
 	lines := make([]Line, len(raw))
 	for i, s := range raw {
--- a/internal/upstream/attempt/runner.go
+++ b/internal/upstream/attempt/runner.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -45,6 +46,7 @@
 func newTransport(fresh bool) *http.Transport {
 	const idlePerUpstream = 256
 	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		DisableKeepAlives:   fresh,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerUpstream,
--- /dev/null
+++ b/internal/upstream/loader/turn_test.go
@@ -0,0 +1,88 @@
+package loader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/oriolehub/oriolehub/internal/bench/seeded"
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/catalog"
+)
+
+// TestTurnsKeepTheFloor lets upstreams with stale knowledge of each other load, and wants that the
+// floor holds at every step and that all of them end up with the new version.
+func TestTurnsKeepTheFloor(t *testing.T) {
+	seeded.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "vms")
+		floor := rapid.IntRange(0, 100).Draw(t, "floor")
+		now := time.Now()
+		truth := make([]catalog.Known, n)
+		known := make([][]catalog.Known, n)
+		for i := range n {
+			truth[i] = catalog.Known{Member: hub.Member{
+				Id: fmt.Sprint("vm-", i), Role: hub.RoleSide, Group: "g", Domain: "d", State: hub.StateServing, ServingRoot: "old",
+			}, Seen: now}
+		}
+		for i := range n {
+			known[i] = append([]catalog.Known(nil), truth...)
+		}
+		step := func(i int) {
+			switch truth[i].State {
+			case hub.StateLoading:
+				truth[i].State, truth[i].ServingRoot = hub.StateServing, "new"
+			case hub.StateServing:
+				w := turn{self: truth[i].Id, group: "g", domain: "d", root: "new", floorPercent: floor, now: now}
+				granted, _ := w.granted(known[i])
+				if truth[i].ServingRoot == "old" && granted {
+					truth[i].State, truth[i].ServingRoot = hub.StateLoading, ""
+				}
+			}
+			known[i][i] = truth[i]
+			down := 0
+			for _, m := range truth {
+				if m.State != hub.StateServing {
+					down++
+				}
+			}
+			assert.Assert(t, down <= allowedDown(n, floor), "%d of %d down, floor %d%%", down, n, floor)
+		}
+		index := rapid.IntRange(0, n-1)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "tell") {
+				from, to := index.Draw(t, "from"), index.Draw(t, "to")
+				known[to][from] = truth[from]
+				continue
+			}
+			step(index.Draw(t, "at"))
+		}
+		for range 2*n + 2 {
+			for i := range n {
+				copy(known[i], truth)
+				step(i)
+			}
+		}
+		for _, m := range truth {
+			assert.Equal(t, m.ServingRoot, "new")
+		}
+	})
+}
+
+func TestDeadUpstreamsDoNotHoldUpTheRest(t *testing.T) {
+	now := time.Now()
+	var members []catalog.Known
+	for i := range 6 {
+		m := catalog.Known{Member: hub.Member{
+			Id: fmt.Sprint("vm-", i), Role: hub.RoleSide, Group: "g", Domain: "d", State: hub.StateServing, ServingRoot: "old",
+		}, Seen: now.Add(-2 * suspectAfter)}
+		members = append(members, m)
+	}
+	for i := range members {
+		w := turn{self: members[i].Id, group: "g", domain: "d", root: "new", floorPercent: 50, now: now}
+		granted, _ := w.granted(members)
+		assert.Assert(t, granted, "waits for the dead")
+	}
+}
