--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/oriolehub/oriolehub/internal/cli/client"
 	"github.com/oriolehub/oriolehub/internal/cli/commands"
 	"github.com/oriolehub/oriolehub/internal/cli/experiments"
 	"github.com/oriolehub/oriolehub/internal/cli/queries"
@@ -61,11 +62,16 @@
 }
 
 func version() *table.Command {
+	var asJSON bool
 	return &table.Command{
 		Name:    "version",
 		Section: table.Queries,
 		Help:    "print the version of the program",
+		Flags:   []table.Flag{{Name: "json", Help: "print JSON", Target: &asJSON}},
 		Run: func(_ context.Context, env *table.Env) error {
+			if asJSON {
+				return client.WriteJSON(env.Out, struct{ Version string }{Version})
+			}
 			fmt.Fprintln(env.Out, "oriolehub", Version)
 			return nil
 		},
--- a/internal/cli/commands/log.go
+++ b/internal/cli/commands/log.go
@@ -16,7 +16,8 @@
 	return &table.Command{
 		Name:    "log level",
 		Section: table.Commands,
-		Help:    "change the log level of a subsystem of a running entry process",
+		Help:    "change the log level of a subsystem of a running process",
+		Detail:  "--entry may name the control address of any process, side processes included.",
 		Args: []table.Arg{
 			{Name: "SUBSYSTEM", Help: "routing, placement, state, process or all", Target: &subsystem, Required: true},
 			{Name: "LEVEL", Help: "debug, info, warn or error", Target: &level, Required: true},
--- a/internal/cli/queries/rollout.go
+++ b/internal/cli/queries/rollout.go
@@ -72,13 +72,14 @@
 func RolloutWatch() *table.Command {
 	target := client.NewTarget()
 	var group string
+	var asJSON bool
 	interval := time.Second
 	return &table.Command{
 		Name:    "rollout watch",
 		Section: table.Queries,
 		Help:    "follow a rollout until every VM serves the version, with the time left",
 		Args:    []table.Arg{{Name: "GROUP", Help: "group of upstreams", Target: &group, Required: true}},
-		Flags:   target.Flags(table.Flag{Name: "interval", Help: "time between two lines", Target: &interval}),
+		Flags:   target.Flags(table.Flag{Name: "interval", Help: "time between two lines", Target: &interval}, jsonFlag(&asJSON)),
 		Run: func(ctx context.Context, env *table.Env) error {
 			started := time.Now()
 			first := -1.0
@@ -91,8 +92,15 @@
 				if first < 0 {
 					first = done
 				}
-				fmt.Fprintf(env.Out, "%s  %s: %d of %d VMs serve, %d%% fetched%s\n", time.Now().Format(time.TimeOnly), report.Version,
-					report.Serving, report.Vms, int(100*report.fetched()), timeLeft(time.Since(started), first, done))
+				if asJSON {
+					err = client.WriteJSON(env.Out, report)
+				} else {
+					_, err = fmt.Fprintf(env.Out, "%s  %s: %d of %d VMs serve, %d%% fetched%s\n", time.Now().Format(time.TimeOnly), report.Version,
+						report.Serving, report.Vms, int(100*report.fetched()), timeLeft(time.Since(started), first, done))
+				}
+				if err != nil {
+					return err
+				}
 				if report.Serving == report.Vms && report.Vms > 0 {
 					return nil
 				}
--- a/internal/cli/queries/settings.go
+++ b/internal/cli/queries/settings.go
@@ -70,22 +70,26 @@
 // SettingsShow returns the query that prints the defaults.
 func SettingsShow() *table.Command {
 	role := "entry"
+	var asJSON bool
 	return &table.Command{
 		Name:    "settings show",
 		Section: table.Queries,
 		Help:    "print the settings that are in force where a file says nothing",
-		Flags:   []table.Flag{{Name: "role", Help: "entry or side", Target: &role}},
+		Flags:   []table.Flag{{Name: "role", Help: "entry or side", Target: &role}, jsonFlag(&asJSON)},
 		Run: func(_ context.Context, env *table.Env) error {
-			var text string
-			var err error
+			var defaults any
 			switch role {
 			case "entry":
-				text, err = settings.Encode(settings.DefaultEntry())
+				defaults = settings.DefaultEntry()
 			case "side":
-				text, err = settings.Encode(settings.DefaultSide())
+				defaults = settings.DefaultSide()
 			default:
 				return table.Exit(table.ExitUsage, "unknown role %q: want entry or side", role)
 			}
+			if asJSON {
+				return client.WriteJSON(env.Out, defaults)
+			}
+			text, err := settings.Encode(defaults)
 			fmt.Fprint(env.Out, text)
 			return err
 		},
--- a/internal/process/settings/units.go
+++ b/internal/process/settings/units.go
@@ -16,6 +16,12 @@
 // String returns the span with its unit.
 func (d Duration) String() string { return time.Duration(d).String() }
 
+// MarshalText returns the span with its unit.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// MarshalText returns the size with its unit.
+func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
+
 // Bytes is a size written with its unit, e.g. 64KiB, 8MiB or 2GiB.
 type Bytes int64
 
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -173,7 +173,7 @@
 		Guard:     p.guard,
 		Keeper:    p.keeper,
 		Fetch:     fetcher,
-		SourceURL: func(root string) string { return p.contentURL + root },
+		SourceURL: p.ContentURL,
 		Log:       p.journal.Logger(journal.Placement),
 	})
 }
@@ -239,6 +239,7 @@
 		message.DRPCRegisterPeer(mux, exchange.NewServer(p.catalog)),
 		message.DRPCRegisterAttempts(mux, p.attempts),
 		message.DRPCRegisterWeights(mux, chunks),
+		message.DRPCRegisterOperator(mux, &operator{journal: p.journal}),
 	} {
 		if err != nil {
 			return fmt.Errorf("register services: %w", err)
@@ -379,6 +380,9 @@
 // Member returns the record that the process last told.
 func (p *Side) Member() hub.Member { return *p.self.Load() }
 
+// ContentURL returns the URL at which the engine reads the weights with a root digest.
+func (p *Side) ContentURL(root string) string { return p.contentURL + root }
+
 // Guard returns the admission of the upstream.
 func (p *Side) Guard() *guard.Guard { return p.guard }
 
