--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -380,6 +380,15 @@
 // Member returns the record that the process last told.
 func (p *Side) Member() hub.Member { return *p.self.Load() }
 
+// Fetched returns the chunks held and their total of the newest weights, and their root digest while they are incomplete.
+func (p *Side) Fetched() (held, total int, fetching string) {
+	if p.loader == nil {
+		return 0, 0, ""
+	}
+	progress := p.loader.Progress()
+	return progress.ChunksHeld, progress.ChunksTotal, progress.FetchingRoot
+}
+
 // ContentURL returns the URL at which the engine reads the weights with a root digest.
 func (p *Side) ContentURL(root string) string { return p.contentURL + root }
 
