state/exchange: spread only what others act on, to a few neighbours

Change: records are told on change only, neighbours are at most five and mostly of the own region, a neighbour that does not answer is suspected and takes that back itself, documents spread at once and as deltas, status asks the processes when an operator asks. Found by the race detector: the log library's asynchronous writer reads a line after handing it over; replaced by a small queue. Measured: go test -race ./... passes.

--- a/cmd/oriolehub/processes_test.go
+++ b/cmd/oriolehub/processes_test.go
@@ -112,6 +112,7 @@
 		{"puhas", "assistant-7b@2026-12-03", "assistant-llm", "/orders-app/orders"},
 	} {
 		t.Run(tc.deployment, func(t *testing.T) {
+			t.Parallel()
 			testDeployment(t, tc.deployment, tc.model, tc.engineGroup, tc.onceCall)
 		})
 	}
--- a/internal/hub/types.go
+++ b/internal/hub/types.go
@@ -132,14 +132,26 @@
 	// Note tells operators why the process lags or refuses.
 	Note          string
 	RulesRevision uint64
+	// Suspected is true where another process could not reach the member.
+	// The member takes it back by a record with a higher sequence.
+	Suspected bool
 }
 
-// NewerThan reports whether m supersedes other.
+// NewerThan reports whether m supersedes other: by incarnation, by sequence, and a suspicion beats the record that it is about.
 func (m *Member) NewerThan(other *Member) bool {
-	if m.Incarnation != other.Incarnation {
+	switch {
+	case m.Incarnation != other.Incarnation:
 		return m.Incarnation > other.Incarnation
+	case m.Sequence != other.Sequence:
+		return m.Sequence > other.Sequence
+	default:
+		return m.Suspected && !other.Suspected
 	}
-	return m.Sequence > other.Sequence
+}
+
+// Alive reports whether the member may be counted on.
+func (m *Member) Alive() bool {
+	return !m.Suspected && m.State != StateGone && m.State != StateLeaving
 }
 
 // Layout says from whom one process may take the chunks of one manifest.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/admin"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/process/presence"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/route/call"
 	"github.com/oriolehub/oriolehub/internal/route/dispatch"
@@ -35,7 +36,8 @@
 )
 
 const (
-	heartbeatInterval = time.Second
+	// forgetInterval is the time between two looks for members to forget.
+	forgetInterval = 10 * time.Second
 	// tracedRequests is the number of recent requests that can be explained.
 	tracedRequests = 8192
 	maxHeaderBytes = 64 << 10
@@ -58,9 +60,11 @@
 type Entry struct {
 	settings settings.Entry
 	journal  *journal.Journal
-	self     atomic.Pointer[hub.Member]
+
+	incarnation uint64
 
 	catalog    *catalog.Catalog
+	presence   *presence.Presence
 	keeper     *view.Keeper
 	table      *table.Builder
 	link       *link.Client
@@ -94,24 +98,27 @@
 		x.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
 	p := &Entry{
-		settings:  s,
-		journal:   j,
+		settings: s,
+		journal:  j,
+
+		incarnation: uint64(time.Now().UnixMilli()),
+
 		link:      link.NewClient(x.Dial),
 		manifests: newManifests(),
 		traces:    trace.NewBook(tracedRequests),
 		metrics:   metrics.NewSet(),
 	}
-	p.assemble(uint64(time.Now().UnixMilli()), x)
+	p.assemble(x)
 	if err := p.listen(x); err != nil {
 		return nil, err
 	}
-	p.publish()
+	p.presence.Publish()
 	p.run()
 	return p, nil
 }
 
 // assemble wires the parts that don't listen.
-func (p *Entry) assemble(incarnation uint64, x Extras) {
+func (p *Entry) assemble(x Extras) {
 	s := &p.settings
 	kv := store.New(s.Store.Url, x.StoreTransport)
 	var sources []hub.WeightSource
@@ -119,11 +126,13 @@
 		sources = append(sources, source.New(u, x.SourceTransport))
 	}
 	state := p.journal.Logger(journal.State)
-	p.self.Store(&hub.Member{Incarnation: incarnation})
-	p.catalog = catalog.New(incarnation)
+	p.catalog = catalog.New(p.incarnation)
+	p.presence = presence.New(p.catalog, p.Member)
 	p.keeper = view.NewKeeper(p.catalog, state)
 	p.table = table.NewBuilder(s.Domain, s.Region, p.keeper)
-	p.exchange = exchange.NewClient(s.Id, p.catalog, p.link, s.ExchangeInterval.Std(), s.Peers)
+	p.exchange = exchange.NewClient(exchange.Options{
+		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: s.ExchangeInterval.Std(), Seeds: s.Peers, Log: state,
+	})
 	p.relay = relay.New(kv, p.catalog, state)
 	p.ledger = ledger.New(kv)
 	p.registrar = pin.NewRegistrar(kv, sources)
@@ -156,7 +165,7 @@
 	}
 	mux := drpcmux.New()
 	for _, err := range []error{
-		message.DRPCRegisterPeer(mux, exchange.NewServer(p.catalog)),
+		message.DRPCRegisterPeer(mux, exchange.NewServer(p.catalog, p.Member)),
 		message.DRPCRegisterWeights(mux, p.manifests),
 		message.DRPCRegisterOperator(mux, &operator{entry: p}),
 	} {
@@ -177,6 +186,7 @@
 	}
 	go func() { _ = p.http.Serve(p.listener) }()
 	p.admin = admin.Start(adminListener, p.metrics, p.ready)
+	p.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(p.journal.Dropped()) })
 	p.metrics.NewGauge("oriolehub_rules_revision", func() float64 { return float64(p.keeper.Current().RulesRevision) })
 	return nil
 }
@@ -202,25 +212,26 @@
 	p.running.Go(func() { p.relay.Run(ctx, ledger.Key) })
 	p.running.Go(func() { p.relay.Run(ctx, pin.Key) })
 	p.running.Go(func() { p.pinVersions(ctx) })
-	p.running.Go(func() { p.heartbeat(ctx) })
+	p.running.Go(func() { p.presence.Run(ctx) })
+	p.running.Go(func() { p.forget(ctx) })
 }
 
-func (p *Entry) heartbeat(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
+// forget drops the records of members that left long ago.
+func (p *Entry) forget(ctx context.Context) {
+	ticker := time.NewTicker(forgetInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			p.catalog.Forget(forgetAfter)
 		}
-		p.publish()
-		p.catalog.Forget(forgetAfter, p.settings.Id)
 	}
 }
 
-func (p *Entry) publish() {
-	old := p.self.Load()
+// Member returns what this process tells of itself now.
+func (p *Entry) Member() hub.Member {
 	m := hub.Member{
 		Id:            p.settings.Id,
 		Role:          hub.RoleEntry,
@@ -228,16 +239,14 @@
 		AdminAddress:  p.admin.Address(),
 		Domain:        p.settings.Domain,
 		Region:        p.settings.Region,
-		Incarnation:   old.Incarnation,
-		Sequence:      old.Sequence + 1,
+		Incarnation:   p.incarnation,
 		State:         hub.StateServing,
 		RulesRevision: p.keeper.Current().RulesRevision,
 	}
 	if p.leaving.Load() {
 		m.State = hub.StateLeaving
 	}
-	p.self.Store(&m)
-	p.catalog.PutMember(m)
+	return m
 }
 
 // Address returns the control address.
@@ -252,7 +261,7 @@
 // Stop leaves: it refuses new requests, lets those in progress finish and ends.
 func (p *Entry) Stop(ctx context.Context) {
 	p.leaving.Store(true)
-	p.publish()
+	p.presence.Publish()
 	p.dispatcher.Leave()
 	_ = p.http.Shutdown(ctx)
 	p.Kill()
--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -8,7 +8,6 @@
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/rules/ledger"
 	"github.com/oriolehub/oriolehub/internal/rules/statement"
-	"github.com/oriolehub/oriolehub/internal/state/exchange"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
@@ -73,17 +72,15 @@
 	return &message.HistoryEntry{Revision: e.Revision, Author: e.Author, TimeUnixMs: e.Time.UnixMilli(), Base: e.Base, Diff: e.Diff}
 }
 
-// ReadStatus returns what this process knows of all processes.
-func (o *operator) ReadStatus(context.Context, *message.ReadStatusRequest) (*message.StatusReply, error) {
+// ReadStatus asks every known process for its record and returns them all.
+func (o *operator) ReadStatus(ctx context.Context, _ *message.ReadStatusRequest) (*message.StatusReply, error) {
 	p := o.entry
 	reply := &message.StatusReply{
 		Id:             p.settings.Id,
 		RulesRevision:  p.keeper.Current().RulesRevision,
 		StoreReachable: p.relay.Reachable(),
 	}
-	for _, m := range p.catalog.Members() {
-		reply.Members = append(reply.Members, exchange.ToMember(&m.Member))
-	}
+	reply.Members = p.describeAll(ctx)
 	for _, d := range p.catalog.Documents() {
 		reply.Documents = append(reply.Documents, &message.DocumentStatus{Name: d.Name, Revision: d.Revision})
 	}
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -42,7 +42,7 @@
 // Journal holds one logger for each subsystem.
 type Journal struct {
 	loggers map[string]*log.Logger
-	async   *log.AsyncWriter
+	queue   *queue
 }
 
 // New returns a journal, or an error for an unknown format or level.
@@ -68,21 +68,19 @@
 }
 
 func (j *Journal) writer(o Options) (log.Writer, error) {
-	var writer log.Writer
+	out := o.Writer
+	if o.Async {
+		j.queue = newQueue(out)
+		out = j.queue
+	}
 	switch o.Format {
 	case FormatJson, "":
-		writer = &log.IOWriter{Writer: o.Writer}
+		return &log.IOWriter{Writer: out}, nil
 	case FormatConsole:
-		writer = &log.ConsoleWriter{Writer: o.Writer}
+		return &log.ConsoleWriter{Writer: out}, nil
 	default:
 		return nil, fmt.Errorf("unknown log format %q: want %s or %s", o.Format, FormatJson, FormatConsole)
 	}
-	if o.Async {
-		const queuedLines = 4096
-		j.async = &log.AsyncWriter{ChannelSize: queuedLines, Writer: writer, DiscardOnFull: true}
-		writer = j.async
-	}
-	return writer, nil
 }
 
 // Discard returns a journal that writes nothing.
@@ -126,12 +124,20 @@
 	return nil
 }
 
+// Dropped returns the lines that were dropped since the queue was full.
+func (j *Journal) Dropped() uint64 {
+	if j.queue == nil {
+		return 0
+	}
+	return j.queue.dropped.Load()
+}
+
 // Close writes the lines that are still queued.
 func (j *Journal) Close() error {
-	if j.async == nil {
+	if j.queue == nil {
 		return nil
 	}
-	return j.async.Close()
+	return j.queue.Close()
 }
 
 func parseLevel(level string) (log.Level, error) {
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -38,3 +39,23 @@
 			Str("Other", "scaler-llm-005").Float64("OtherScore", 0.001).Msg("routed")
 	}
 }
+
+// TestQueueLosesNothingThatFits writes from many goroutines at once.
+func TestQueueLosesNothingThatFits(t *testing.T) {
+	var out bytes.Buffer
+	j, err := New(Options{Writer: &out, Level: "info", Async: true})
+	assert.NilError(t, err)
+	const writers, lines = 8, 100
+	var running sync.WaitGroup
+	for range writers {
+		running.Go(func() {
+			for range lines {
+				j.Logger(Routing).Info().Str("Key", "value").Msg("line")
+			}
+		})
+	}
+	running.Wait()
+	assert.NilError(t, j.Close())
+	assert.Equal(t, j.Dropped(), uint64(0))
+	assert.Equal(t, strings.Count(out.String(), "\n"), writers*lines)
+}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -17,6 +17,7 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/admin"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/process/presence"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/exchange"
@@ -35,16 +36,10 @@
 )
 
 const (
-	// heartbeatInterval is the time between two member records where nothing changes.
-	heartbeatInterval = time.Second
-	// changeInterval is the least time between two member records.
-	changeInterval = 200 * time.Millisecond
 	// leaveNotice is the time for which a leaving process tells so before it stops to accept work.
 	leaveNotice = 500 * time.Millisecond
 	// streamPoll is the time between two looks whether all answers have been sent.
 	streamPoll = 20 * time.Millisecond
-	// participantAge is the age of a member record from which its process is not fetched from.
-	participantAge = 6 * time.Second
 )
 
 // Extras replace parts of a side process in experiments and tests.
@@ -64,9 +59,11 @@
 type Side struct {
 	settings settings.Side
 	journal  *journal.Journal
-	self     atomic.Pointer[hub.Member]
+
+	incarnation uint64
 
 	catalog  *catalog.Catalog
+	presence *presence.Presence
 	keeper   *view.Keeper
 	link     *link.Client
 	exchange *exchange.Client
@@ -103,15 +100,17 @@
 		return nil, fmt.Errorf("upstream URL: %w", err)
 	}
 	p := newSide(s, j, x)
-	incarnation := uint64(time.Now().UnixMilli())
-	p.catalog = catalog.New(incarnation)
+	p.catalog = catalog.New(p.incarnation)
+	p.presence = presence.New(p.catalog, p.Member)
 	p.keeper = view.NewKeeper(p.catalog, j.Logger(journal.State))
-	p.exchange = exchange.NewClient(s.Id, p.catalog, p.link, s.ExchangeInterval.Std(), s.Peers)
-	p.assemble(base, incarnation, x)
+	p.exchange = exchange.NewClient(exchange.Options{
+		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: s.ExchangeInterval.Std(), Seeds: s.Peers, Log: j.Logger(journal.State),
+	})
+	p.assemble(base, x)
 	if err := p.listen(x); err != nil {
 		return nil, err
 	}
-	p.publish(incarnation)
+	p.presence.Publish()
 	p.run()
 	return p, nil
 }
@@ -120,10 +119,13 @@
 	return &Side{
 		settings: s,
 		journal:  j,
-		link:     link.NewClient(x.Dial),
-		ledger:   attempt.NewLedger(),
-		shelf:    replica.NewShelf(int64(s.Weights.MemoryLimit), x.Pool),
-		metrics:  metrics.NewSet(),
+
+		incarnation: uint64(time.Now().UnixMilli()),
+
+		link:    link.NewClient(x.Dial),
+		ledger:  attempt.NewLedger(),
+		shelf:   replica.NewShelf(int64(s.Weights.MemoryLimit), x.Pool),
+		metrics: metrics.NewSet(),
 		guard: guard.New(guard.Options{
 			MaxConcurrent:     s.Upstream.MaxConcurrent,
 			StartConcurrent:   s.Upstream.StartConcurrent,
@@ -133,12 +135,12 @@
 }
 
 // assemble wires the parts that don't listen.
-func (p *Side) assemble(base *url.URL, incarnation uint64, x Extras) {
+func (p *Side) assemble(base *url.URL, x Extras) {
 	s := &p.settings
 	pacer := pace.New(int64(s.Weights.LinkPerSecond))
 	p.chunks = transfer.NewServer(p.shelf, pacer)
 	p.attempts = attempt.NewServer(attempt.ServerOptions{
-		Incarnation: incarnation,
+		Incarnation: p.incarnation,
 		Group:       s.Group,
 		Guard:       p.guard,
 		Ledger:      p.ledger,
@@ -188,15 +190,13 @@
 // participants returns the living side processes whose group is to serve the weights with a root digest.
 func (p *Side) participants(root string) []hub.Member {
 	v := p.keeper.Current()
-	now := time.Now()
 	var out []hub.Member
 	for _, m := range v.Members {
 		if m.Role != hub.RoleSide {
 			continue
 		}
 		target, ok := v.Target(m.Group)
-		alive := now.Sub(m.Seen) < participantAge && m.State != hub.StateGone && m.State != hub.StateLeaving
-		if ok && target.Root == root && (alive || m.Id == p.settings.Id) {
+		if ok && target.Root == root && (m.Alive() || m.Id == p.settings.Id) {
 			out = append(out, m.Member)
 		}
 	}
@@ -236,7 +236,7 @@
 	}
 	mux := drpcmux.New()
 	for _, err := range []error{
-		message.DRPCRegisterPeer(mux, exchange.NewServer(p.catalog)),
+		message.DRPCRegisterPeer(mux, exchange.NewServer(p.catalog, p.Member)),
 		message.DRPCRegisterAttempts(mux, p.attempts),
 		message.DRPCRegisterWeights(mux, chunks),
 		message.DRPCRegisterOperator(mux, &operator{journal: p.journal}),
@@ -268,6 +268,7 @@
 	p.metrics.NewGauge("oriolehub_upstream_limit", func() float64 { limit, _ := p.guard.Load(); return float64(limit) })
 	p.metrics.NewGauge("oriolehub_upstream_running", func() float64 { _, running := p.guard.Load(); return float64(running) })
 	p.metrics.NewGauge("oriolehub_chunk_bytes_sent", func() float64 { return float64(p.chunks.BytesSent()) })
+	p.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(p.journal.Dropped()) })
 	p.metrics.NewGauge("oriolehub_rules_revision", func() float64 { return float64(p.keeper.Current().RulesRevision) })
 }
 
@@ -278,7 +279,7 @@
 	p.running.Go(func() { p.exchange.Run(ctx) })
 	p.running.Go(func() { p.ledger.Run(ctx) })
 	p.running.Go(func() { p.followRules(ctx) })
-	p.running.Go(func() { p.heartbeat(ctx) })
+	p.running.Go(func() { p.presence.Run(ctx) })
 	if p.loader != nil {
 		p.running.Go(func() { p.loader.Run(ctx) })
 	}
@@ -299,41 +300,8 @@
 	}
 }
 
-// heartbeat publishes the member record when it changes, and regularly.
-func (p *Side) heartbeat(ctx context.Context) {
-	last := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(changeInterval):
-		}
-		if p.changed() || time.Since(last) >= heartbeatInterval {
-			last = time.Now()
-			p.publish(p.self.Load().Incarnation)
-		}
-	}
-}
-
-// changed reports whether something in the record is worth telling at once.
-func (p *Side) changed() bool {
-	old, now := p.self.Load(), p.record()
-	return old.State != now.State || old.ServingRoot != now.ServingRoot || old.HeldRoot != now.HeldRoot ||
-		old.Limit != now.Limit || old.Note != now.Note || old.FetchingRoot != now.FetchingRoot
-}
-
-func (p *Side) publish(incarnation uint64) {
-	m := p.record()
-	m.Incarnation = incarnation
-	if old := p.self.Load(); old != nil {
-		m.Sequence = old.Sequence + 1
-	}
-	p.self.Store(&m)
-	p.catalog.PutMember(m)
-}
-
-// record returns what this process tells of itself now.
-func (p *Side) record() hub.Member {
+// Member returns what this process tells of itself now.
+func (p *Side) Member() hub.Member {
 	limit, running := p.guard.Load()
 	m := hub.Member{
 		Id:            p.settings.Id,
@@ -343,6 +311,7 @@
 		Group:         p.settings.Group,
 		Domain:        p.settings.Domain,
 		Region:        p.settings.Region,
+		Incarnation:   p.incarnation,
 		Limit:         limit,
 		Running:       running,
 		RulesRevision: p.keeper.Current().RulesRevision,
@@ -377,9 +346,6 @@
 // Address returns the control address.
 func (p *Side) Address() string { return p.server.Address() }
 
-// Member returns the record that the process last told.
-func (p *Side) Member() hub.Member { return *p.self.Load() }
-
 // Fetched returns the chunks held and their total of the newest weights, and their root digest while they are incomplete.
 func (p *Side) Fetched() (held, total int, fetching string) {
 	if p.loader == nil {
@@ -401,7 +367,7 @@
 // Stop leaves: it tells the others, lets the requests in progress finish and ends.
 func (p *Side) Stop(ctx context.Context) {
 	p.leaving.Store(true)
-	p.publish(p.self.Load().Incarnation)
+	p.presence.Publish()
 	p.tell(ctx)
 	sleep(ctx, leaveNotice)
 	p.guard.Block(guard.ReasonLeaving)
@@ -418,7 +384,7 @@
 // tell gives the newest record to the known entry processes at once.
 func (p *Side) tell(ctx context.Context) {
 	for _, address := range slices.Compact(append(p.manifestPeers(), p.settings.Peers...)) {
-		_ = p.exchange.Exchange(ctx, address)
+		_ = p.exchange.Exchange(ctx, address, address)
 	}
 }
 
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,9 +11,6 @@
 	"github.com/oriolehub/oriolehub/internal/state/view"
 )
 
-// suspectAfter is the age of a member record from which its upstream is a last resort.
-const suspectAfter = 4 * time.Second
-
 // Group is one group of upstreams with those that may take requests now.
 type Group struct {
 	Rule      statement.GroupRule
@@ -95,7 +91,7 @@
 		g.Listed++
 		u := b.upstream(&m.Member)
 		kept[m.Id] = u
-		u.heardAt.Store(m.Seen.UnixNano())
+		u.suspected.Store(m.Suspected)
 		if b.inService(v, &m.Member) {
 			g.Upstreams = append(g.Upstreams, u)
 		}
--- a/internal/route/table/upstream.go
+++ b/internal/route/table/upstream.go
@@ -35,7 +35,7 @@
 	latency    atomic.Uint64
 	// avoidUntil is in Unix nanoseconds.
 	avoidUntil atomic.Int64
-	heardAt    atomic.Int64
+	suspected  atomic.Bool
 }
 
 // Begin counts an attempt in.
@@ -81,7 +81,7 @@
 		Limit:    int(u.limit.Load()),
 		Running:  int(u.inflight.Load()) + int(math.Round(others)),
 		Latency:  math.Float64frombits(u.latency.Load()),
-		Suspect:  now < u.avoidUntil.Load() || now-u.heardAt.Load() > int64(suspectAfter),
+		Suspect:  now < u.avoidUntil.Load() || u.suspected.Load(),
 		Hash:     u.Hash,
 	}
 }
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -7,134 +7,187 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/neighbour"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
-// callTimeout bounds one exchange.
-const callTimeout = 2 * time.Second
+const (
+	// callTimeout bounds one exchange.
+	callTimeout = 2 * time.Second
+	// suspectAfter is the time for which a neighbour does not answer before it is suspected.
+	suspectAfter = 3 * time.Second
+	// seedInterval is the time between two exchanges with a seed, which join what a long cut has parted.
+	seedInterval = 10 * time.Second
+)
 
-// Client exchanges with peers at an interval and at once after a change.
-type Client struct {
-	self     string
-	catalog  *catalog.Catalog
-	link     *link.Client
-	interval time.Duration
-	// seeds are the addresses tried while no other member is known.
-	seeds []string
-
-	mu    sync.Mutex
-	peers map[string]*peerState
+// Options are what a client works with.
+type Options struct {
+	Self    string
+	Catalog *catalog.Catalog
+	Link    *link.Client
+	// Interval is the time between two exchanges with one neighbour.
+	Interval time.Duration
+	// Seeds are addresses that are asked at the start and now and then.
+	Seeds []string
+	Log   *log.Logger
 }
 
-type cursor struct {
-	epoch    uint64
-	sequence uint64
+// Client exchanges with neighbours: at an interval, and at once when a document changes.
+//
+// The exchange also watches the neighbours. One that does not answer for a while is suspected by a record
+// of its own incarnation and sequence; if it lives, it learns of that and answers with a higher sequence.
+type Client struct {
+	options Options
+
+	mu       sync.Mutex
+	peers    map[string]*peerState
+	seededAt time.Time
 }
 
-// peerState remembers how far an exchange with one address has come, in both directions.
+// peerState remembers how far the exchange with one address has come, in both directions.
 type peerState struct {
-	// known is how far this process has the peer's changes.
-	known cursor
-	// sent is the sequence up to which the peer has this process's changes.
-	sent uint64
+	epoch    uint64
+	sequence uint64
+	// sent is the sequence up to which the peer has this process's member changes.
+	sent      uint64
+	revisions revisions
+	answered  time.Time
 }
 
-// NewClient returns a client for the process self.
-func NewClient(self string, c *catalog.Catalog, l *link.Client, interval time.Duration, seeds []string) *Client {
-	return &Client{self: self, catalog: c, link: l, interval: interval, seeds: seeds, peers: map[string]*peerState{}}
+// NewClient returns a client.
+func NewClient(o Options) *Client {
+	return &Client{options: o, peers: map[string]*peerState{}}
 }
 
 // Run exchanges until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, address := range c.choose() {
-			_ = c.Exchange(ctx, address)
-		}
-		c.pause(ctx)
+		renewed := c.options.Catalog.Renewed()
+		c.round(ctx)
+		c.pause(ctx, renewed)
 	}
 }
 
-// pause waits for the interval, jittered so that processes do not move in step.
-func (c *Client) pause(ctx context.Context) {
-	jittered := c.interval/2 + rand.N(c.interval)
-	timer := time.NewTimer(jittered)
+// pause waits for the interval, jittered so that processes don't move in step, or for a document to change.
+func (c *Client) pause(ctx context.Context, renewed <-chan struct{}) {
+	timer := time.NewTimer(c.options.Interval/2 + rand.N(c.options.Interval))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-renewed:
 	case <-ctx.Done():
 	}
 }
 
-// choose returns the addresses of this round: one member at random and, in turn, one seed.
-func (c *Client) choose() []string {
-	var addresses []string
+// round exchanges once with each neighbour, all at the same time.
+func (c *Client) round(ctx context.Context) {
+	self, members := c.members()
+	var running sync.WaitGroup
+	neighbours := neighbour.Choose(self, members)
+	for _, n := range neighbours {
+		running.Go(func() {
+			if err := c.Exchange(ctx, n.Address, n.Id); err != nil {
+				c.suspect(ctx, n, err)
+			}
+		})
+	}
+	if seed := c.seed(len(neighbours)); seed != "" && seed != self.Address {
+		running.Go(func() { _ = c.Exchange(ctx, seed, seed) })
+	}
+	running.Wait()
+}
+
+func (c *Client) members() (hub.Member, []hub.Member) {
+	known := c.options.Catalog.Members()
+	members := make([]hub.Member, len(known))
 	var self hub.Member
-	members := c.catalog.Members()
-	for _, m := range members {
-		if m.Id == c.self {
-			self = m.Member
-			continue
-		}
-		if m.State != hub.StateGone {
-			addresses = append(addresses, m.Address)
+	for i := range known {
+		members[i] = known[i].Member
+		if members[i].Id == c.options.Self {
+			self = members[i]
 		}
 	}
-	var chosen []string
-	if len(addresses) > 0 {
-		chosen = append(chosen, addresses[rand.IntN(len(addresses))])
+	return self, members
+}
+
+// seed returns a seed to exchange with in this round, or "".
+func (c *Client) seed(neighbours int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.options.Seeds) == 0 || neighbours > 0 && time.Since(c.seededAt) < seedInterval {
+		return ""
+	}
+	c.seededAt = time.Now()
+	return c.options.Seeds[rand.IntN(len(c.options.Seeds))]
+}
+
+// suspect records that a neighbour has not answered for a while.
+func (c *Client) suspect(ctx context.Context, n hub.Member, cause error) {
+	if ctx.Err() != nil || n.Suspected || time.Since(c.peer(n.Address).answered) < suspectAfter {
+		return
 	}
-	if len(c.seeds) > 0 {
-		seed := c.seeds[rand.IntN(len(c.seeds))]
-		if seed != self.Address {
-			chosen = append(chosen, seed)
-		}
+	n.Suspected = true
+	if c.options.Catalog.PutMember(n, c.options.Self) {
+		c.options.Log.Warn().Str("Member", n.Id).Err(cause).Msg("member suspected")
 	}
-	return chosen
 }
 
-// Exchange swaps changes with the process at address once.
-func (c *Client) Exchange(ctx context.Context, address string) error {
+// Exchange swaps changes once with the process id at address.
+func (c *Client) Exchange(ctx context.Context, address, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	state := c.peer(address)
-	change := c.catalog.ChangesSince(c.catalog.Epoch(), state.sent)
+	change := c.options.Catalog.ChangesSince(c.options.Catalog.Epoch(), state.sent, id)
 	request := &message.ExchangeRequest{
-		Sender:        c.self,
-		KnownEpoch:    state.known.epoch,
-		KnownSequence: state.known.sequence,
-		Epoch:         change.Epoch,
-		Sequence:      change.Sequence,
-		Documents:     toDocuments(change.Documents),
+		Sender:        c.options.Self,
+		KnownEpoch:    state.epoch,
+		KnownSequence: state.sequence,
 		Members:       ToMembers(change.Members),
+		Revisions:     toRevisions(c.options.Catalog),
+	}
+	if state.revisions != nil {
+		request.Documents = newerThan(c.options.Catalog, state.revisions)
 	}
-	peer := message.NewDRPCPeerClient(c.link.Pooled(ctx, address))
-	reply, err := peer.Exchange(ctx, request)
+	conn := c.options.Link.Pooled(ctx, address)
+	defer conn.Close()
+	reply, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
 	if err != nil {
 		return fmt.Errorf("exchange with %s: %w", address, err)
 	}
-	c.catalog.Merge(fromDocuments(reply.GetDocuments()), FromMembers(reply.GetMembers()))
-	c.remember(address, peerState{known: cursor{reply.GetEpoch(), reply.GetSequence()}, sent: change.Sequence})
+	merge(c.options.Catalog, id, reply.GetDocuments(), reply.GetMembers())
+	c.remember(address, &peerState{
+		epoch:     reply.GetEpoch(),
+		sequence:  reply.GetSequence(),
+		sent:      change.Sequence,
+		revisions: fromRevisions(reply.GetRevisions()),
+		answered:  time.Now(),
+	})
 	return nil
 }
 
+// peer returns what is remembered of an address; a new one counts as having answered just now.
 func (c *Client) peer(address string) peerState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p := c.peers[address]; p != nil {
-		return *p
+	p := c.peers[address]
+	if p == nil {
+		p = &peerState{answered: time.Now()}
+		c.peers[address] = p
 	}
-	return peerState{}
+	return *p
 }
 
-func (c *Client) remember(address string, p peerState) {
+func (c *Client) remember(address string, p *peerState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.peers[address]; old != nil && old.known.epoch != p.known.epoch {
+	if old := c.peers[address]; old != nil && old.epoch != 0 && old.epoch != p.epoch {
 		// The peer has restarted and lost what it was sent.
 		p.sent = 0
 	}
-	c.peers[address] = &p
+	c.peers[address] = p
 }
--- a/internal/state/exchange/conversions.go
+++ b/internal/state/exchange/conversions.go
@@ -37,6 +37,7 @@
 		Running:        uint32(m.Running),
 		Note:           m.Note,
 		RulesRevision:  m.RulesRevision,
+		Suspected:      m.Suspected,
 	}
 }
 
@@ -72,21 +73,6 @@
 		Running:        int(m.GetRunning()),
 		Note:           m.GetNote(),
 		RulesRevision:  m.GetRulesRevision(),
+		Suspected:      m.GetSuspected(),
 	}
 }
-
-func toDocuments(documents []hub.Document) []*message.Document {
-	out := make([]*message.Document, len(documents))
-	for i, d := range documents {
-		out[i] = &message.Document{Name: d.Name, Revision: d.Revision, Value: d.Value}
-	}
-	return out
-}
-
-func fromDocuments(documents []*message.Document) []hub.Document {
-	out := make([]hub.Document, len(documents))
-	for i, d := range documents {
-		out[i] = hub.Document{Name: d.GetName(), Revision: d.GetRevision(), Value: d.GetValue()}
-	}
-	return out
-}
--- a/internal/upstream/loader/loader.go
+++ b/internal/upstream/loader/loader.go
@@ -229,7 +229,7 @@
 		case g.Paused:
 			l.note("the rollout is paused by a rule")
 		default:
-			t := turn{self: l.options.Self, group: l.options.Group, domain: l.options.Domain, root: target.Root, floorPercent: g.FloorPercent, now: time.Now()}
+			t := turn{self: l.options.Self, group: l.options.Group, domain: l.options.Domain, root: target.Root, floorPercent: g.FloorPercent}
 			granted, ahead := t.granted(v.Members)
 			if granted || l.ServingRoot() == "" {
 				l.options.Log.Info().Str("Version", target.Version).Int("FloorPercent", g.FloorPercent).Msg("load granted")
--- a/internal/upstream/loader/turn.go
+++ b/internal/upstream/loader/turn.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -11,9 +10,6 @@
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 )
 
-// suspectAfter is the age of a member record from which its process counts as dead.
-const suspectAfter = 6 * time.Second
-
 // turn decides whether an upstream may leave service to load the version with a root digest.
 //
 // Every side process orders the members of its group and failure domain in the same way. One may load
@@ -27,7 +23,6 @@
 	domain       string
 	root         string
 	floorPercent int
-	now          time.Time
 }
 
 // granted reports whether self may load, and if not, how many others it waits for.
@@ -60,9 +55,7 @@
 		if m.Role != hub.RoleSide || m.Group != t.group || m.Domain != t.domain {
 			continue
 		}
-		gone := m.State == hub.StateGone || m.State == hub.StateLeaving
-		dead := t.now.Sub(m.Seen) > suspectAfter
-		if m.Id == t.self || !gone && !dead {
+		if m.Id == t.self || m.Alive() {
 			peers = append(peers, m)
 		}
 	}
