weights/pace: leave room for live requests in both directions of a VM's link

Cause: p95 of live requests was 219 ms before and 377 ms during a burst: eight incoming chunks and 32 KiB pieces queued up on the link (ruled out: upstream load, one request a second and VM).

--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -44,6 +44,7 @@
 			queries.SettingsShow(),
 			version(),
 			experiments.Try(),
+			experiments.MeasureBurst(),
 			commands.StandinStore(),
 			commands.StandinOrigin(),
 			commands.StandinVms(),
--- /dev/null
+++ b/internal/bench/report/doc.go
@@ -0,0 +1,2 @@
+// Package report draws the results of experiments.
+package report
--- /dev/null
+++ b/internal/cli/experiments/burst.go
@@ -0,0 +1,160 @@
+package experiments
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/bench/burst"
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/bench/report"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/process/settings"
+	"github.com/oriolehub/oriolehub/internal/weights/topology"
+)
+
+// Targets of a burst.
+const (
+	maxRatio            = 1.2
+	maxRatioFaults      = 1.5
+	maxGrowth           = 1.25
+	maxOrigin           = 1.1
+	maxOriginFaults     = 1.3
+	maxRegionCopies     = 1.05
+	maxLatencyGrowth    = 1.25
+	growthFrom, growsTo = 16, 200
+)
+
+type burstFlags struct {
+	vms, size, strategies, plot, deployment, log string
+	regions, seed                                int
+	target                                       time.Duration
+	requestsPerVm                                float64
+	faults                                       bool
+}
+
+// MeasureBurst returns the command that measures bursts.
+func MeasureBurst() *table.Command {
+	f := &burstFlags{
+		vms: "16,32,64,128,200", size: "32MB", strategies: topology.NameSwarm, deployment: deployment.Nakhla,
+		regions: 3, seed: 1, target: 30 * time.Second, requestsPerVm: 1,
+	}
+	return &table.Command{
+		Name:    "measure burst",
+		Section: table.Experiments,
+		Help:    "measure the time until VMs hold a new version, against the lower bound",
+		Detail:  "Prints one line of JSON for each size and strategy. Exit code 6 if a target is missed.",
+		Flags: []table.Flag{
+			{Name: "vms", Help: "numbers of VMs, separated by commas", Target: &f.vms},
+			{Name: "regions", Help: "regions, up to 3", Target: &f.regions},
+			{Name: "size", Help: "size of the content", Target: &f.size},
+			{Name: "target", Help: "time in which the origin's link carries 4 copies and each VM's link 2", Target: &f.target},
+			{Name: "strategy", Help: "swarm, tree or origin, several separated by commas", Target: &f.strategies},
+			{Name: "requests", Help: "live requests a second for each VM", Target: &f.requestsPerVm},
+			{Name: "faults", Help: "let 5% of the VMs die and 5% stall, and corrupt 1% of the chunks", Target: &f.faults},
+			{Name: "deployment", Help: "puhas or nakhla", Target: &f.deployment},
+			{Name: "seed", Help: "seed of content, arrivals and faults", Target: &f.seed},
+			{Name: "plot", Help: "PNG file for a plot", Target: &f.plot},
+			{Name: "log", Help: "file for the log lines of all processes", Target: &f.log},
+		},
+		Run: f.run,
+	}
+}
+
+func (f *burstFlags) run(ctx context.Context, env *table.Env) error {
+	sizes, err := parseSizes(f.vms)
+	if err != nil {
+		return err
+	}
+	bytes, err := settings.ParseBytes(f.size)
+	if err != nil || bytes == 0 {
+		return table.Exit(table.ExitUsage, "--size %q: want a size, e.g. 32MB", f.size)
+	}
+	d, err := deployment.Named(f.deployment)
+	if err != nil {
+		return table.Exit(table.ExitUsage, "%w", err)
+	}
+	j, closeLog, err := openLog(f.log)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	o := burst.Options{
+		Deployment: d, Regions: f.regions, SizeBytes: int64(bytes), Target: f.target,
+		RequestsPerVm: f.requestsPerVm, Faults: f.faults, Seed: uint64(f.seed), Journal: j,
+	}
+	var results []burst.Result
+	for _, strategy := range strings.Split(f.strategies, ",") {
+		for _, vms := range sizes {
+			result, err := burst.Run(ctx, o, vms, strategy)
+			if err != nil {
+				return fmt.Errorf("%d VMs, %s: %w", vms, strategy, err)
+			}
+			if err := printLine(env, result); err != nil {
+				return err
+			}
+			results = append(results, result)
+		}
+	}
+	if f.plot != "" {
+		if err := plotBurst(f.plot, results); err != nil {
+			return err
+		}
+	}
+	return missed(burstMisses(results))
+}
+
+// burstMisses compares the results of the swarm with the targets.
+func burstMisses(results []burst.Result) []string {
+	var out []string
+	small := 0.0
+	for _, r := range results {
+		if r.Strategy != topology.NameSwarm {
+			continue
+		}
+		check := func(value, limit float64, what string) {
+			if value > limit {
+				out = append(out, fmt.Sprintf("%d VMs: %s %.2f, want at most %.2f", r.Vms, what, value, limit))
+			}
+		}
+		ratio, origin := maxRatio, maxOrigin
+		if r.Faults {
+			ratio, origin = maxRatioFaults, maxOriginFaults
+		}
+		check(r.Ratio, ratio, "Ratio")
+		check(r.OriginCopies, origin, "OriginCopies")
+		check(r.MaxRegionLinkCopies, maxRegionCopies, "MaxRegionLinkCopies")
+		check(float64(r.WrongDigests), 0, "WrongDigests")
+		check(r.P95DuringMs, maxLatencyGrowth*r.P95BeforeMs, "P95DuringMs")
+		if r.Vms == growthFrom {
+			small = r.Seconds100
+		}
+		if r.Vms == growsTo && small > 0 {
+			check(r.Seconds100, maxGrowth*small, "Seconds100")
+		}
+	}
+	return out
+}
+
+func plotBurst(file string, results []burst.Result) error {
+	series := map[string]*report.Series{}
+	var order []*report.Series
+	add := func(name string, x, y float64) {
+		if series[name] == nil {
+			series[name] = &report.Series{Name: name}
+			order = append(order, series[name])
+		}
+		series[name].X = append(series[name].X, x)
+		series[name].Y = append(series[name].Y, y)
+	}
+	for _, r := range results {
+		add(r.Strategy+", 100% of VMs", float64(r.Vms), r.Seconds100)
+	}
+	for _, r := range results {
+		if r.Strategy == results[0].Strategy {
+			add("lower bound", float64(r.Vms), r.BoundSeconds)
+		}
+	}
+	return report.Plot(file, report.Chart{Title: "Time until all VMs hold the version", X: "VMs", Y: "seconds", Series: order})
+}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -137,14 +137,14 @@
 // assemble wires the parts that don't listen.
 func (p *Side) assemble(base *url.URL, x Extras) {
 	s := &p.settings
-	pacer := pace.New(int64(s.Weights.LinkPerSecond))
-	p.chunks = transfer.NewServer(p.shelf, pacer)
+	sending := pace.New(int64(s.Weights.LinkPerSecond))
+	p.chunks = transfer.NewServer(p.shelf, sending)
 	p.attempts = attempt.NewServer(attempt.ServerOptions{
 		Incarnation: p.incarnation,
 		Group:       s.Group,
 		Guard:       p.guard,
 		Ledger:      p.ledger,
-		Runner:      attempt.NewRunner(base, pacer.Live),
+		Runner:      attempt.NewRunner(base, sending.Live),
 		Root:        p.servingRoot,
 		Log:         p.journal.Logger(journal.Routing),
 	})
@@ -160,6 +160,7 @@
 		Self:                 s.Id,
 		Link:                 p.link,
 		Shelf:                p.shelf,
+		Pacer:                pace.New(int64(s.Weights.LinkPerSecond)),
 		Sources:              sources,
 		Topology:             x.Topology,
 		OriginBytesPerSecond: int64(s.Weights.OriginPerSecond),
--- a/internal/weights/transfer/client.go
+++ b/internal/weights/transfer/client.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
@@ -22,7 +23,7 @@
 
 // fetchChunk reads one chunk from a peer into buf, which holds the first offset bytes already.
 // It returns the bytes that buf then holds, also with an error, so that another sender can go on from there.
-func fetchChunk(ctx context.Context, conn drpc.Conn, request *message.FetchRequest, buf []byte) (int, error) {
+func fetchChunk(ctx context.Context, conn drpc.Conn, pacer *pace.Pacer, request *message.FetchRequest, buf []byte) (int, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	filled := int(request.GetOffset())
@@ -42,6 +43,9 @@
 			return filled, fmt.Errorf("piece at %d, want %d: %w", piece.GetOffset(), filled, hub.ErrCorrupt)
 		}
 		filled += copy(buf[filled:], piece.GetData())
+		if err := pacer.Wait(ctx, len(piece.GetData())); err != nil {
+			return filled, transferError(ctx, err)
+		}
 		watchdog.Reset(progressTimeout)
 	}
 	return filled, nil
@@ -59,7 +63,7 @@
 }
 
 // fetchRange reads one chunk from a weight source into buf from filled on and returns the bytes then held.
-func fetchRange(ctx context.Context, source hub.WeightSource, version string, offset int64, buf []byte, filled int) (int, error) {
+func fetchRange(ctx context.Context, source hub.WeightSource, pacer *pace.Pacer, version string, offset int64, buf []byte, filled int) (int, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(progressTimeout, func() { cancel(errStalled) })
@@ -73,6 +77,9 @@
 		n, err := body.Read(buf[filled:])
 		filled += n
 		if n > 0 {
+			if err := pacer.Wait(ctx, n); err != nil {
+				return filled, transferError(ctx, err)
+			}
 			watchdog.Reset(progressTimeout)
 		}
 		if err != nil && filled < len(buf) {
--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/weights/manifest"
+	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
@@ -24,6 +25,8 @@
 	Self  string
 	Link  *link.Client
 	Shelf *replica.Shelf
+	// Pacer is the receiving direction of the VM's link.
+	Pacer *pace.Pacer
 	// Sources are the weight sources in order of preference.
 	Sources  []hub.WeightSource
 	Topology hub.Topology
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -134,7 +134,7 @@
 		Offset: uint32(part.filled),
 		Sender: s.fetcher.options.Self,
 	}
-	filled, err := fetchChunk(chunkCtx, conn, request, part.buf)
+	filled, err := fetchChunk(chunkCtx, conn, s.fetcher.options.Pacer, request, part.buf)
 	_ = conn.Close()
 	if err == nil {
 		err = s.finish(index, part.buf)
--- a/internal/weights/transfer/server.go
+++ b/internal/weights/transfer/server.go
@@ -141,7 +141,7 @@
 
 func (s *Server) send(ctx context.Context, data []byte, offset int, stream message.DRPCWeights_FetchStream) error {
 	for offset < len(data) {
-		end := min(offset+pace.PieceBytes, len(data))
+		end := min(offset+s.pacer.PieceBytes(), len(data))
 		if err := s.pacer.Wait(ctx, end-offset); err != nil {
 			return err
 		}
