weights/transfer: one connection to each neighbour, told what arrived with each chunk

Ruled out: CPU (1.6 of 8 cores in steady state). Change: one connection a neighbour; arrivals come with the last piece of a chunk or are asked for; neighbours of the exchange are chosen only when members change; engine clients have transports of their own.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -237,6 +237,13 @@
 	return c.renewed
 }
 
+// Sequence returns the local sequence of the newest change of a member record.
+func (c *Catalog) Sequence() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sequence
+}
+
 // Epoch returns the epoch of this catalog.
 func (c *Catalog) Epoch() uint64 {
 	return c.epoch
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -47,6 +47,9 @@
 	mu       sync.Mutex
 	peers    map[string]*peerState
 	seededAt time.Time
+	// chosen are the neighbours by the membership of chosenAt.
+	chosen   []hub.Member
+	chosenAt uint64
 }
 
 // peerState remembers how far the exchange with one address has come, in both directions.
@@ -86,9 +89,8 @@
 
 // round exchanges once with each neighbour, all at the same time.
 func (c *Client) round(ctx context.Context) {
-	self, members := c.members()
 	var running sync.WaitGroup
-	neighbours := neighbour.Choose(self, members)
+	neighbours, selfAddress := c.neighbours()
 	for _, n := range neighbours {
 		running.Go(func() {
 			if err := c.Exchange(ctx, n.Address, n.Id); err != nil {
@@ -96,23 +98,29 @@
 			}
 		})
 	}
-	if seed := c.seed(len(neighbours)); seed != "" && seed != self.Address {
+	if seed := c.seed(len(neighbours)); seed != "" && seed != selfAddress {
 		running.Go(func() { _ = c.Exchange(ctx, seed, seed) })
 	}
 	running.Wait()
 }
 
-func (c *Client) members() (hub.Member, []hub.Member) {
+// neighbours returns the neighbours and the own address, chosen anew only when the members have changed.
+func (c *Client) neighbours() ([]hub.Member, string) {
+	self, _ := c.options.Catalog.Member(c.options.Self)
+	at := c.options.Catalog.Sequence()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at == c.chosenAt {
+		return c.chosen, self.Address
+	}
 	known := c.options.Catalog.Members()
 	members := make([]hub.Member, len(known))
-	var self hub.Member
 	for i := range known {
 		members[i] = known[i].Member
-		if members[i].Id == c.options.Self {
-			self = members[i]
-		}
 	}
-	return self, members
+	c.chosen = neighbour.Choose(self.Member, members)
+	c.chosenAt = at
+	return c.chosen, self.Address
 }
 
 // seed returns a seed to exchange with in this round, or "".
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -24,6 +24,9 @@
 
 // New returns a client of the engine at base, e.g. "http://127.0.0.1:8000".
 func New(base string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: 1}
+	}
 	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/internal/weights/plan/plan.go
+++ b/internal/weights/plan/plan.go
@@ -43,7 +43,6 @@
 	available []int
 	// barred are chunks that the neighbour holds but another process is to take over the region link.
 	barred []int
-	wake   chan struct{}
 }
 
 // New returns a plan for total chunks; a chunk that has been on its way for endgameAge may be fetched twice.
@@ -61,13 +60,11 @@
 // Done returns a channel that is closed once every chunk is held.
 func (p *Plan) Done() <-chan struct{} { return p.done }
 
-// AddNeighbour makes a neighbour known and returns the channel that wakes its fetch loop.
-func (p *Plan) AddNeighbour(id string, crossing bool) <-chan struct{} {
+// AddNeighbour makes a neighbour known; crossing is true for one in another region.
+func (p *Plan) AddNeighbour(id string, crossing bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := &neighbour{crossing: crossing, wake: make(chan struct{}, 1)}
-	p.neighbours[id] = n
-	return n.wake
+	p.neighbours[id] = &neighbour{crossing: crossing}
 }
 
 // RemoveNeighbour forgets a neighbour and what it holds.
@@ -107,7 +104,6 @@
 		n.available = append(n.available, i)
 		c.copies++
 	}
-	n.signal()
 }
 
 // AllowOrigin lets this process take chunks from the origin, in the given order.
@@ -145,7 +141,6 @@
 		}
 	}
 	n.barred = kept
-	n.signal()
 }
 
 // Next returns a chunk to fetch from a neighbour and marks it as being fetched.
@@ -239,9 +234,6 @@
 		p.origin = append(p.origin, i)
 		signal(p.originWake)
 	}
-	for _, n := range p.neighbours {
-		n.signal()
-	}
 }
 
 // Held marks a chunk as held; fetched tells whether a fetch of this plan brought it.
@@ -289,8 +281,6 @@
 	return true
 }
 
-func (n *neighbour) signal() { signal(n.wake) }
-
 func signal(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
--- a/internal/weights/replica/replica.go
+++ b/internal/weights/replica/replica.go
@@ -80,9 +80,13 @@
 }
 
 // ArrivedSince returns the chunks that arrived after the first n, and a channel closed at the next arrival.
+// If fewer than n are held, because the replica was begun anew, all are returned.
 func (r *Replica) ArrivedSince(n int) ([]int, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if n > len(r.order) {
+		n = 0
+	}
 	return append([]int(nil), r.order[n:]...), r.changed
 }
 
--- a/internal/weights/replica/shelf.go
+++ b/internal/weights/replica/shelf.go
@@ -15,11 +15,12 @@
 
 	mu       sync.Mutex
 	replicas map[string]*Replica
+	changed  chan struct{}
 }
 
 // NewShelf returns a shelf that holds at most limit bytes of weights; pool may be nil.
 func NewShelf(limit int64, pool *Pool) *Shelf {
-	return &Shelf{limit: limit, pool: pool, replicas: map[string]*Replica{}}
+	return &Shelf{limit: limit, pool: pool, replicas: map[string]*Replica{}, changed: make(chan struct{})}
 }
 
 // Open returns the replica of a manifest and makes it if there is none.
@@ -35,6 +36,8 @@
 	}
 	r := newReplica(m, encoded, s.pool)
 	s.replicas[m.Root] = r
+	close(s.changed)
+	s.changed = make(chan struct{})
 	return r, nil
 }
 
@@ -67,6 +70,13 @@
 	return total
 }
 
+// Changed returns a channel that is closed when the next replica is made.
+func (s *Shelf) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
 // Find returns the replica with a root digest, or hub.ErrNotFound.
 func (s *Shelf) Find(root string) (*Replica, error) {
 	s.mu.Lock()
--- a/internal/weights/transfer/client.go
+++ b/internal/weights/transfer/client.go
@@ -22,8 +22,9 @@
 var errStalled = errors.New("transfer stalled")
 
 // fetchChunk reads one chunk from a peer into buf, which holds the first offset bytes already.
-// It returns the bytes that buf then holds, also with an error, so that another sender can go on from there.
-func fetchChunk(ctx context.Context, conn drpc.Conn, pacer *pace.Pacer, request *message.FetchRequest, buf []byte) (int, error) {
+// It returns the bytes that buf then holds, also with an error, so that another sender can go on from there,
+// and what the peer told with the last piece.
+func fetchChunk(ctx context.Context, conn drpc.Conn, pacer *pace.Pacer, request *message.FetchRequest, buf []byte) (int, *message.Holding, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	filled := int(request.GetOffset())
@@ -31,24 +32,26 @@
 	defer watchdog.Stop()
 	stream, err := message.NewDRPCWeightsClient(conn).Fetch(ctx, request)
 	if err != nil {
-		return filled, transferError(ctx, err)
+		return filled, nil, transferError(ctx, err)
 	}
 	defer stream.Close()
+	var holding *message.Holding
 	for filled < len(buf) {
 		piece, err := stream.Recv()
 		if err != nil {
-			return filled, transferError(ctx, err)
+			return filled, nil, transferError(ctx, err)
 		}
 		if int(piece.GetOffset()) != filled || filled+len(piece.GetData()) > len(buf) {
-			return filled, fmt.Errorf("piece at %d, want %d: %w", piece.GetOffset(), filled, hub.ErrCorrupt)
+			return filled, nil, fmt.Errorf("piece at %d, want %d: %w", piece.GetOffset(), filled, hub.ErrCorrupt)
 		}
 		filled += copy(buf[filled:], piece.GetData())
 		if err := pacer.Wait(ctx, len(piece.GetData())); err != nil {
-			return filled, transferError(ctx, err)
+			return filled, nil, transferError(ctx, err)
 		}
+		holding = piece.GetHolding()
 		watchdog.Reset(progressTimeout)
 	}
-	return filled, nil
+	return filled, holding, nil
 }
 
 // transferError prefers the reason for which a context was cancelled over the error that followed from it.
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -3,122 +3,116 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
+	"storj.io/drpc"
+
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
 const (
-	// idleLook is the longest time between two looks for something to fetch.
-	idleLook = 250 * time.Millisecond
-	// followTimeout is the longest time between two messages of a Follow stream.
-	followTimeout = 4 * time.Second
+	// followWait is the longest time for which a neighbour is asked to wait for an arrival.
+	followWait = 500 * time.Millisecond
 	// reconnectPause is the pause before a neighbour that broke off is tried again.
 	reconnectPause = 300 * time.Millisecond
 )
 
-// peer is the fetching from one neighbour.
+// errMixedSenders reports a corrupt chunk whose parts came from two senders.
+var errMixedSenders = errors.New("corrupt chunk from two senders")
+
+// peer is the fetching from one neighbour, over one connection that carries one call at a time:
+// a chunk while there is one to fetch, else the question what has arrived. The answer to that question
+// also comes with the last piece of each chunk.
 type peer struct {
 	session *session
 	id      string
 	address string
+	conn    drpc.Conn
+	told    uint32
 }
 
-// run follows the neighbour and fetches from it until it breaks off or ctx ends.
-func (p *peer) run(ctx context.Context, wake <-chan struct{}) {
-	ctx, cancel := context.WithCancel(ctx)
-	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	for range fetchesPerPeer {
-		running.Go(func() { p.fetchLoop(ctx, wake, cancel) })
-	}
-	err := p.follow(ctx)
-	if ctx.Err() == nil {
-		p.session.fetcher.options.Log.Debug().Str("Peer", p.id).Err(err).Msg("neighbour broke off")
-		_ = pauseJittered(ctx, reconnectPause)
+// run fetches from the neighbour until it must be left alone or ctx ends.
+func (p *peer) run(ctx context.Context) {
+	defer p.disconnect()
+	for ctx.Err() == nil {
+		err := p.step(ctx)
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, errStalled), errors.Is(err, hub.ErrCorrupt):
+			p.session.fetcher.options.Log.Warn().Str("Peer", p.id).Str("Version", p.session.pin.Version).Err(err).Msg("neighbour set aside")
+			p.session.putAside(p.id)
+			return
+		default:
+			p.session.fetcher.options.Log.Debug().Str("Peer", p.id).Err(err).Msg("neighbour broke off")
+			p.disconnect()
+			_ = pauseJittered(ctx, reconnectPause)
+		}
 	}
 }
 
-// follow records what the neighbour holds as it tells.
-func (p *peer) follow(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	conn, err := p.session.fetcher.options.Link.Fresh(ctx, p.address)
-	if err != nil {
+// step fetches one chunk, or asks what has arrived where there is none to fetch.
+func (p *peer) step(ctx context.Context) error {
+	if err := p.connect(ctx); err != nil {
 		return err
 	}
-	defer conn.Close()
-	watchdog := time.AfterFunc(followTimeout+openWait, func() { cancel(errStalled) })
-	defer watchdog.Stop()
-	stream, err := message.NewDRPCWeightsClient(conn).Follow(ctx, &message.FollowRequest{Root: p.session.pin.Root})
-	if err != nil {
-		return transferError(ctx, err)
+	s := p.session
+	if err := s.slots.Acquire(ctx, 1); err != nil {
+		return err
 	}
-	defer stream.Close()
-	for {
-		holding, err := stream.Recv()
-		if err != nil {
-			return transferError(ctx, err)
-		}
-		watchdog.Reset(followTimeout)
-		p.session.plan.NeighbourHolds(p.id, toIndexes(holding.GetIndexes()))
+	index, ok := s.plan.Next(p.id, time.Now())
+	if !ok {
+		s.slots.Release(1)
+		return p.follow(ctx)
 	}
+	defer s.slots.Release(1)
+	return p.fetch(ctx, index)
 }
 
-func toIndexes(in []uint32) []int {
-	out := make([]int, len(in))
-	for i, index := range in {
-		out[i] = int(index)
+func (p *peer) connect(ctx context.Context) error {
+	if p.conn != nil {
+		return nil
 	}
-	return out
+	conn, err := p.session.fetcher.options.Link.Fresh(ctx, p.address)
+	if err != nil {
+		return err
+	}
+	p.conn = conn
+	return nil
 }
 
-// fetchLoop fetches one chunk after the other from the neighbour.
-func (p *peer) fetchLoop(ctx context.Context, wake <-chan struct{}, stop context.CancelFunc) {
-	s := p.session
-	for ctx.Err() == nil {
-		if err := s.slots.Acquire(ctx, 1); err != nil {
-			return
-		}
-		index, ok := s.plan.Next(p.id, time.Now())
-		if !ok {
-			s.slots.Release(1)
-			p.idle(ctx, wake)
-			continue
-		}
-		err := p.fetch(ctx, index)
-		s.slots.Release(1)
-		if p.mustStop(err) {
-			s.putAside(p.id)
-			stop()
-			return
-		}
-		if err != nil {
-			p.idle(ctx, wake)
-		}
+func (p *peer) disconnect() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
 	}
 }
 
-// mustStop reports whether an error means that the neighbour is to be left alone for a while.
-func (p *peer) mustStop(err error) bool {
-	if errors.Is(err, errStalled) || errors.Is(err, hub.ErrCorrupt) {
-		p.session.fetcher.options.Log.Warn().Str("Peer", p.id).Str("Version", p.session.pin.Version).Err(err).Msg("neighbour set aside")
-		return true
+// follow asks what has arrived at the neighbour.
+func (p *peer) follow(ctx context.Context) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, followWait+progressTimeout, errStalled)
+	defer cancel()
+	request := &message.FollowRequest{Root: p.session.pin.Root, Told: p.told, WaitMs: uint32(followWait.Milliseconds())}
+	holding, err := message.NewDRPCWeightsClient(p.conn).Follow(ctx, request)
+	if err != nil {
+		return transferError(ctx, err)
 	}
-	return false
+	p.take(holding)
+	return nil
 }
 
-func (p *peer) idle(ctx context.Context, wake <-chan struct{}) {
-	timer := time.NewTimer(idleLook)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-	case <-timer.C:
+func (p *peer) take(holding *message.Holding) {
+	if holding == nil {
+		return
 	}
+	p.told = holding.GetTold()
+	indexes := make([]int, len(holding.GetIndexes()))
+	for i, index := range holding.GetIndexes() {
+		indexes[i] = int(index)
+	}
+	p.session.plan.NeighbourHolds(p.id, indexes)
 }
 
 // fetch brings one chunk from the neighbour.
@@ -127,16 +121,10 @@
 	chunkCtx, cancel, part := s.begin(ctx, index)
 	defer cancel()
 	resumed := part.filled > 0
-	conn := s.fetcher.options.Link.Pooled(chunkCtx, p.address)
-	request := &message.FetchRequest{
-		Root:   s.pin.Root,
-		Index:  uint32(index),
-		Offset: uint32(part.filled),
-		Sender: s.fetcher.options.Self,
-	}
-	filled, err := fetchChunk(chunkCtx, conn, s.fetcher.options.Pacer, request, part.buf)
-	_ = conn.Close()
+	request := &message.FetchRequest{Root: s.pin.Root, Index: uint32(index), Offset: uint32(part.filled), Told: p.told}
+	filled, holding, err := fetchChunk(chunkCtx, p.conn, s.fetcher.options.Pacer, request, part.buf)
 	if err == nil {
+		p.take(holding)
 		err = s.finish(index, part.buf)
 		if errors.Is(err, hub.ErrCorrupt) && resumed {
 			// Two senders made this chunk and either may be at fault.
@@ -150,6 +138,3 @@
 	}
 	return err
 }
-
-// errMixedSenders reports a corrupt chunk whose parts came from two senders.
-var errMixedSenders = errors.New("corrupt chunk from two senders")
--- a/internal/weights/transfer/server.go
+++ b/internal/weights/transfer/server.go
@@ -17,12 +17,10 @@
 const (
 	// uploadSlots bounds the chunks that are sent at once, so that each arrives soon and can be passed on.
 	uploadSlots = 4
-	// followBatch is the least time between two messages of one Follow stream.
-	followBatch = 20 * time.Millisecond
-	// followIdle is the longest time between two messages of one Follow stream.
-	followIdle = time.Second
-	// openWait bounds the wait for a replica that this process has not begun to fetch.
-	openWait = 10 * time.Second
+	// followBatch is the time for which arrivals are gathered before they are told.
+	followBatch = 10 * time.Millisecond
+	// maxFollowWait bounds the wait for an arrival.
+	maxFollowWait = 5 * time.Second
 )
 
 // Server gives chunks to other side processes.
@@ -51,72 +49,55 @@
 	return &message.ManifestReply{Manifest: encoded}, nil
 }
 
-// Follow streams the chunks held of one replica as they arrive.
-func (s *Server) Follow(r *message.FollowRequest, stream message.DRPCWeights_FollowStream) error {
-	ctx := stream.Context()
-	held, err := s.await(ctx, r.GetRoot())
-	if err != nil {
-		return err
-	}
-	told := 0
-	for {
-		arrived, changed := held.ArrivedSince(told)
-		if err := stream.Send(toHolding(held, arrived)); err != nil {
-			return err
-		}
-		told += len(arrived)
-		if err := waitChange(ctx, changed); err != nil {
-			return err
-		}
-	}
-}
-
-// await returns the replica of root, waiting a while for a process that has not begun to fetch it.
-func (s *Server) await(ctx context.Context, root string) (*replica.Replica, error) {
-	const poll = 50 * time.Millisecond
-	deadline := time.Now().Add(openWait)
+// Follow returns the chunks that arrived since the sender was told, waiting for the first as long as it asks.
+func (s *Server) Follow(ctx context.Context, r *message.FollowRequest) (*message.Holding, error) {
+	timer := time.NewTimer(min(maxFollowWait, time.Duration(r.GetWaitMs())*time.Millisecond))
+	defer timer.Stop()
 	for {
-		held, err := s.shelf.Find(root)
-		if err == nil || time.Now().After(deadline) {
-			return held, err
+		holding, changed := s.holding(r.GetRoot(), r.GetTold())
+		if len(holding.GetIndexes()) > 0 {
+			return holding, nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-time.After(poll):
+		case <-timer.C:
+			return holding, nil
+		case <-changed:
+			// A moment later, more has arrived that can be told together.
+			sleep(ctx, followBatch)
 		}
 	}
 }
 
-// waitChange waits for the batching time and then for a change or the idle time.
-func waitChange(ctx context.Context, changed <-chan struct{}) error {
-	batch := time.NewTimer(followBatch)
-	defer batch.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-batch.C:
-	}
-	idle := time.NewTimer(followIdle)
-	defer idle.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-changed:
-	case <-idle.C:
+// holding returns the arrivals since told, and a channel that is closed or ready when there may be more.
+func (s *Server) holding(root string, told uint32) (*message.Holding, <-chan struct{}) {
+	held, err := s.shelf.Find(root)
+	if err != nil {
+		return &message.Holding{}, s.shelf.Changed()
 	}
-	return nil
+	arrived, changed := held.ArrivedSince(int(told))
+	total, _ := held.Held()
+	return toHolding(arrived, total), changed
 }
 
-func toHolding(r *replica.Replica, indexes []int) *message.Holding {
-	_, total := r.Held()
-	out := &message.Holding{Total: uint32(total), Indexes: make([]uint32, len(indexes))}
+func toHolding(indexes []int, told int) *message.Holding {
+	out := &message.Holding{Told: uint32(told), Indexes: make([]uint32, len(indexes))}
 	for i, index := range indexes {
 		out.Indexes[i] = uint32(index)
 	}
 	return out
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Fetch streams one chunk from an offset in paced pieces.
 func (s *Server) Fetch(r *message.FetchRequest, stream message.DRPCWeights_FetchStream) error {
 	ctx := stream.Context()
@@ -128,24 +109,28 @@
 	if err != nil {
 		return err
 	}
-	offset := int(r.GetOffset())
-	if offset >= len(data) {
-		return fmt.Errorf("offset %d in a chunk of %d bytes", offset, len(data))
+	if int(r.GetOffset()) >= len(data) {
+		return fmt.Errorf("offset %d in a chunk of %d bytes", r.GetOffset(), len(data))
 	}
 	if err := s.slots.Acquire(ctx, 1); err != nil {
 		return err
 	}
 	defer s.slots.Release(1)
-	return s.send(ctx, data, offset, stream)
+	return s.send(ctx, r, data, stream)
 }
 
-func (s *Server) send(ctx context.Context, data []byte, offset int, stream message.DRPCWeights_FetchStream) error {
+func (s *Server) send(ctx context.Context, r *message.FetchRequest, data []byte, stream message.DRPCWeights_FetchStream) error {
+	offset := int(r.GetOffset())
 	for offset < len(data) {
 		end := min(offset+s.pacer.PieceBytes(), len(data))
 		if err := s.pacer.Wait(ctx, end-offset); err != nil {
 			return err
 		}
-		if err := stream.Send(&message.Piece{Offset: uint32(offset), Data: data[offset:end]}); err != nil {
+		piece := &message.Piece{Offset: uint32(offset), Data: data[offset:end]}
+		if end == len(data) {
+			piece.Holding, _ = s.holding(r.GetRoot(), r.GetTold())
+		}
+		if err := stream.Send(piece); err != nil {
 			return err
 		}
 		s.sent.Add(int64(end - offset))
--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -17,8 +17,6 @@
 const (
 	// downloadSlots bounds the chunks that are fetched from peers at once.
 	downloadSlots = 8
-	// fetchesPerPeer bounds the chunks that are fetched from one peer at once.
-	fetchesPerPeer = 2
 	// originFetches bounds the chunks that are fetched from the sources at once.
 	originFetches = 2
 	// refreshInterval is the time between two looks at the participants.
@@ -164,10 +162,10 @@
 func (s *session) startPeer(ctx context.Context, running *sync.WaitGroup, id, address string, crossing bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	s.peers[id] = cancel
-	wake := s.plan.AddNeighbour(id, crossing)
+	s.plan.AddNeighbour(id, crossing)
 	p := &peer{session: s, id: id, address: address}
 	running.Go(func() {
-		p.run(ctx, wake)
+		p.run(ctx)
 		cancel()
 		s.endPeer(id)
 	})
