state/exchange: ask for member records and compare digests at the first contact

Ruled out: CPU (1.5 of 8 cores), retries (none in the log); without link limits no request was slow. Change: records are pulled, the own one is pushed, 64 bucket digests say which records differ at a first contact. Found by the harness on the way: a session kept dialing the old address of a neighbour that had restarted and took its holdings for reachable (TestSideRestartsWithEmptyMemory stood still); a neighbour that breaks off is now forgotten and followed anew.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -40,6 +40,8 @@
 	members   map[string]*list.Element
 	// changes holds *entry from the oldest change to the newest.
 	changes *list.List
+	// buckets are digests over the records whose IDs hash to them.
+	buckets Buckets
 	changed chan struct{}
 	// renewed is closed when a document changes.
 	renewed chan struct{}
@@ -129,8 +131,10 @@
 	c.sequence++
 	e := &entry{known: Known{Member: m, Seen: time.Now()}, sequence: c.sequence, from: from}
 	if ok {
+		c.buckets.toggle(&at.Value.(*entry).known.Member)
 		c.changes.Remove(at)
 	}
+	c.buckets.toggle(&m)
 	c.members[m.Id] = c.changes.PushBack(e)
 	c.wake()
 	return true
@@ -145,6 +149,7 @@
 		next := at.Next()
 		known := at.Value.(*entry).known
 		if !known.Alive() && known.Seen.Before(limit) {
+			c.buckets.toggle(&known.Member)
 			c.changes.Remove(at)
 			delete(c.members, known.Id)
 		}
@@ -223,6 +228,29 @@
 	return change
 }
 
+// Buckets returns digests of all member records, by bucket.
+func (c *Catalog) Buckets() Buckets {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.buckets
+}
+
+// Differing returns the member records of the buckets whose digests differ from those of another
+// process, with the sequence up to which the two then agree.
+func (c *Catalog) Differing(other Buckets) Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change := Change{Epoch: c.epoch, Sequence: c.sequence}
+	for at := c.changes.Front(); at != nil; at = at.Next() {
+		m := at.Value.(*entry).known.Member
+		bucket := bucketOf(m.Id)
+		if c.buckets[bucket] != other[bucket] {
+			change.Members = append(change.Members, m)
+		}
+	}
+	return change
+}
+
 // Changed returns a channel that is closed at the next change.
 func (c *Catalog) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/state/catalog/catalog_test.go
+++ b/internal/state/catalog/catalog_test.go
@@ -31,6 +31,9 @@
 		pull := func(from, to int) {
 			known := cursors[[2]int{from, to}]
 			change := catalogs[from].ChangesSince(known.Epoch, known.Sequence, "")
+			if known.Epoch != catalogs[from].Epoch() {
+				change = catalogs[from].Differing(catalogs[to].Buckets())
+			}
 			for _, d := range catalogs[from].Documents() {
 				catalogs[to].PutDocument(d)
 			}
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -56,8 +56,8 @@
 type peerState struct {
 	epoch    uint64
 	sequence uint64
-	// sent is the sequence up to which the peer has this process's member changes.
-	sent      uint64
+	// told is the sequence of this process's own record that the peer was given.
+	told      uint64
 	revisions revisions
 	answered  time.Time
 }
@@ -150,17 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	state := c.peer(address)
-	change := c.options.Catalog.ChangesSince(c.options.Catalog.Epoch(), state.sent, id)
-	request := &message.ExchangeRequest{
-		Sender:        c.options.Self,
-		KnownEpoch:    state.epoch,
-		KnownSequence: state.sequence,
-		Members:       ToMembers(change.Members),
-		Revisions:     toRevisions(c.options.Catalog),
-	}
-	if state.revisions != nil {
-		request.Documents = newerThan(c.options.Catalog, state.revisions)
-	}
+	request, told := c.request(&state)
 	conn := c.options.Link.Pooled(ctx, address)
 	defer conn.Close()
 	reply, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
@@ -168,16 +158,43 @@
 		return fmt.Errorf("exchange with %s: %w", address, err)
 	}
 	merge(c.options.Catalog, id, reply.GetDocuments(), reply.GetMembers())
-	c.remember(address, &peerState{
+	next := &peerState{
 		epoch:     reply.GetEpoch(),
 		sequence:  reply.GetSequence(),
-		sent:      change.Sequence,
+		told:      told,
 		revisions: fromRevisions(reply.GetRevisions()),
 		answered:  time.Now(),
-	})
+	}
+	c.remember(address, next)
 	return nil
 }
 
+// request returns what to send to a peer, and the sequence of the own record that the peer then has.
+//
+// Member records are asked for and not pushed, but for the own one: pushed as well, each record would
+// reach a process twice as often from neighbours that have not heard that it has it.
+func (c *Client) request(state *peerState) (*message.ExchangeRequest, uint64) {
+	known := c.options.Catalog
+	request := &message.ExchangeRequest{
+		Sender:        c.options.Self,
+		KnownEpoch:    state.epoch,
+		KnownSequence: state.sequence,
+		Revisions:     toRevisions(known),
+	}
+	if state.revisions != nil {
+		request.Documents = newerThan(known, state.revisions)
+	}
+	if state.epoch == 0 {
+		buckets := known.Buckets()
+		request.Buckets = buckets[:]
+	}
+	self, ok := known.Member(c.options.Self)
+	if ok && self.Sequence != state.told {
+		request.Members = []*message.Member{ToMember(&self.Member)}
+	}
+	return request, self.Sequence
+}
+
 // peer returns what is remembered of an address; a new one counts as having answered just now.
 func (c *Client) peer(address string) peerState {
 	c.mu.Lock()
@@ -194,8 +211,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old := c.peers[address]; old != nil && old.epoch != 0 && old.epoch != p.epoch {
-		// The peer has restarted and lost what it was sent.
-		p.sent = 0
+		// The peer has restarted and lost what it was told.
+		p.told = 0
 	}
 	c.peers[address] = p
 }
--- a/internal/state/exchange/server.go
+++ b/internal/state/exchange/server.go
@@ -28,12 +28,22 @@
 // Exchange takes in the sender's changes and returns what the sender does not know yet.
 func (s *Server) Exchange(_ context.Context, r *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	merge(s.catalog, r.GetSender(), r.GetDocuments(), r.GetMembers())
-	change := s.catalog.ChangesSince(r.GetKnownEpoch(), r.GetKnownSequence(), r.GetSender())
-	return &message.ExchangeReply{
-		Epoch:     change.Epoch,
-		Sequence:  change.Sequence,
+	reply := &message.ExchangeReply{
 		Documents: newerThan(s.catalog, fromRevisions(r.GetRevisions())),
-		Members:   ToMembers(change.Members),
 		Revisions: toRevisions(s.catalog),
-	}, nil
+	}
+	var change catalog.Change
+	if r.GetKnownEpoch() == s.catalog.Epoch() {
+		change = s.catalog.ChangesSince(r.GetKnownEpoch(), r.GetKnownSequence(), r.GetSender())
+	} else {
+		change = s.catalog.Differing(fromBuckets(r.GetBuckets()))
+	}
+	reply.Epoch, reply.Sequence, reply.Members = change.Epoch, change.Sequence, ToMembers(change.Members)
+	return reply, nil
+}
+
+func fromBuckets(in []uint64) catalog.Buckets {
+	var out catalog.Buckets
+	copy(out[:], in)
+	return out
 }
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -14,8 +14,6 @@
 const (
 	// followWait is the longest time for which a neighbour is asked to wait for an arrival.
 	followWait = 500 * time.Millisecond
-	// reconnectPause is the pause before a neighbour that broke off is tried again.
-	reconnectPause = 300 * time.Millisecond
 )
 
 // errMixedSenders reports a corrupt chunk whose parts came from two senders.
@@ -32,27 +30,33 @@
 	told    uint32
 }
 
-// run fetches from the neighbour until it must be left alone or ctx ends.
+// run fetches from the neighbour until it breaks off, must be left alone, or ctx ends. The session follows
+// a neighbour that broke off anew, at the address that it then has.
 func (p *peer) run(ctx context.Context) {
 	defer p.disconnect()
 	for ctx.Err() == nil {
 		err := p.step(ctx)
-		switch {
-		case err == nil:
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, errStalled), errors.Is(err, hub.ErrCorrupt):
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, errStalled) || errors.Is(err, hub.ErrCorrupt) {
 			p.session.fetcher.options.Log.Warn().Str("Peer", p.id).Str("Version", p.session.pin.Version).Err(err).Msg("neighbour set aside")
 			p.session.putAside(p.id)
 			return
-		default:
+		}
+		if ctx.Err() == nil && !p.superseded(err) {
 			p.session.fetcher.options.Log.Debug().Str("Peer", p.id).Err(err).Msg("neighbour broke off")
-			p.disconnect()
-			_ = pauseJittered(ctx, reconnectPause)
+			return
 		}
+		p.disconnect()
 	}
 }
 
+// superseded reports whether a fetch ended because another one brought the chunk.
+func (p *peer) superseded(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, errMixedSenders)
+}
+
 // step fetches one chunk, or asks what has arrived where there is none to fetch.
 func (p *peer) step(ctx context.Context) error {
 	if err := p.connect(ctx); err != nil {
