--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -44,6 +44,7 @@
 
 	mu        sync.Mutex
 	members   []string
+	layout    hub.Layout
 	peers     map[string]context.CancelFunc
 	aside     map[string]time.Time
 	partial   map[int]partialChunk
@@ -118,13 +119,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := !slices.Equal(ids, s.members)
-	s.members = ids
-	layout := o.Topology.Layout(s.pin.Root, o.Self, participants, len(s.replica.Manifest.Chunks))
-	if changed {
-		s.allow(layout, 0)
+	if !slices.Equal(ids, s.members) {
+		s.members = ids
+		s.layout = o.Topology.Layout(s.pin.Root, o.Self, participants, len(s.replica.Manifest.Chunks))
+		s.allow(s.layout, 0)
 	}
-	s.follow(ctx, running, layout, addresses)
+	s.follow(ctx, running, s.layout, addresses)
 }
 
 // allow takes on the duties of one rank.
@@ -201,9 +201,7 @@
 	s.starved = now
 	s.rank++
 	o := &s.fetcher.options
-	participants := o.Participants(s.pin.Root)
-	layout := o.Topology.Layout(s.pin.Root, o.Self, participants, len(s.replica.Manifest.Chunks))
-	s.allow(layout, s.rank)
+	s.allow(s.layout, s.rank)
 	if s.rank > plan.MaxRank {
 		s.allowMissing()
 	}
