--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 .PHONY: prove
 prove: ## Shows for each guard that its test fails without it and passes with it.
 	go run ./_scripts/prove
+
+.PHONY: spec
+spec: ## Checks the models with spin, and that each broken variant is caught.
+	spec/check.sh
--- /dev/null
+++ b/internal/bench/harness/requests_test.go
@@ -0,0 +1,252 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/route/dispatch"
+)
+
+// withTestService starts a harness with plain services only, served at every place.
+func withTestService(t *testing.T, change func(*Options)) *Harness {
+	t.Helper()
+	t.Parallel()
+	h := withTestHarness(t, func(o *Options) {
+		o.Vms = 0
+		o.OnceVms = 3
+		o.Entries = 2
+		change(o)
+	})
+	assert.NilError(t, h.Apply(t.Context(), h.options.Deployment.Rules("")))
+	for i := range h.Entries {
+		awaitOutcome(t, h, i, "answered")
+	}
+	return h
+}
+
+// send sends one call that must not run twice and returns its outcome and status; an error counts as "error".
+func send(ctx context.Context, h *Harness, entry int, id, key string) (string, int) {
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	target := "http://" + h.Entries[entry].HttpAddress() + "/ticket-desk/tickets"
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader("{}"))
+	if err != nil {
+		return "error", 0
+	}
+	r.Header.Set(dispatch.HeaderRequestID, id)
+	if key != "" {
+		r.Header.Set(dispatch.HeaderIdempotencyKey, key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "error", 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return "cut", resp.StatusCode
+	}
+	return resp.Header.Get(dispatch.HeaderOutcome), resp.StatusCode
+}
+
+func awaitOutcome(t *testing.T, h *Harness, entry int, want string) {
+	t.Helper()
+	n := 0
+	assert.NilError(t, Await(t.Context(), burstLimit, func() bool {
+		n++
+		outcome, _ := send(t.Context(), h, entry, fmt.Sprintf("await-%d-%s-%d", entry, want, n), "")
+		return outcome == want
+	}))
+}
+
+// runsAt returns the requests admitted so far at the VMs of a failure domain.
+func runsAt(h *Harness, domain string) int {
+	n := 0
+	for _, vm := range h.Vms {
+		if vm.Place.Domain == domain {
+			n += vm.Side.Admitted()
+		}
+	}
+	return n
+}
+
+func TestDomainOutAndIn(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	const out = "canal-a"
+	rules := h.options.Deployment.Rules("")
+	assert.NilError(t, h.Apply(t.Context(), rules+"Out canal-a # Hoda: rack work\n"))
+	known := func(want bool) func() bool {
+		return func() bool {
+			for _, e := range h.Entries {
+				if e.View().Rules.DomainOut(out) != want {
+					return false
+				}
+			}
+			for _, vm := range h.Vms {
+				if vm.Place.Domain == out && (vm.Side.Guard().Blocked() != "") != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	assert.NilError(t, Await(t.Context(), burstLimit, known(true)))
+	before := runsAt(h, out)
+	for i := range 60 {
+		outcome, _ := send(t.Context(), h, i%2, fmt.Sprint("out-", i), "")
+		assert.Equal(t, outcome, "answered")
+	}
+	assert.Equal(t, runsAt(h, out), before, "new work came to a failure domain that is out")
+	assert.NilError(t, h.Apply(t.Context(), rules))
+	assert.NilError(t, Await(t.Context(), burstLimit, known(false)))
+	n := 0
+	assert.NilError(t, Await(t.Context(), burstLimit, func() bool {
+		n++
+		outcome, _ := send(t.Context(), h, n%2, fmt.Sprint("in-", n), "")
+		assert.Equal(t, outcome, "answered")
+		return runsAt(h, out) > before
+	}))
+	assert.Equal(t, h.Runs.Repeated(), 0)
+}
+
+// TestSideRefusesForADomainThatIsOut lets only the side process hear of the rule and wants it to refuse.
+func TestSideRefusesForADomainThatIsOut(t *testing.T) {
+	h := withTestService(t, func(o *Options) { o.OnceVms = 1 })
+	for _, vm := range h.Vms {
+		vm.Side.Guard().Block("failure domain is out of service")
+	}
+	outcome, status := send(t.Context(), h, 0, "refused", "")
+	assert.Equal(t, outcome, "not-run")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, h.Runs.Of("refused"), 0)
+}
+
+func TestAllDomainsOut(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	rules := h.options.Deployment.Rules("")
+	for _, p := range h.options.Deployment.Places {
+		rules += fmt.Sprintf("Out %s # Hoda: everything\n", p.Domain)
+	}
+	assert.NilError(t, h.Apply(t.Context(), rules))
+	awaitOutcome(t, h, 0, "not-run")
+	outcome, status := send(t.Context(), h, 0, "none", "")
+	assert.Equal(t, outcome, "not-run")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, h.Runs.Of("none"), 0)
+}
+
+// TestLeavingSideCutsNothing stops a side process while calls are in progress.
+func TestLeavingSideCutsNothing(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	for _, vm := range h.Vms {
+		vm.Service.SetDelay(300 * time.Millisecond)
+	}
+	const calls = 24
+	outcomes := make([]string, calls)
+	var running sync.WaitGroup
+	for i := range calls {
+		running.Go(func() {
+			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+			outcomes[i], _ = send(t.Context(), h, i%2, fmt.Sprint("leave-", i), "")
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	h.Vms[0].Side.Stop(t.Context())
+	running.Wait()
+	for i, o := range outcomes {
+		assert.Equal(t, o, "answered", "call %d", i)
+		assert.Equal(t, h.Runs.Of(fmt.Sprint("leave-", i)), 1)
+	}
+}
+
+// TestKeyedCallRunsOnceThroughTwoEntries sends the same call with the same key through both entry processes at once.
+func TestKeyedCallRunsOnceThroughTwoEntries(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	for round := range 10 {
+		var running sync.WaitGroup
+		var outcomes [2]string
+		for e := range 2 {
+			running.Go(func() {
+				outcomes[e], _ = send(t.Context(), h, e, fmt.Sprintf("k-%d-%d", round, e), fmt.Sprint("key-", round))
+			})
+		}
+		running.Wait()
+		ran := h.Runs.Of(fmt.Sprintf("k-%d-0", round)) + h.Runs.Of(fmt.Sprintf("k-%d-1", round))
+		assert.Equal(t, ran, 1, "%v", outcomes)
+	}
+}
+
+// TestEntryDiesAndTheCallerRepeats kills an entry process with calls in progress and repeats them through the other.
+func TestEntryDiesAndTheCallerRepeats(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	for _, vm := range h.Vms {
+		vm.Service.SetDelay(400 * time.Millisecond)
+	}
+	const calls = 6
+	var running sync.WaitGroup
+	for i := range calls {
+		running.Go(func() { _, _ = send(t.Context(), h, 0, fmt.Sprint("first-", i), fmt.Sprint("key-", i)) })
+	}
+	assert.NilError(t, Await(t.Context(), burstLimit, func() bool { return h.Runs.Of("first-0") > 0 }))
+	h.Entries[0].Kill()
+	running.Wait()
+	for i := range calls {
+		_, _ = send(t.Context(), h, 1, fmt.Sprint("second-", i), fmt.Sprint("key-", i))
+		ran := h.Runs.Of(fmt.Sprint("first-", i)) + h.Runs.Of(fmt.Sprint("second-", i))
+		assert.Assert(t, ran <= 1, "call %d ran %d times", i, ran)
+	}
+}
+
+func TestKeyedCallIsRefusedWhileTheStoreIsDown(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	h.Store.SetDown(true)
+	outcome, status := send(t.Context(), h, 0, "keyed", "key")
+	assert.Equal(t, outcome, "not-run")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, h.Runs.Of("keyed"), 0)
+	outcome, _ = send(t.Context(), h, 0, "plain", "")
+	assert.Equal(t, outcome, "answered")
+}
+
+// TestUpstreamDies breaks the upstream's connection before and after it has run a call.
+func TestUpstreamDies(t *testing.T) {
+	for name, after := range map[string]bool{"before the run": false, "after the run": true} {
+		t.Run(name, func(t *testing.T) {
+			h := withTestService(t, func(o *Options) { o.OnceVms = 1 })
+			h.Vms[0].Service.BreakNext(after)
+			outcome, status := send(t.Context(), h, 0, "broken", "")
+			assert.Equal(t, outcome, "unknown")
+			assert.Equal(t, status, http.StatusBadGateway)
+			assert.Assert(t, h.Runs.Of("broken") <= 1)
+		})
+	}
+}
+
+// TestSilentConnectionsOfOnceOnlyCalls silences all connections while calls are in progress.
+func TestSilentConnectionsOfOnceOnlyCalls(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	for _, vm := range h.Vms {
+		vm.Service.SetDelay(500 * time.Millisecond)
+	}
+	const calls = 6
+	outcomes := make([]string, calls)
+	var running sync.WaitGroup
+	for i := range calls {
+		running.Go(func() { outcomes[i], _ = send(t.Context(), h, i%2, fmt.Sprint("silent-", i), "") })
+	}
+	assert.NilError(t, Await(t.Context(), burstLimit, func() bool { return h.Runs.Of("silent-0") > 0 }))
+	h.Network.Silence(nil)
+	running.Wait()
+	for i, o := range outcomes {
+		runs := h.Runs.Of(fmt.Sprint("silent-", i))
+		assert.Equal(t, o, "answered", "call %d", i)
+		assert.Equal(t, runs, 1)
+	}
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/presence"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/route/claim"
 	"github.com/oriolehub/oriolehub/internal/route/dispatch"
 	"github.com/oriolehub/oriolehub/internal/route/picker"
 	"github.com/oriolehub/oriolehub/internal/route/table"
@@ -145,6 +146,7 @@
 		MaxBodyBytes: int64(s.Requests.MaxBody),
 		QueueWait:    s.Requests.QueueWait.Std(),
 		MaxQueued:    s.Requests.MaxQueued,
+		Claims:       claim.NewRegister(kv),
 		Metrics:      p.metrics,
 	})
 }
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -362,6 +362,9 @@
 // Guard returns the admission of the upstream.
 func (p *Side) Guard() *guard.Guard { return p.guard }
 
+// Admitted returns the requests that the upstream was given so far.
+func (p *Side) Admitted() int { return p.guard.Admitted() }
+
 // BytesSent returns the bytes of chunks sent to other processes.
 func (p *Side) BytesSent() int64 { return p.chunks.BytesSent() }
 
--- /dev/null
+++ b/internal/route/claim/register_test.go
@@ -0,0 +1,97 @@
+package claim
+
+import (
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/standin/kv"
+	"github.com/oriolehub/oriolehub/internal/state/store"
+)
+
+func withTestRegisters(t *testing.T, n int) ([]*Register, *kv.Server) {
+	t.Helper()
+	s := kv.New()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	var out []*Register
+	for range n {
+		out = append(out, NewRegister(store.New(server.URL, nil)))
+	}
+	return out, s
+}
+
+func testClaim(key, id string) Claim {
+	return Claim{Key: Digest(key), Call: Digest("call"), Id: id, RequestId: "request-" + id}
+}
+
+// TestOneOfMany lets several entry processes claim the same keys at once, with lost replies, and wants one winner for each key.
+func TestOneOfMany(t *testing.T) {
+	const entries, keys = 4, 24
+	registers, s := withTestRegisters(t, entries)
+	var won [keys]atomic.Int64
+	var running sync.WaitGroup
+	for e, r := range registers {
+		for k := range keys {
+			running.Go(func() {
+				if k%5 == 0 {
+					s.LoseReplies(1)
+				}
+				err := r.Make(t.Context(), testClaim(fmt.Sprint("key-", k), fmt.Sprint(e, "-", k)))
+				switch {
+				case err == nil:
+					won[k].Add(1)
+				default:
+					assert.Check(t, errors.Is(err, ErrClaimed), "%v", err)
+				}
+			})
+		}
+	}
+	running.Wait()
+	for k := range won {
+		assert.Equal(t, won[k].Load(), int64(1), "key %d", k)
+	}
+}
+
+// TestGroupCommit wants that many claims at once cost few writes.
+func TestGroupCommit(t *testing.T) {
+	const claims = 200
+	registers, s := withTestRegisters(t, 1)
+	var running sync.WaitGroup
+	for i := range claims {
+		running.Go(func() {
+			assert.Check(t, registers[0].Make(t.Context(), testClaim(fmt.Sprint(i), fmt.Sprint(i))))
+		})
+	}
+	running.Wait()
+	writes := s.Counts().Writes
+	assert.Assert(t, writes < claims/2, "%d writes for %d claims", writes, claims)
+}
+
+func TestReleasedKeyMayBeUsedAgain(t *testing.T) {
+	registers, _ := withTestRegisters(t, 2)
+	assert.NilError(t, registers[0].Make(t.Context(), testClaim("k", "a")))
+	assert.ErrorIs(t, registers[1].Make(t.Context(), testClaim("k", "b")), ErrClaimed)
+	assert.NilError(t, registers[0].Release(t.Context(), testClaim("k", "a")))
+	assert.NilError(t, registers[1].Make(t.Context(), testClaim("k", "b")))
+}
+
+func TestKeyOfAnotherCall(t *testing.T) {
+	registers, _ := withTestRegisters(t, 1)
+	assert.NilError(t, registers[0].Make(t.Context(), testClaim("k", "a")))
+	other := testClaim("k", "b")
+	other.Call = Digest("other call")
+	assert.ErrorIs(t, registers[0].Make(t.Context(), other), ErrOther)
+}
+
+func TestStoreDown(t *testing.T) {
+	registers, s := withTestRegisters(t, 1)
+	s.SetDown(true)
+	err := registers[0].Make(t.Context(), testClaim("k", "a"))
+	assert.Assert(t, err != nil && !errors.Is(err, ErrClaimed), "%v", err)
+}
--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/route/claim"
 	"github.com/oriolehub/oriolehub/internal/route/picker"
 	"github.com/oriolehub/oriolehub/internal/route/table"
 	"github.com/oriolehub/oriolehub/internal/route/trace"
@@ -47,7 +48,9 @@
 	QueueWait time.Duration
 	// MaxQueued bounds the requests that wait at once.
 	MaxQueued int
-	Metrics   *metrics.Set
+	// Claims makes claims of idempotency keys.
+	Claims  *claim.Register
+	Metrics *metrics.Set
 }
 
 // Dispatcher answers callers.
@@ -129,9 +132,21 @@
 	attempts   int
 	idempotent bool
 	lastReason string
+	claim      *claim.Claim
 }
 
+// serve carries a request to its end. A keyed call that must not run twice first claims its key; the
+// claim is taken back if the call has not run, so that its caller may send it again.
 func (s *serving) serve(ctx context.Context) call.Outcome {
+	if g := s.dispatcher.options.Table.Current().Groups[s.request.group]; g != nil && s.mustClaim(g) {
+		if !s.makeClaim(ctx) {
+			return call.NotRun
+		}
+	}
+	return s.route(ctx)
+}
+
+func (s *serving) route(ctx context.Context) call.Outcome {
 	for {
 		t := s.dispatcher.options.Table.Current()
 		g := t.Groups[s.request.group]
@@ -158,11 +173,9 @@
 
 func (s *serving) refuseGroup(t *table.Table) call.Outcome {
 	if t.RulesRevision == 0 {
-		refuse(s.writer, s.request.id, http.StatusServiceUnavailable, "no rules are known yet", time.Second)
-		return call.NotRun
+		return s.refuse(http.StatusServiceUnavailable, "no rules are known yet", time.Second)
 	}
-	refuse(s.writer, s.request.id, http.StatusNotFound, fmt.Sprintf("no rule names the group %q", s.request.group), 0)
-	return call.NotRun
+	return s.refuse(http.StatusNotFound, fmt.Sprintf("no rule names the group %q", s.request.group), 0)
 }
 
 func (s *serving) refuseFull(g *table.Group) call.Outcome {
@@ -173,8 +186,7 @@
 	if s.lastReason != "" {
 		reason += "; the last one tried said: " + s.lastReason
 	}
-	refuse(s.writer, s.request.id, http.StatusServiceUnavailable, reason, time.Second)
-	return call.NotRun
+	return s.refuse(http.StatusServiceUnavailable, reason, time.Second)
 }
 
 // choose picks an upstream and logs the decision.
@@ -283,11 +295,11 @@
 	case call.NotRun:
 		s.avoid(u, r)
 		if ctx.Err() != nil {
+			s.releaseClaim()
 			return true, call.NotRun
 		}
 		if time.Now().After(s.deadline) {
-			refuse(s.writer, s.request.id, http.StatusServiceUnavailable, r.Reason, max(time.Second, r.RetryAfter))
-			return true, call.NotRun
+			return true, s.refuse(http.StatusServiceUnavailable, r.Reason, max(time.Second, r.RetryAfter))
 		}
 		return false, call.NotRun
 	case call.Unknown:
--- /dev/null
+++ b/internal/route/dispatch/keyed.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/route/claim"
+	"github.com/oriolehub/oriolehub/internal/route/table"
+	"github.com/oriolehub/oriolehub/internal/route/trace"
+)
+
+// claimTimeout bounds the making and the release of a claim.
+const claimTimeout = 3 * time.Second
+
+// mustClaim reports whether a request has a key that must not be used twice.
+func (s *serving) mustClaim(g *table.Group) bool {
+	return s.request.key != "" && !g.Rule.IsIdempotent(s.request.method, s.request.path)
+}
+
+// makeClaim claims the key of a request, or refuses the request as not run.
+func (s *serving) makeClaim(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	r := s.request
+	c := claim.Claim{
+		Key:       claim.Digest(r.account, r.group, r.key),
+		Call:      claim.Digest(r.method, r.target, string(r.body)),
+		Id:        newID(),
+		RequestId: r.id,
+	}
+	err := s.dispatcher.options.Claims.Make(ctx, c)
+	switch {
+	case err == nil:
+		s.claim = &c
+		s.record.Add(trace.Step{Event: "key claimed"})
+		return true
+	case errors.Is(err, claim.ErrClaimed):
+		s.refuse(http.StatusConflict, err.Error()+"; look up its result", 0)
+	case errors.Is(err, claim.ErrOther):
+		s.refuse(http.StatusUnprocessableEntity, err.Error()+"; use a new key", 0)
+	default:
+		// The claim may stand though its reply was lost; it is taken back, for the call will not run.
+		s.claim = &c
+		s.refuse(http.StatusServiceUnavailable, "the key can't be claimed now: "+err.Error(), time.Second)
+	}
+	return false
+}
+
+// releaseClaim takes the claim of a call back that has not run.
+func (s *serving) releaseClaim() {
+	if s.claim == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	err := s.dispatcher.options.Claims.Release(ctx, *s.claim)
+	if err != nil {
+		s.record.Add(trace.Step{Event: "key not released", Detail: err.Error()})
+		return
+	}
+	s.record.Add(trace.Step{Event: "key released"})
+	s.claim = nil
+}
+
+// refuse states that the request has not run, once its key may be used again.
+func (s *serving) refuse(status int, reason string, retryAfter time.Duration) call.Outcome {
+	s.releaseClaim()
+	refuse(s.writer, s.request.id, status, reason, retryAfter)
+	return call.NotRun
+}
--- a/internal/upstream/guard/guard.go
+++ b/internal/upstream/guard/guard.go
@@ -75,8 +75,8 @@
 	signs   int
 	blocks  map[Reason]bool
 	idle    chan struct{}
-	resets  int
-	maxSeen int
+	// admitted counts the requests taken in.
+	admitted int
 }
 
 // New returns a guard that refuses everything until Unblock(ReasonNotLoaded) and Unblock(ReasonNoRules).
@@ -146,7 +146,7 @@
 		return &Refusal{Reason: ReasonFull, RetryAfter: retryWhenFull}
 	}
 	g.running++
-	g.maxSeen = max(g.maxSeen, g.running)
+	g.admitted++
 	return nil
 }
 
@@ -199,7 +199,6 @@
 	g.signs++
 	if g.signs >= coldSigns {
 		g.restart()
-		g.resets++
 	}
 }
 
@@ -222,6 +221,13 @@
 	return int(g.limit), g.running
 }
 
+// Admitted returns the requests taken in so far.
+func (g *Guard) Admitted() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admitted
+}
+
 // Idle returns a channel that is closed once no request is in progress.
 func (g *Guard) Idle() <-chan struct{} {
 	g.mu.Lock()
--- a/internal/weights/pin/registrar_test.go
+++ b/internal/weights/pin/registrar_test.go
@@ -73,7 +73,9 @@
 	var late Result
 	var lateErr error
 	var running sync.WaitGroup
-	running.Go(func() { late, lateErr = NewRegistrar(kvStore, []hub.WeightSource{slow}).Ensure(t.Context(), "v@1", nil) })
+	running.Go(func() {
+		late, lateErr = NewRegistrar(kvStore, []hub.WeightSource{slow}).Ensure(t.Context(), "v@1", nil)
+	})
 	<-slow.asked
 	first, err := NewRegistrar(kvStore, []hub.WeightSource{&published{encoded: encode(t, "new content")}}).Ensure(t.Context(), "v@1", nil)
 	assert.NilError(t, err)
