route/queue: let accounts wait in proportion to their shares

Cause: the rule Share had no effect and a large account could fill the queue. Ways weighed: a queue for each account in turn (counts requests, not shares), lottery (fair only over long times), weighted fair queuing by tags (chosen). Change: one request at the head looks for room; a full queue evicts the newest of the account that exceeds its share most.

--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/call"
 	"github.com/oriolehub/oriolehub/internal/route/claim"
 	"github.com/oriolehub/oriolehub/internal/route/picker"
+	"github.com/oriolehub/oriolehub/internal/route/queue"
 	"github.com/oriolehub/oriolehub/internal/route/table"
 	"github.com/oriolehub/oriolehub/internal/route/trace"
 	"github.com/oriolehub/oriolehub/internal/rules/statement"
@@ -27,9 +29,9 @@
 	prefixBytes = 256
 	// cancelTimeout bounds the message that a caller has left.
 	cancelTimeout = time.Second
-	// roomPoll is the time between two looks for room.
-	roomPoll = 5 * time.Millisecond
-	// quickTries is the number of attempts after which a pause is made before each further one.
+	// roomPoll is the time between two looks for room by the request at the head of a queue.
+	roomPoll = 2 * time.Millisecond
+	// quickTries is the number of attempts after which a request goes to the end of the queue.
 	quickTries = 3
 	// avoidAfterRefusal is the time for which an upstream that refused for a standing reason is avoided.
 	avoidAfterRefusal = 500 * time.Millisecond
@@ -55,9 +57,10 @@
 
 // Dispatcher answers callers.
 type Dispatcher struct {
-	options  Options
-	retries  budget
-	queued   atomic.Int64
+	options Options
+	retries budget
+	// queues holds a *queue.Queue for each group.
+	queues   sync.Map
 	leaving  atomic.Bool
 	counters counters
 }
@@ -79,6 +82,15 @@
 	}}
 }
 
+// queueOf returns the queue of a group.
+func (d *Dispatcher) queueOf(group string) *queue.Queue {
+	if q, ok := d.queues.Load(group); ok {
+		return q.(*queue.Queue)
+	}
+	q, _ := d.queues.LoadOrStore(group, queue.New(d.options.MaxQueued))
+	return q.(*queue.Queue)
+}
+
 // Leave makes the dispatcher refuse new requests.
 func (d *Dispatcher) Leave() { d.leaving.Store(true) }
 
@@ -154,14 +166,8 @@
 			return s.refuseGroup(t)
 		}
 		s.idempotent = g.Rule.IsIdempotent(s.request.method, s.request.path)
-		u := s.choose(g)
+		u := s.next(ctx, t, g)
 		if u == nil {
-			if !s.waitRoom(ctx) {
-				return s.refuseFull(g)
-			}
-			continue
-		}
-		if s.attempts >= quickTries && !s.waitRoom(ctx) {
 			return s.refuseFull(g)
 		}
 		result := s.attempt(ctx, t, u)
@@ -171,6 +177,53 @@
 	}
 }
 
+// next returns an upstream with room, waiting for its turn and for room up to the deadline, or nil.
+func (s *serving) next(ctx context.Context, t *table.Table, g *table.Group) *table.Upstream {
+	q := s.dispatcher.queueOf(s.request.group)
+	if q.Empty() && s.attempts < quickTries {
+		if u := s.choose(g); u != nil {
+			return u
+		}
+	}
+	ticket, err := q.Enter(s.request.account, t.Rules.ShareOf(s.request.account))
+	if err != nil {
+		s.lastReason = err.Error()
+		return nil
+	}
+	defer q.Leave(ticket)
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-ticket.Evicted():
+		s.lastReason = queue.ErrFull.Error()
+		return nil
+	case <-ticket.Head():
+	}
+	return s.waitRoom(ctx)
+}
+
+// waitRoom looks for room until there is some or ctx ends; the rules may change meanwhile.
+func (s *serving) waitRoom(ctx context.Context) *table.Upstream {
+	ticker := time.NewTicker(roomPoll)
+	defer ticker.Stop()
+	for {
+		g := s.dispatcher.options.Table.Current().Groups[s.request.group]
+		if g == nil {
+			return nil
+		}
+		if u := s.choose(g); u != nil {
+			return u
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
 func (s *serving) refuseGroup(t *table.Table) call.Outcome {
 	if t.RulesRevision == 0 {
 		return s.refuse(http.StatusServiceUnavailable, "no rules are known yet", time.Second)
@@ -230,27 +283,6 @@
 	return xxhash.Sum64(s.request.body[:prefixBytes])
 }
 
-// waitRoom waits a moment for room; it returns false when the request must be refused.
-func (s *serving) waitRoom(ctx context.Context) bool {
-	d := s.dispatcher
-	if time.Now().After(s.deadline) {
-		return false
-	}
-	if d.queued.Add(1) > int64(d.options.MaxQueued) {
-		d.queued.Add(-1)
-		return false
-	}
-	defer d.queued.Add(-1)
-	timer := time.NewTimer(roomPoll)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *serving) attempt(ctx context.Context, t *table.Table, u *table.Upstream) call.Result {
 	s.attempts++
 	r := &message.RunRequest{
