wire/identity, state/roster: check who gives orders and which VMs leave

Cause: Tls.Mode mutual and VmList.Url were accepted in settings and did nothing. Change: mutual TLS 1.3 with deployment and role in the certificate, a table of roles for each service, keys read again when files change, keys new; the VM list marks leaving and vanished VMs, and holds its last word while it can't be read. Measured: go test -race: wrong authority, expired, wrong role, another deployment, plaintext are refused; the whole path runs with keys; no new work reaches a VM that is listed as leaving.

--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -32,6 +32,7 @@
 			commands.RolloutResume(),
 			commands.RolloutBack(),
 			commands.LogLevel(),
+			commands.KeysNew(),
 			queries.RulesCheck(),
 			queries.RulesDiff(),
 			queries.RulesShow(),
--- a/internal/bench/harness/harness.go
+++ b/internal/bench/harness/harness.go
@@ -27,6 +27,12 @@
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
+// listInterval is the time between two reads of the VM list, listLag its lag.
+const (
+	listInterval = 500 * time.Millisecond
+	listLag      = time.Second
+)
+
 // Options choose the size and the rates of a harness.
 type Options struct {
 	Deployment deployment.Deployment
@@ -49,6 +55,8 @@
 	Picker            hub.Picker
 	Journal           *journal.Journal
 	QueueWait         time.Duration
+	// Keys returns the TLS settings of a process; nil is for connections without TLS.
+	Keys func(id, role string) settings.Tls
 	// WrapWeights puts a server in front of the one that gives chunks at a VM.
 	WrapWeights func(vm int, s message.DRPCWeightsServer) message.DRPCWeightsServer
 }
@@ -84,6 +92,7 @@
 	servers  []*httpServer
 	pool     *replica.Pool
 	storeURL string
+	listURL  string
 	origURL  string
 }
 
@@ -98,7 +107,7 @@
 		options: o,
 		Store:   kv.New(),
 		Origin:  origin.New(),
-		VmList:  vmlist.New(time.Second),
+		VmList:  vmlist.New(listLag),
 		Runs:    service.NewRuns(),
 		Network: network.New(o.Network),
 		pool:    replica.NewPool(),
@@ -140,6 +149,11 @@
 	if err != nil {
 		return err
 	}
+	listServer, err := h.serve(h.VmList)
+	if err != nil {
+		return err
+	}
+	h.listURL = "http://" + listServer.listener.Addr().String()
 	h.storeURL = "http://" + kvServer.listener.Addr().String()
 	h.origURL = "http://" + originServer.listener.Addr().String()
 	h.Ledger = ledger.New(store.New(h.storeURL, nil))
@@ -164,13 +178,16 @@
 	return places[i%len(places)]
 }
 
-func (h *Harness) common(id string, place deployment.Place) settings.Common {
+func (h *Harness) common(id, role string, place deployment.Place) settings.Common {
 	c := settings.DefaultSide().Common
 	c.Id = id
 	c.Deployment = h.options.Deployment.Name
 	c.Domain = place.Domain
 	c.Region = place.Region
 	c.ControlListen = "127.0.0.1:0"
+	if h.options.Keys != nil {
+		c.Tls = h.options.Keys(id, role)
+	}
 	for _, e := range h.Entries {
 		c.Peers = append(c.Peers, e.Address())
 	}
@@ -180,10 +197,11 @@
 func (h *Harness) startEntry(i int) error {
 	place := h.place(i)
 	s := settings.DefaultEntry()
-	s.Common = h.common(fmt.Sprintf("entry-%d", i), place)
+	s.Common = h.common(fmt.Sprintf("entry-%d", i), hub.RoleEntry, place)
 	s.Listen = "127.0.0.1:0"
 	s.Store.Url = h.storeURL
 	s.Weights.Urls = []string{h.origURL}
+	s.VmList = settings.VmList{Url: h.listURL, Interval: settings.Duration(listInterval)}
 	if h.options.QueueWait > 0 {
 		s.Requests.QueueWait = settings.Duration(h.options.QueueWait)
 	}
@@ -207,7 +225,7 @@
 	vm := &Vm{Index: i, Id: fmt.Sprintf("%s-%03d", group, i), Place: h.place(i), Group: group}
 	vm.Node = h.Network.NewNode(vm.Id, vm.Place.Domain, vm.Place.Region)
 	s := settings.DefaultSide()
-	s.Common = h.common(vm.Id, vm.Place)
+	s.Common = h.common(vm.Id, hub.RoleSide, vm.Place)
 	s.Group = group
 	s.Upstream.MaxConcurrent = o.MaxConcurrent
 	s.Upstream.StartConcurrent = max(1, o.StartConcurrent)
@@ -239,6 +257,7 @@
 	vm.settings = s
 	vm.extras = h.extras(vm)
 	h.Vms = append(h.Vms, vm)
+	h.VmList.Put(hub.VM{Id: vm.Id})
 	return vm, h.StartSide(vm)
 }
 
--- a/internal/bench/harness/requests_test.go
+++ b/internal/bench/harness/requests_test.go
@@ -12,7 +12,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/route/dispatch"
+	"github.com/oriolehub/oriolehub/internal/wire/identity"
 )
 
 // withTestService starts a harness with plain services only, served at every place.
@@ -250,3 +254,41 @@
 		assert.Equal(t, runs, 1)
 	}
 }
+
+// TestListedAsLeaving marks a VM as leaving on the platform's list and wants no new work to come to it.
+func TestListedAsLeaving(t *testing.T) {
+	h := withTestService(t, func(*Options) {})
+	vm := h.Vms[0]
+	h.VmList.Put(hub.VM{Id: vm.Id, Leaving: true})
+	quiet := func() bool {
+		before := vm.Side.Admitted()
+		for i := range 30 {
+			outcome, _ := send(t.Context(), h, i%2, fmt.Sprint("listed-", time.Now().UnixNano()), "")
+			assert.Equal(t, outcome, "answered")
+		}
+		return vm.Side.Admitted() == before
+	}
+	assert.NilError(t, Await(t.Context(), burstLimit, quiet))
+	assert.Assert(t, quiet(), "new work came to a VM that is listed as leaving")
+}
+
+// TestMutualTls runs the whole path with keys for every process.
+func TestMutualTls(t *testing.T) {
+	authority, err := identity.NewAuthority(deployment.Nakhla, time.Hour)
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	h := withTestService(t, func(o *Options) {
+		o.Vms = 2
+		o.Keys = func(id, role string) settings.Tls {
+			files, err := authority.Issue(dir, id, role, time.Hour)
+			assert.NilError(t, err)
+			return settings.Tls{Mode: "mutual", AuthorityFile: files.Authority, CertificateFile: files.Certificate, KeyFile: files.Key}
+		}
+	})
+	content := randomContent(1, 256<<10)
+	version := h.options.Deployment.Version("1")
+	_, err = h.Origin.Publish(version, content, 16<<10)
+	assert.NilError(t, err)
+	assert.NilError(t, h.Apply(t.Context(), h.options.Deployment.Rules(version)))
+	assert.NilError(t, Await(t.Context(), burstLimit, func() bool { return h.Serving(digestOf(content)) == 2 }))
+}
--- a/internal/cli/client/client.go
+++ b/internal/cli/client/client.go
@@ -7,9 +7,11 @@
 	"io"
 	"os"
 	"os/user"
+	"path/filepath"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/wire/identity"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
@@ -17,6 +19,9 @@
 const (
 	// EnvEntry is the environment variable that names the entry process where no flag does.
 	EnvEntry = "ORIOLEHUB_ENTRY"
+	// EnvKeys and EnvDeployment are the environment variables for the operator's keys.
+	EnvKeys       = "ORIOLEHUB_KEYS"
+	EnvDeployment = "ORIOLEHUB_DEPLOYMENT"
 	// defaultEntry is the control address of an entry process on the same machine.
 	defaultEntry = "127.0.0.1:7400"
 	callTimeout  = 15 * time.Second
@@ -25,6 +30,9 @@
 // Target is how a command reaches an entry process.
 type Target struct {
 	Entry string
+	// Keys is a folder with authority.pem, operator.pem and operator.key; empty for connections without TLS.
+	Keys       string
+	Deployment string
 }
 
 // NewTarget returns the target of a command whose flag is not given.
@@ -45,14 +53,21 @@
 
 // Flags returns the flags of a command that talks to an entry process.
 func (t *Target) Flags(more ...table.Flag) []table.Flag {
-	return append(more, table.Flag{Name: "entry", Help: "control address of an entry process; else " + EnvEntry + ", else " + defaultEntry, Target: &t.Entry})
+	return append(more,
+		table.Flag{Name: "keys", Help: "folder with authority.pem, operator.pem and operator.key; else " + EnvKeys, Target: &t.Keys},
+		table.Flag{Name: "deployment", Help: "deployment that the keys belong to; else " + EnvDeployment, Target: &t.Deployment},
+		table.Flag{Name: "entry", Help: "control address of an entry process; else " + EnvEntry + ", else " + defaultEntry, Target: &t.Entry})
 }
 
 // Call connects to the entry process and runs f.
 func (t *Target) Call(ctx context.Context, f func(ctx context.Context, c message.DRPCOperatorClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	l := link.NewClient(link.Dial)
+	dial, err := t.dial()
+	if err != nil {
+		return err
+	}
+	l := link.NewClient(dial)
 	defer l.Close()
 	conn, err := l.Fresh(ctx, t.address())
 	if err != nil {
@@ -62,6 +77,29 @@
 	return f(ctx, message.NewDRPCOperatorClient(conn))
 }
 
+// dial returns how connections are opened: with the operator's keys where there are any.
+func (t *Target) dial() (link.DialFunc, error) {
+	keys, deployment := t.Keys, t.Deployment
+	if keys == "" {
+		keys = os.Getenv(EnvKeys)
+	}
+	if deployment == "" {
+		deployment = os.Getenv(EnvDeployment)
+	}
+	if keys == "" {
+		return link.Dial, nil
+	}
+	i, err := identity.Load(identity.Files{
+		Authority:   filepath.Join(keys, "authority.pem"),
+		Certificate: filepath.Join(keys, "operator.pem"),
+		Key:         filepath.Join(keys, "operator.key"),
+	}, deployment)
+	if err != nil {
+		return nil, err
+	}
+	return link.DialTLS(link.Dial, i.ClientConfig), nil
+}
+
 // Author returns the given name, or that of the operating system's user, for the history of the rules.
 func Author(given string) string {
 	if given != "" {
--- /dev/null
+++ b/internal/cli/commands/keys.go
@@ -0,0 +1,51 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/wire/identity"
+)
+
+// KeysNew returns the command that makes keys for a trial.
+func KeysNew() *table.Command {
+	dir, deployment, names := "keys", "", "operator:operator"
+	lasts := 30 * 24 * time.Hour
+	return &table.Command{
+		Name:    "keys new",
+		Section: table.Commands,
+		Help:    "make an authority and keys for a trial",
+		Detail:  "Writes authority.pem and, for each name, NAME.pem and NAME.key. The authority's own key is not kept.",
+		Flags: []table.Flag{
+			{Name: "dir", Help: "folder to write into", Target: &dir},
+			{Name: "deployment", Help: "deployment that the keys are for; required", Target: &deployment},
+			{Name: "names", Help: "NAME:ROLE pairs separated by commas; roles are entry, side and operator", Target: &names},
+			{Name: "lasts", Help: "time for which the keys are good", Target: &lasts},
+		},
+		Run: func(_ context.Context, env *table.Env) error {
+			if deployment == "" {
+				return table.Exit(table.ExitUsage, "missing --deployment")
+			}
+			a, err := identity.NewAuthority(deployment, lasts)
+			if err != nil {
+				return err
+			}
+			for pair := range strings.SplitSeq(names, ",") {
+				name, role, ok := strings.Cut(pair, ":")
+				if !ok || !slices.Contains([]string{identity.RoleEntry, identity.RoleSide, identity.RoleOperator}, role) {
+					return table.Exit(table.ExitUsage, "%q: want NAME:ROLE with the role entry, side or operator", pair)
+				}
+				files, err := a.Issue(dir, name, role, lasts)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(env.Out, "%s: %s, %s\n", role, files.Certificate, files.Key)
+			}
+			return nil
+		},
+	}
+}
--- a/internal/cli/queries/status.go
+++ b/internal/cli/queries/status.go
@@ -132,7 +132,7 @@
 		if m.GetRole() != hub.RoleEntry {
 			continue
 		}
-		one := &client.Target{Entry: m.GetAddress()}
+		one := &client.Target{Entry: m.GetAddress(), Keys: target.Keys, Deployment: target.Deployment}
 		err := one.Call(ctx, func(ctx context.Context, c message.DRPCOperatorClient) error {
 			reply, err := c.ReadTrace(ctx, &message.ReadTraceRequest{RequestId: id})
 			if err == nil && reply.GetFound() {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/exchange"
 	"github.com/oriolehub/oriolehub/internal/state/relay"
+	"github.com/oriolehub/oriolehub/internal/state/roster"
 	"github.com/oriolehub/oriolehub/internal/state/store"
 	"github.com/oriolehub/oriolehub/internal/state/view"
 	"github.com/oriolehub/oriolehub/internal/weights/pin"
@@ -61,12 +62,14 @@
 type Entry struct {
 	settings settings.Entry
 	journal  *journal.Journal
+	security *settings.Security
 
 	incarnation uint64
 
 	catalog    *catalog.Catalog
 	presence   *presence.Presence
 	keeper     *view.Keeper
+	roster     *roster.Roster
 	table      *table.Builder
 	link       *link.Client
 	exchange   *exchange.Client
@@ -98,9 +101,15 @@
 	if x.Listen == nil {
 		x.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
+	security, err := s.Open(j.Logger(journal.Process))
+	if err != nil {
+		return nil, err
+	}
+	x.Dial = security.Dial(x.Dial)
 	p := &Entry{
 		settings: s,
 		journal:  j,
+		security: security,
 
 		incarnation: uint64(time.Now().UnixMilli()),
 
@@ -130,7 +139,12 @@
 	p.catalog = catalog.New(p.incarnation)
 	p.presence = presence.New(p.catalog, p.Member)
 	p.keeper = view.NewKeeper(p.catalog, state)
-	p.table = table.NewBuilder(s.Domain, s.Region, p.keeper)
+	var lister hub.VMLister
+	if s.VmList.Url != "" {
+		lister = roster.NewClient(s.VmList.Url, x.StoreTransport)
+	}
+	p.roster = roster.New(lister, s.VmList.Interval.Std(), state)
+	p.table = table.NewBuilder(s.Domain, s.Region, p.keeper, p.roster)
 	p.exchange = exchange.NewClient(exchange.Options{
 		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: s.ExchangeInterval.Std(), Seeds: s.Peers, Log: state,
 	})
@@ -175,7 +189,7 @@
 			return fmt.Errorf("register services: %w", err)
 		}
 	}
-	p.server = link.Serve(control, mux, func(err error) {
+	p.server = link.Serve(p.security.Listen(control), p.security.Handle(mux), func(err error) {
 		p.journal.Logger(journal.Process).Debug().Err(err).Msg("connection ended")
 	})
 	p.listener = newLimitListener(callers, s.Requests.MaxConnections)
@@ -209,6 +223,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.running.Go(func() { p.keeper.Run(ctx) })
+	p.running.Go(func() { p.roster.Run(ctx) })
 	p.running.Go(func() { p.table.Run(ctx) })
 	p.running.Go(func() { p.exchange.Run(ctx) })
 	p.running.Go(func() { p.relay.Run(ctx, ledger.Key) })
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -59,6 +59,7 @@
 type Side struct {
 	settings settings.Side
 	journal  *journal.Journal
+	security *settings.Security
 
 	incarnation uint64
 
@@ -99,7 +100,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("upstream URL: %w", err)
 	}
+	security, err := s.Open(j.Logger(journal.Process))
+	if err != nil {
+		return nil, err
+	}
+	x.Dial = security.Dial(x.Dial)
 	p := newSide(s, j, x)
+	p.security = security
 	p.catalog = catalog.New(p.incarnation)
 	p.presence = presence.New(p.catalog, p.Member)
 	p.keeper = view.NewKeeper(p.catalog, j.Logger(journal.State))
@@ -246,7 +253,7 @@
 			return fmt.Errorf("register services: %w", err)
 		}
 	}
-	p.server = link.Serve(control, mux, func(err error) {
+	p.server = link.Serve(p.security.Listen(control), p.security.Handle(mux), func(err error) {
 		p.journal.Logger(journal.Process).Debug().Err(err).Msg("connection ended")
 	})
 	p.contentURL = "http://" + content.Addr().String() + contentPath
--- a/internal/route/dispatch/dispatch_test.go
+++ b/internal/route/dispatch/dispatch_test.go
@@ -24,6 +24,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/trace"
 	"github.com/oriolehub/oriolehub/internal/rules/ledger"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/roster"
 	"github.com/oriolehub/oriolehub/internal/state/view"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
@@ -39,7 +40,7 @@
 	c.PutDocument(hub.Document{Name: ledger.Key, Revision: 1, Value: value})
 	keeper := view.NewKeeper(c, journal.Discard().Logger(journal.State))
 	keeper.Rebuild()
-	builder := table.NewBuilder("d", "r", keeper)
+	builder := table.NewBuilder("d", "r", keeper, roster.New(nil, time.Hour, journal.Discard().Logger(journal.State)))
 	builder.Rebuild()
 	server := httptest.NewServer(New(Options{
 		Table: builder, Picker: picker.TwoChoices{}, Calls: call.NewClient(link.NewClient(link.Dial)),
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/state/roster"
 	"github.com/oriolehub/oriolehub/internal/state/view"
 )
 
@@ -46,13 +47,14 @@
 	domain  string
 	region  string
 	keeper  *view.Keeper
+	roster  *roster.Roster
 	known   map[string]*Upstream
 	current atomic.Pointer[Table]
 }
 
 // NewBuilder returns a builder for an entry process in a failure domain and region.
-func NewBuilder(domain, region string, k *view.Keeper) *Builder {
-	b := &Builder{domain: domain, region: region, keeper: k, known: map[string]*Upstream{}}
+func NewBuilder(domain, region string, k *view.Keeper, r *roster.Roster) *Builder {
+	b := &Builder{domain: domain, region: region, keeper: k, roster: r, known: map[string]*Upstream{}}
 	b.current.Store(&Table{Rules: &statement.Ruleset{}, Groups: map[string]*Group{}})
 	return b
 }
@@ -63,12 +65,13 @@
 // Run rebuilds the table until ctx ends.
 func (b *Builder) Run(ctx context.Context) {
 	for {
-		changed := b.keeper.Changed()
+		changed, listed := b.keeper.Changed(), b.roster.Changed()
 		b.Rebuild()
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-listed:
 		}
 	}
 }
@@ -102,7 +105,7 @@
 
 // inService reports whether an upstream may receive new work by all that is known here.
 func (b *Builder) inService(v *view.View, m *hub.Member) bool {
-	return m.State == hub.StateServing && !v.Rules.DomainOut(m.Domain)
+	return m.State == hub.StateServing && !v.Rules.DomainOut(m.Domain) && !b.roster.Leaving(m.Id)
 }
 
 // upstream returns the state kept for a member, which begins anew with each incarnation.
--- a/internal/standin/vmlist/server.go
+++ b/internal/standin/vmlist/server.go
@@ -11,9 +11,6 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 )
 
-// Path is where the list is served.
-const Path = "/v1/vms"
-
 type change struct {
 	at time.Time
 	vm hub.VM
--- /dev/null
+++ b/internal/state/roster/client.go
@@ -0,0 +1,51 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+)
+
+const (
+	// Path is where the platform serves its list.
+	Path        = "/v1/vms"
+	callTimeout = 3 * time.Second
+)
+
+// Client reads the VM list over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ hub.VMLister = (*Client)(nil)
+
+// NewClient returns a client of the list at base, e.g. "http://10.0.0.7:2600".
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
+}
+
+// VMs returns the listed VMs, or hub.ErrUnavailable.
+func (c *Client) VMs(ctx context.Context) ([]hub.VM, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("VM list: %w: %w", hub.ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("VM list: %w: status %d", hub.ErrUnavailable, resp.StatusCode)
+	}
+	var vms []hub.VM
+	if err := json.NewDecoder(resp.Body).Decode(&vms); err != nil {
+		return nil, fmt.Errorf("VM list: %w: %w", hub.ErrUnavailable, err)
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/internal/state/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster follows the platform's lagging list of VMs.
+package roster
--- a/internal/wire/link/client.go
+++ b/internal/wire/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -37,6 +38,22 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// DialTLS opens connections by dial and secures them with the settings that config returns at that time.
+func DialTLS(dial DialFunc, config func() *tls.Config) DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(raw, config())
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, fmt.Errorf("secure connection to %s: %w", address, err)
+		}
+		return conn, nil
+	}
+}
+
 // Client keeps idle connections to other processes for reuse.
 type Client struct {
 	dial DialFunc
