route/queue, bench/domain: charge accounts for served requests only; measure domains and overload

Cause: measure overload showed a share 89% off: requests whose time ran out had moved their account's tag on, so an account that waits long was starved; and at the start of measure domain slow start alone could not bear the load (1998 refused in the warm-up).

--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -46,6 +46,8 @@
 			version(),
 			experiments.Try(),
 			experiments.MeasureBurst(),
+			experiments.MeasureDomain(),
+			experiments.MeasureOverload(),
 			commands.StandinStore(),
 			commands.StandinOrigin(),
 			commands.StandinVms(),
--- /dev/null
+++ b/internal/cli/experiments/domain.go
@@ -0,0 +1,160 @@
+package experiments
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/bench/domain"
+	"github.com/oriolehub/oriolehub/internal/bench/report"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/route/picker"
+)
+
+// Targets of service during a change of failure domains and under overload.
+const (
+	maxLatencyFactor = 1.3
+	minGoodput       = 0.95
+	maxShareError    = 0.1
+	domainLoad       = 0.6
+)
+
+type domainFlags struct {
+	policies, plot, deployment, log string
+	seed                            int
+	load                            float64
+}
+
+// MeasureDomain returns the command that measures a failure domain's leaving and return.
+func MeasureDomain() *table.Command {
+	f := &domainFlags{
+		policies:   strings.Join([]string{picker.NameTwoChoices, picker.NameRoundRobin, picker.NameLeast}, ","),
+		deployment: deployment.Puhas, seed: 1, load: domainLoad,
+	}
+	return &table.Command{
+		Name:    "measure domain",
+		Section: table.Experiments,
+		Help:    "measure service while a failure domain is taken out and brought back",
+		Detail:  "Prints one line of JSON for each policy; the baselines run without slow start and admission.",
+		Flags: []table.Flag{
+			{Name: "policy", Help: "policies, separated by commas", Target: &f.policies},
+			{Name: "load", Help: "load as a part of the capacity", Target: &f.load},
+			{Name: "deployment", Help: "puhas or nakhla", Target: &f.deployment},
+			{Name: "seed", Help: "seed of the arrivals", Target: &f.seed},
+			{Name: "plot", Help: "PNG file for a plot", Target: &f.plot},
+			{Name: "log", Help: "file for the log lines of all processes", Target: &f.log},
+		},
+		Run: f.run,
+	}
+}
+
+func (f *domainFlags) run(ctx context.Context, env *table.Env) error {
+	d, err := deployment.Named(f.deployment)
+	if err != nil {
+		return table.Exit(table.ExitUsage, "%w", err)
+	}
+	j, closeLog, err := openLog(f.log)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	var results []domain.Result
+	for _, policy := range strings.Split(f.policies, ",") {
+		if _, err := picker.Named(policy); err != nil {
+			return table.Exit(table.ExitUsage, "%w", err)
+		}
+		r, err := domain.Run(ctx, domain.Options{Deployment: d, Policy: policy, LoadPart: f.load, Seed: uint64(f.seed), Journal: j})
+		if err != nil {
+			return err
+		}
+		if err := printLine(env, r); err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	if f.plot != "" {
+		if err := plotDomain(f.plot, results); err != nil {
+			return err
+		}
+	}
+	return missed(domainMisses(results))
+}
+
+func domainMisses(results []domain.Result) []string {
+	var out []string
+	for _, r := range results {
+		if r.Policy != picker.NameTwoChoices {
+			continue
+		}
+		check := func(value, limit float64, what string) {
+			if value > limit {
+				out = append(out, fmt.Sprintf("%s %.2f, want at most %.2f", what, value, limit))
+			}
+		}
+		check(float64(r.Failed), 0, "Failed")
+		check(float64(r.NewWorkAfter3s), 0, "NewWorkAfter3s")
+		check(float64(r.TwiceRun), 0, "TwiceRun")
+		check(float64(r.WrongAnswers), 0, "WrongAnswers")
+		check(float64(r.MaxOverLimit), 0, "MaxOverLimit")
+		check(r.OutP95Ms, maxLatencyFactor*r.BaselineP95Ms, "OutP95Ms")
+		check(r.ReturnP95Ms, maxLatencyFactor*r.BaselineP95Ms, "ReturnP95Ms")
+	}
+	return out
+}
+
+func plotDomain(file string, results []domain.Result) error {
+	var series []*report.Series
+	for _, r := range results {
+		series = append(series, &report.Series{Name: r.Policy, X: []float64{1, 2, 3}, Y: []float64{r.BaselineP95Ms, r.OutP95Ms, r.ReturnP95Ms}})
+	}
+	return report.Plot(file, report.Chart{Title: "p95 before (1), out (2), return (3)", X: "phase", Y: "ms", Series: series})
+}
+
+// MeasureOverload returns the command that offers twice the capacity.
+func MeasureOverload() *table.Command {
+	name, logFile, seed := deployment.Puhas, "", 1
+	return &table.Command{
+		Name:    "measure overload",
+		Section: table.Experiments,
+		Help:    "measure service while twice the capacity is offered",
+		Flags: []table.Flag{
+			{Name: "deployment", Help: "puhas or nakhla", Target: &name},
+			{Name: "seed", Help: "seed of the arrivals", Target: &seed},
+			{Name: "log", Help: "file for the log lines of all processes", Target: &logFile},
+		},
+		Run: func(ctx context.Context, env *table.Env) error {
+			d, err := deployment.Named(name)
+			if err != nil {
+				return table.Exit(table.ExitUsage, "%w", err)
+			}
+			j, closeLog, err := openLog(logFile)
+			if err != nil {
+				return err
+			}
+			defer closeLog()
+			r, err := domain.RunOverload(ctx, domain.Options{Deployment: d, Seed: uint64(seed), Journal: j})
+			if err != nil {
+				return err
+			}
+			if err := printLine(env, r); err != nil {
+				return err
+			}
+			return missed(overloadMisses(r))
+		},
+	}
+}
+
+func overloadMisses(r domain.Overload) []string {
+	var out []string
+	if r.Goodput < minGoodput {
+		out = append(out, fmt.Sprintf("Goodput %.2f, want at least %.2f", r.Goodput, minGoodput))
+	}
+	if r.WorstShare > maxShareError {
+		out = append(out, fmt.Sprintf("WorstShare %.2f, want at most %.2f", r.WorstShare, maxShareError))
+	}
+	if r.RefusedButRun > 0 {
+		out = append(out, fmt.Sprintf("RefusedButRun %d, want 0", r.RefusedButRun))
+	}
+	return out
+}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -151,7 +151,7 @@
 		Group:       s.Group,
 		Guard:       p.guard,
 		Ledger:      p.ledger,
-		Runner:      attempt.NewRunner(base, sending.Live),
+		Runner:      attempt.NewRunner(base, s.Upstream.Kind == "Engine", sending.Live),
 		Root:        p.servingRoot,
 		Log:         p.journal.Logger(journal.Routing),
 	})
--- a/internal/route/call/call_test.go
+++ b/internal/route/call/call_test.go
@@ -76,7 +76,7 @@
 	g.Unblock(guard.ReasonNotLoaded)
 	b.server = attempt.NewServer(attempt.ServerOptions{
 		Incarnation: testIncarnation, Group: "g", Guard: g, Ledger: b.ledger,
-		Runner: attempt.NewRunner(base, func(int) {}), Root: func() string { return "" }, Log: journal.Discard().Logger(journal.Routing),
+		Runner: attempt.NewRunner(base, true, func(int) {}), Root: func() string { return "" }, Log: journal.Discard().Logger(journal.Routing),
 	})
 	var served message.DRPCAttemptsServer = b.server
 	if wrap != nil {
@@ -291,7 +291,7 @@
 			g.Unblock(guard.ReasonNotLoaded)
 			server := attempt.NewServer(attempt.ServerOptions{
 				Incarnation: testIncarnation, Group: "g", Guard: g, Ledger: attempt.NewLedger(),
-				Runner: attempt.NewRunner(base, func(int) {}), Root: func() string { return "" }, Log: journal.Discard().Logger(journal.Routing),
+				Runner: attempt.NewRunner(base, true, func(int) {}), Root: func() string { return "" }, Log: journal.Discard().Logger(journal.Routing),
 			})
 			mux := drpcmux.New()
 			assert.NilError(t, message.DRPCRegisterAttempts(mux, server))
--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -201,7 +201,11 @@
 		return nil
 	case <-ticket.Head():
 	}
-	return s.waitRoom(ctx)
+	u := s.waitRoom(ctx)
+	if u != nil {
+		q.Served(ticket)
+	}
+	return u
 }
 
 // waitRoom looks for room until there is some or ctx ends; the rules may change meanwhile.
--- a/internal/route/queue/queue.go
+++ b/internal/route/queue/queue.go
@@ -1,7 +1,7 @@
 package queue
 
 import (
-	"container/heap"
+	"container/list"
 	"errors"
 	"sync"
 )
@@ -11,29 +11,33 @@
 
 // Queue orders the requests of one group by weighted fair queuing.
 //
-// Each request gets a tag: the account's last tag, or the queue's position if that is further on, plus the
-// inverse of its share. The request with the lowest tag is at the head; it alone looks for room. So an
-// account that sends ten times as much as its share waits behind itself and not in front of others.
-// When the queue is full, the account that exceeds its share most gives up its newest request.
+// The requests of each account wait in the order of their arrival. An account's tag is the position at
+// which its last request was served, or the queue's position if that is further on, plus the inverse of
+// its share. The first request of the account with the lowest tag is at the head; it alone looks for
+// room. So an account that sends ten times as much as its share waits behind itself. The tag belongs to
+// the account and not to the request: one that leaves unserved, since its time is up, costs its account
+// nothing. When the queue is full, the account that exceeds its share most gives up its newest request.
 type Queue struct {
 	max int
 
 	mu       sync.Mutex
-	waiting  ticketHeap
+	accounts map[string]*account
 	head     *Ticket
 	position float64
-	last     map[string]float64
-	counts   map[string]int
-	arrivals uint64
+	length   int
+}
+
+// account is the waiting requests of one client account.
+type account struct {
+	share   int
+	tag     float64
+	tickets list.List
 }
 
 // Ticket is the place of one request.
 type Ticket struct {
 	account string
-	share   int
-	tag     float64
-	arrival uint64
-	index   int
+	place   *list.Element
 	left    bool
 	head    chan struct{}
 	evicted chan struct{}
@@ -47,49 +51,55 @@
 
 // New returns a queue for at most max requests.
 func New(max int) *Queue {
-	return &Queue{max: max, last: map[string]float64{}, counts: map[string]int{}}
+	return &Queue{max: max, accounts: map[string]*account{}}
 }
 
 // Empty reports whether nobody waits.
-func (q *Queue) Empty() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.head == nil && len(q.waiting) == 0
-}
+func (q *Queue) Empty() bool { return q.Len() == 0 }
 
 // Len returns the number of requests that wait.
 func (q *Queue) Len() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.len()
-}
-
-func (q *Queue) len() int {
-	n := len(q.waiting)
-	if q.head != nil {
-		n++
-	}
-	return n
+	return q.length
 }
 
 // Enter takes a place for a request of an account with a share, or returns ErrFull.
-func (q *Queue) Enter(account string, share int) (*Ticket, error) {
+func (q *Queue) Enter(name string, share int) (*Ticket, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.len() >= q.max && !q.evictFor(account, share) {
+	share = max(1, share)
+	if q.length >= q.max && !q.evictFor(name, share) {
 		return nil, ErrFull
 	}
-	q.arrivals++
-	tag := max(q.position, q.last[account]) + 1/float64(max(1, share))
-	t := &Ticket{account: account, share: share, tag: tag, arrival: q.arrivals, head: make(chan struct{}), evicted: make(chan struct{})}
-	q.last[account] = tag
-	q.counts[account]++
-	heap.Push(&q.waiting, t)
+	a := q.accounts[name]
+	if a == nil {
+		a = &account{tag: q.position + 1/float64(share)}
+		q.accounts[name] = a
+	}
+	a.share = share
+	t := &Ticket{account: name, head: make(chan struct{}), evicted: make(chan struct{})}
+	t.place = a.tickets.PushBack(t)
+	q.length++
 	q.advance()
 	return t, nil
 }
 
-// Leave gives a place up, whether the request was served or not.
+// Served gives up the place of a request that has found room, and charges its account.
+func (q *Queue) Served(t *Ticket) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if t.left {
+		return
+	}
+	a := q.accounts[t.account]
+	q.position = max(q.position, a.tag)
+	a.tag = q.position + 1/float64(a.share)
+	q.remove(t)
+	q.advance()
+}
+
+// Leave gives up the place of a request that was not served.
 func (q *Queue) Leave(t *Ticket) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -102,78 +112,63 @@
 
 func (q *Queue) remove(t *Ticket) {
 	t.left = true
-	q.counts[t.account]--
-	if q.counts[t.account] == 0 {
-		delete(q.counts, t.account)
-	}
+	q.length--
 	if t == q.head {
 		q.head = nil
-		return
 	}
-	heap.Remove(&q.waiting, t.index)
+	q.accounts[t.account].tickets.Remove(t.place)
 }
 
-// advance puts the lowest tag at the head if nobody is there.
+// advance puts the first request of the account with the lowest tag at the head if nobody is there, and
+// forgets the accounts that wait for nothing and are owed nothing.
 func (q *Queue) advance() {
-	if q.head != nil || len(q.waiting) == 0 {
-		if q.len() == 0 {
-			// Nobody waits, so no account is owed anything.
-			q.position = 0
-			clear(q.last)
+	if q.head != nil {
+		return
+	}
+	var best *account
+	for name, a := range q.accounts {
+		switch {
+		case a.tickets.Len() > 0:
+			if best == nil || a.tag < best.tag || a.tag == best.tag && older(a, best) {
+				best = a
+			}
+		case a.tag <= q.position+1/float64(a.share):
+			delete(q.accounts, name)
 		}
+	}
+	if best == nil {
 		return
 	}
-	q.head = heap.Pop(&q.waiting).(*Ticket)
-	q.position = q.head.tag
+	q.head = best.tickets.Front().Value.(*Ticket)
 	close(q.head.head)
 }
 
+// older breaks ties between accounts by name, so that the order does not depend on the map.
+func older(a, b *account) bool {
+	return a.tickets.Front().Value.(*Ticket).account < b.tickets.Front().Value.(*Ticket).account
+}
+
 // evictFor makes room for an account by the newest request of the account that exceeds its share most.
-func (q *Queue) evictFor(account string, share int) bool {
-	var newest *Ticket
-	worst := float64(q.counts[account]+1) / float64(max(1, share))
-	for _, t := range q.waiting {
-		excess := float64(q.counts[t.account]) / float64(max(1, t.share))
-		if excess > worst || excess == worst && newest != nil && t.arrival > newest.arrival {
-			worst, newest = excess, t
+func (q *Queue) evictFor(name string, share int) bool {
+	waiting := 0
+	if a := q.accounts[name]; a != nil {
+		waiting = a.tickets.Len()
+	}
+	worst := float64(waiting+1) / float64(share)
+	var victim *account
+	for _, a := range q.accounts {
+		if excess := float64(a.tickets.Len()) / float64(a.share); excess > worst {
+			worst, victim = excess, a
 		}
 	}
-	if newest == nil {
+	if victim == nil {
 		return false
 	}
-	close(newest.evicted)
-	q.remove(newest)
-	return true
-}
-
-// ticketHeap orders tickets by tag, then by arrival.
-type ticketHeap []*Ticket
-
-func (h ticketHeap) Len() int { return len(h) }
-
-func (h ticketHeap) Less(i, j int) bool {
-	if h[i].tag != h[j].tag {
-		return h[i].tag < h[j].tag
+	t := victim.tickets.Back().Value.(*Ticket)
+	if t == q.head {
+		return false
 	}
-	return h[i].arrival < h[j].arrival
-}
-
-func (h ticketHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push is called by container/heap.
-func (h *ticketHeap) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-
-// Pop is called by container/heap.
-func (h *ticketHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return t
+	close(t.evicted)
+	q.remove(t)
+	return true
 }
--- a/internal/route/queue/queue_test.go
+++ b/internal/route/queue/queue_test.go
@@ -36,7 +36,7 @@
 			case <-ticket.Head():
 				served[account]++
 				delete(tickets, ticket)
-				q.Leave(ticket)
+				q.Served(ticket)
 				if account != "large" {
 					enter(account)
 				}
@@ -52,6 +52,32 @@
 	}
 }
 
+// TestUnservedRequestsCostNothing lets the requests of an account give up again and again, and wants
+// its next one to be served as soon as that of an account that has never waited.
+func TestUnservedRequestsCostNothing(t *testing.T) {
+	q := New(1000)
+	busy, err := q.Enter("busy", 1)
+	assert.NilError(t, err)
+	for range 50 {
+		ticket, err := q.Enter("unlucky", 1)
+		assert.NilError(t, err)
+		q.Leave(ticket)
+	}
+	unlucky, err := q.Enter("unlucky", 1)
+	assert.NilError(t, err)
+	next := busy
+	for range 2 {
+		q.Served(next)
+		next, err = q.Enter("busy", 1)
+		assert.NilError(t, err)
+	}
+	select {
+	case <-unlucky.Head():
+	default:
+		t.Fatal("requests that were never served are held against their account")
+	}
+}
+
 // TestFullQueueEvictsTheLargest wants room for a small account in a queue that a large one has filled.
 func TestFullQueueEvictsTheLargest(t *testing.T) {
 	q := New(10)
@@ -62,7 +88,7 @@
 		large = append(large, ticket)
 	}
 	_, err := q.Enter("large", 1)
-	assert.ErrorIs(t, err, ErrFull)
+	assert.ErrorIs(t, err, ErrFull, "an account evicted its own request")
 	_, err = q.Enter("small", 1)
 	assert.NilError(t, err)
 	<-large[9].Evicted()
@@ -87,7 +113,11 @@
 					t.Skip()
 				}
 				i := rapid.IntRange(0, len(open)-1).Draw(t, "ticket")
-				q.Leave(open[i])
+				if rapid.Bool().Draw(t, "served") {
+					q.Served(open[i])
+				} else {
+					q.Leave(open[i])
+				}
 				drop(i)
 			},
 			"": func(t *rapid.T) {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -240,8 +240,10 @@
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set(client.HeaderDigest, digest)
 	w.WriteHeader(http.StatusOK)
+	due := time.Now()
 	for i := range p.Tokens {
-		if s.waitToken(r.Context()) != nil {
+		due = due.Add(s.tokenTime())
+		if s.waitToken(r.Context(), due) != nil {
 			s.cancelled()
 			panic(http.ErrAbortHandler)
 		}
@@ -303,22 +305,30 @@
 	return s.options.ColdCapacity + span*s.served/s.options.WarmRequests
 }
 
-// waitToken takes the time of one token, which grows with the square of the overload.
-func (s *Server) waitToken(ctx context.Context) error {
+// tokenTime returns the time that one token takes now; it grows with the square of the overload.
+func (s *Server) tokenTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := float64(s.running) / float64(max(1, s.capacity()))
+	if load <= 1 {
+		return s.options.TokenTime
+	}
+	return time.Duration(float64(s.options.TokenTime) * load * load)
+}
+
+// waitToken waits until a token is due, and for as long as the engine is frozen.
+// Tokens are due by the clock, so that timers which fire late don't make the engine slower.
+func (s *Server) waitToken(ctx context.Context, due time.Time) error {
 	const poll = 20 * time.Millisecond
 	for {
 		s.mu.Lock()
-		load := float64(s.running) / float64(max(1, s.capacity()))
 		frozen := s.frozen
 		s.mu.Unlock()
-		d := s.options.TokenTime
-		if load > 1 {
-			d = time.Duration(float64(d) * load * load)
-		}
+		wait := time.Until(due)
 		if frozen {
-			d = poll
+			wait = poll
 		}
-		timer := time.NewTimer(d)
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/upstream/attempt/runner.go
+++ b/internal/upstream/attempt/runner.go
@@ -36,11 +36,13 @@
 	again http.RoundTripper
 	// live is told the bytes of answers as they pass.
 	live func(n int)
+	// streams is true for an upstream whose answers take time by their length.
+	streams bool
 }
 
-// NewRunner returns a runner for the upstream at base.
-func NewRunner(base *url.URL, live func(n int)) *Runner {
-	return &Runner{base: base, once: newTransport(true), again: newTransport(false), live: live}
+// NewRunner returns a runner for the upstream at base; streams tells that answers take time by their length.
+func NewRunner(base *url.URL, streams bool, live func(n int)) *Runner {
+	return &Runner{base: base, once: newTransport(true), again: newTransport(false), live: live, streams: streams}
 }
 
 func newTransport(fresh bool) *http.Transport {
@@ -57,7 +59,7 @@
 // Run executes an attempt, records its answer and returns what it tells of the upstream.
 func (r *Runner) Run(ctx context.Context, a *Attempt, call *message.RunRequest) guard.Sample {
 	started := time.Now()
-	parts, err := r.run(ctx, a, call)
+	bytes, err := r.run(ctx, a, call)
 	if err != nil {
 		a.Break(err.Error())
 		if errors.Is(err, ErrCancelled) {
@@ -65,7 +67,10 @@
 		}
 		return guard.Sample{Known: true}
 	}
-	pace := time.Since(started) / time.Duration(max(1, parts))
+	pace := time.Since(started)
+	if r.streams {
+		pace /= time.Duration(max(1, bytes))
+	}
 	return guard.Sample{Known: true, Whole: a.End() == nil, Pace: pace}
 }
 
@@ -113,21 +118,21 @@
 
 func (r *Runner) copyBody(ctx context.Context, a *Attempt, body io.Reader) (int, error) {
 	buf := make([]byte, readBytes)
-	parts := 0
+	total := 0
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			parts++
+			total += n
 			r.live(n)
 			if appendErr := a.Append(ctx, buf[:n]); appendErr != nil {
-				return parts, appendErr
+				return total, appendErr
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return parts, nil
+			return total, nil
 		}
 		if err != nil {
-			return parts, causeOf(ctx, err)
+			return total, causeOf(ctx, err)
 		}
 	}
 }
--- a/internal/upstream/attempt/runner_test.go
+++ b/internal/upstream/attempt/runner_test.go
@@ -54,7 +54,7 @@
 // Idempotency-Key or a method such as GET; for a call that must not run twice that would be wrong.
 func TestTransportNeverRepeatsOnceOnlyCalls(t *testing.T) {
 	base, read := withTestDropper(t)
-	r := NewRunner(base, func(int) {})
+	r := NewRunner(base, true, func(int) {})
 	call := &message.RunRequest{
 		Method: http.MethodGet, Target: "/pay", RequestId: "r",
 		Headers: []*message.Header{{Name: "Idempotency-Key", Value: "k"}},
@@ -80,7 +80,7 @@
 	defer server.Close()
 	a := newAttempt("a", "r", true, nil)
 	a.Root = "sha256:agreed"
-	r := NewRunner(&url.URL{Scheme: "http", Host: l.Addr().String()}, func(int) {})
+	r := NewRunner(&url.URL{Scheme: "http", Host: l.Addr().String()}, true, func(int) {})
 	r.Run(t.Context(), a, &message.RunRequest{Method: http.MethodPost, Target: "/"})
 	assert.Equal(t, a.State(), StateBroken)
 }
--- a/internal/upstream/guard/guard.go
+++ b/internal/upstream/guard/guard.go
@@ -156,7 +156,7 @@
 	Known bool
 	// Whole is true where the answer was whole.
 	Whole bool
-	// Pace is the time per part of a whole answer.
+	// Pace is the time of a whole answer, for each of its bytes where its time goes by its length.
 	Pace time.Duration
 }
 
