--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -48,6 +48,7 @@
 			experiments.MeasureBurst(),
 			experiments.MeasureDomain(),
 			experiments.MeasureOverload(),
+			experiments.MeasureFleet(),
 			commands.StandinStore(),
 			commands.StandinOrigin(),
 			commands.StandinVms(),
--- /dev/null
+++ b/internal/cli/experiments/fleet.go
@@ -0,0 +1,127 @@
+package experiments
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/bench/fleet"
+	"github.com/oriolehub/oriolehub/internal/bench/report"
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+)
+
+// Targets of the spread of changes.
+const (
+	maxSpreadSeconds = 3.0
+	spreadDaemons    = 400
+	maxControlBytes  = 14e3
+	maxControlCPU    = 4.0
+	maxControlMemory = 256.0
+	minFleetDaemons  = 10
+)
+
+var fleetFaults = []string{fleet.FaultStoreSlow, fleet.FaultStoreDown, fleet.FaultLostReplies, fleet.FaultRestart, fleet.FaultPartition}
+
+// MeasureFleet returns the command that measures the spread of changes over many daemons.
+func MeasureFleet() *table.Command {
+	daemons, faults, plot, logFile, name := "50,100,200,400", "", "", "", deployment.Nakhla
+	rate, changes := 0.5, 10
+	return &table.Command{
+		Name:    "measure fleet",
+		Section: table.Experiments,
+		Help:    "measure how changes of the rules spread, and what control costs a daemon",
+		Detail:  "All daemons run in this process; CPU and memory are parts of the whole process.",
+		Flags: []table.Flag{
+			{Name: "daemons", Help: "numbers of daemons, separated by commas", Target: &daemons},
+			{Name: "changes", Help: "changes of the rules", Target: &changes},
+			{Name: "rate", Help: "changes a second", Target: &rate},
+			{Name: "faults", Help: "any of " + strings.Join(fleetFaults, ", ") + ", separated by commas", Target: &faults},
+			{Name: "deployment", Help: "puhas or nakhla", Target: &name},
+			{Name: "plot", Help: "PNG file for a plot", Target: &plot},
+			{Name: "log", Help: "file for the log lines of all processes", Target: &logFile},
+		},
+		Run: func(ctx context.Context, env *table.Env) error {
+			sizes, err := parseSizes(daemons)
+			if err != nil {
+				return err
+			}
+			chosen, err := parseFaults(faults)
+			if err != nil {
+				return err
+			}
+			d, err := deployment.Named(name)
+			if err != nil {
+				return table.Exit(table.ExitUsage, "%w", err)
+			}
+			if changes < 1 || rate <= 0 || slices.Min(sizes) < minFleetDaemons {
+				return table.Exit(table.ExitUsage, "want --changes 1 or more, --rate above 0 and --daemons of %d or more", minFleetDaemons)
+			}
+			j, closeLog, err := openLog(logFile)
+			if err != nil {
+				return err
+			}
+			defer closeLog()
+			var results []fleet.Result
+			for _, n := range sizes {
+				r, err := fleet.Run(ctx, fleet.Options{Deployment: d, ChangesPerSecond: rate, Changes: changes, Faults: chosen, Journal: j}, n)
+				if err != nil {
+					return err
+				}
+				if err := printLine(env, r); err != nil {
+					return err
+				}
+				results = append(results, r)
+			}
+			if plot != "" {
+				if err := plotFleet(plot, results); err != nil {
+					return err
+				}
+			}
+			return missed(fleetMisses(results))
+		},
+	}
+}
+
+func parseFaults(list string) ([]string, error) {
+	var out []string
+	for word := range strings.SplitSeq(list, ",") {
+		if word == "" {
+			continue
+		}
+		if !slices.Contains(fleetFaults, word) {
+			return nil, table.Exit(table.ExitUsage, "unknown fault %q: want %s", word, strings.Join(fleetFaults, ", "))
+		}
+		out = append(out, word)
+	}
+	return out, nil
+}
+
+func fleetMisses(results []fleet.Result) []string {
+	var out []string
+	for _, r := range results {
+		check := func(value, limit float64, what string) {
+			if value > limit {
+				out = append(out, fmt.Sprintf("%d daemons: %s %.2f, want at most %.2f", r.Daemons, what, value, limit))
+			}
+		}
+		if len(r.Faults) == 0 && r.Daemons <= spreadDaemons {
+			check(r.SecondsToAll100, maxSpreadSeconds, "SecondsToAll100")
+		}
+		check(r.ControlBytesPerSecondPerDaemon, maxControlBytes, "ControlBytesPerSecondPerDaemon")
+		check(r.CpuPercentPerDaemon, maxControlCPU, "CpuPercentPerDaemon")
+		check(r.MemoryMbPerDaemon, maxControlMemory, "MemoryMbPerDaemon")
+		check(float64(r.Reverted), 0, "Reverted")
+	}
+	return out
+}
+
+func plotFleet(file string, results []fleet.Result) error {
+	half, all := &report.Series{Name: "50% of daemons"}, &report.Series{Name: "100% of daemons"}
+	for _, r := range results {
+		half.X, half.Y = append(half.X, float64(r.Daemons)), append(half.Y, r.SecondsToAll50)
+		all.X, all.Y = append(all.X, float64(r.Daemons)), append(all.Y, r.SecondsToAll100)
+	}
+	return report.Plot(file, report.Chart{Title: "Time until a change is in force", X: "daemons", Y: "seconds", Series: []*report.Series{half, all}})
+}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -369,6 +369,9 @@
 // Guard returns the admission of the upstream.
 func (p *Side) Guard() *guard.Guard { return p.guard }
 
+// RulesRevision returns the revision of the rules in force here.
+func (p *Side) RulesRevision() uint64 { return p.keeper.Current().RulesRevision }
+
 // Admitted returns the requests that the upstream was given so far.
 func (p *Side) Admitted() int { return p.guard.Admitted() }
 
