--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -15,64 +15,87 @@
 	"github.com/oriolehub/oriolehub/internal/process/side"
 )
 
-// Entry returns the command that runs an entry process.
-func Entry() *table.Command {
-	file := "entry.yaml"
+// daemon is what the commands that run a process need of it.
+type daemon interface {
+	// Stop ends the process once the requests in progress have finished.
+	Stop(ctx context.Context)
+}
+
+// program is one kind of process with the type of its settings.
+type program[S any] struct {
+	name string
+	help string
+	load func(file string) (S, error)
+	log  func(s *S) settings.Log
+	stop func(s *S) time.Duration
+	// start runs the process and returns what to print about it.
+	start func(s S, j *journal.Journal) (daemon, string, error)
+}
+
+// command returns the command that runs the process until a signal comes.
+func (p program[S]) command() *table.Command {
+	file := p.name + ".yaml"
 	return &table.Command{
-		Name:    "entry",
+		Name:    p.name,
 		Section: table.Processes,
-		Help:    "run an entry process, which answers callers",
+		Help:    p.help,
 		Detail:  "Stops on SIGTERM or SIGINT once the requests in progress have finished.",
 		Flags:   []table.Flag{{Name: "settings", Help: "settings file", Target: &file}},
 		Run: func(ctx context.Context, env *table.Env) error {
-			s, err := settings.LoadEntry(file)
+			s, err := p.load(file)
 			if err != nil {
 				return invalid(err)
 			}
-			j, err := openJournal(s.Log, env)
+			j, err := openJournal(p.log(&s), env)
 			if err != nil {
 				return err
 			}
 			defer j.Close()
-			p, err := entry.Start(s, j, entry.Extras{})
+			d, line, err := p.start(s, j)
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(env.Out, "entry %s: callers on %s, control on %s\n", s.Id, p.HttpAddress(), p.Address())
-			untilSignal(ctx, s.Requests.StopTimeout.Std(), p.Stop)
+			fmt.Fprintln(env.Out, line)
+			untilSignal(ctx, p.stop(&s), d.Stop)
 			return nil
 		},
 	}
 }
 
-// Side returns the command that runs a side process.
-func Side() *table.Command {
-	file := "side.yaml"
-	return &table.Command{
-		Name:    "side",
-		Section: table.Processes,
-		Help:    "run the side process of an upstream",
-		Detail:  "Stops on SIGTERM or SIGINT once the requests in progress have finished.",
-		Flags:   []table.Flag{{Name: "settings", Help: "settings file", Target: &file}},
-		Run: func(ctx context.Context, env *table.Env) error {
-			s, err := settings.LoadSide(file)
-			if err != nil {
-				return invalid(err)
-			}
-			j, err := openJournal(s.Log, env)
+// Entry returns the command that runs an entry process.
+func Entry() *table.Command {
+	return program[settings.Entry]{
+		name: "entry",
+		help: "run an entry process, which answers callers",
+		load: settings.LoadEntry,
+		log:  func(s *settings.Entry) settings.Log { return s.Log },
+		stop: func(s *settings.Entry) time.Duration { return s.Requests.StopTimeout.Std() },
+		start: func(s settings.Entry, j *journal.Journal) (daemon, string, error) {
+			p, err := entry.Start(s, j, entry.Extras{})
 			if err != nil {
-				return err
+				return nil, "", err
 			}
-			defer j.Close()
+			return p, fmt.Sprintf("entry %s: callers on %s, control on %s", s.Id, p.HttpAddress(), p.Address()), nil
+		},
+	}.command()
+}
+
+// Side returns the command that runs a side process.
+func Side() *table.Command {
+	return program[settings.Side]{
+		name: "side",
+		help: "run the side process of an upstream",
+		load: settings.LoadSide,
+		log:  func(s *settings.Side) settings.Log { return s.Log },
+		stop: func(s *settings.Side) time.Duration { return s.StopTimeout.Std() },
+		start: func(s settings.Side, j *journal.Journal) (daemon, string, error) {
 			p, err := side.Start(s, j, side.Extras{})
 			if err != nil {
-				return err
+				return nil, "", err
 			}
-			fmt.Fprintf(env.Out, "side %s: group %s, control on %s\n", s.Id, s.Group, p.Address())
-			untilSignal(ctx, s.StopTimeout.Std(), p.Stop)
-			return nil
+			return p, fmt.Sprintf("side %s: group %s, control on %s", s.Id, s.Group, p.Address()), nil
 		},
-	}
+	}.command()
 }
 
 func openJournal(l settings.Log, env *table.Env) (*journal.Journal, error) {
--- a/internal/cli/queries/rules.go
+++ b/internal/cli/queries/rules.go
@@ -16,13 +16,6 @@
 	return table.Flag{Name: "json", Help: "print JSON", Target: target}
 }
 
-// CheckReport is the JSON answer of a check.
-type CheckReport struct {
-	File   string
-	Valid  bool
-	Faults []statement.Fault
-}
-
 // RulesCheck returns the query that checks a rules file.
 func RulesCheck() *table.Command {
 	var file string
@@ -41,18 +34,7 @@
 			_, err = statement.Parse(string(text))
 			var faults statement.Faults
 			errors.As(err, &faults)
-			if asJSON {
-				if err := client.WriteJSON(env.Out, CheckReport{File: file, Valid: len(faults) == 0, Faults: faults}); err != nil {
-					return err
-				}
-			}
-			if len(faults) > 0 {
-				return table.Exit(table.ExitInvalid, "%s has faults:\n%w", file, faults)
-			}
-			if !asJSON {
-				fmt.Fprintf(env.Out, "%s: no faults.\n", file)
-			}
-			return nil
+			return reportCheck(env, asJSON, file, faults, faults)
 		},
 	}
 }
--- a/internal/cli/queries/settings.go
+++ b/internal/cli/queries/settings.go
@@ -11,13 +11,6 @@
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 )
 
-// SettingsReport is the JSON answer of a check of settings.
-type SettingsReport struct {
-	File   string
-	Valid  bool
-	Faults []settings.Fault
-}
-
 // SettingsCheck returns the query that checks a settings file.
 func SettingsCheck() *table.Command {
 	var file string
@@ -35,18 +28,7 @@
 			if err != nil && !errors.As(err, &faults) {
 				return err
 			}
-			if asJSON {
-				if err := client.WriteJSON(env.Out, SettingsReport{File: file, Valid: len(faults) == 0, Faults: faults}); err != nil {
-					return err
-				}
-			}
-			if len(faults) > 0 {
-				return table.Exit(table.ExitInvalid, "%s has faults:\n%w", file, faults)
-			}
-			if !asJSON {
-				fmt.Fprintf(env.Out, "%s: no faults.\n", file)
-			}
-			return nil
+			return reportCheck(env, asJSON, file, faults, faults)
 		},
 	}
 }
--- a/internal/process/entry/pinning.go
+++ b/internal/process/entry/pinning.go
@@ -27,7 +27,7 @@
 		changed := p.keeper.Changed()
 		missing, inUse := p.unpinned()
 		for _, version := range missing {
-			sleep(ctx, rand.N(pinSpread))
+			_ = hub.Sleep(ctx, rand.N(pinSpread))
 			result, err := p.registrar.Ensure(ctx, version, inUse)
 			if err != nil {
 				log.Warn().Str("Version", version).Err(err).Msg("version not pinned")
@@ -38,7 +38,7 @@
 			log.Info().Str("Version", version).Str("Root", result.Pin.Root).Int64("Bytes", result.Pin.Size).Msg("version pinned")
 		}
 		if len(missing) > 0 {
-			sleep(ctx, pinRetry)
+			_ = hub.Sleep(ctx, pinRetry)
 			if ctx.Err() != nil {
 				return
 			}
@@ -111,12 +111,3 @@
 	}
 	return &message.ManifestReply{Manifest: encoded}, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -383,14 +383,14 @@
 	p.leaving.Store(true)
 	p.presence.Publish()
 	p.tell(ctx)
-	sleep(ctx, leaveNotice)
+	_ = hub.Sleep(ctx, leaveNotice)
 	p.guard.Block(guard.ReasonLeaving)
 	select {
 	case <-ctx.Done():
 	case <-p.guard.Idle():
 	}
 	for p.attempts.Streams() > 0 && ctx.Err() == nil {
-		sleep(ctx, streamPoll)
+		_ = hub.Sleep(ctx, streamPoll)
 	}
 	p.Kill()
 }
@@ -411,12 +411,3 @@
 	_ = p.link.Close()
 	p.running.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/route/call/client.go
+++ b/internal/route/call/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
@@ -140,7 +141,7 @@
 			err = attachErr
 		}
 		if !x.done {
-			pause(ctx, attachPause)
+			_ = hub.Sleep(ctx, attachPause)
 		}
 	}
 	if x.done {
@@ -305,12 +306,3 @@
 	}
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/rules/ledger/ledger.go
+++ b/internal/rules/ledger/ledger.go
@@ -108,7 +108,7 @@
 		if err == nil {
 			return l.decide(current, revision, edit)
 		}
-		if pauseErr := pause(ctx, settlePause); pauseErr != nil {
+		if pauseErr := hub.Sleep(ctx, settlePause); pauseErr != nil {
 			break
 		}
 	}
@@ -148,14 +148,3 @@
 		History: compact(history),
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/kv/server.go
+++ b/internal/standin/kv/server.go
@@ -137,7 +137,7 @@
 	}
 	s.mu.Unlock()
 	if delay > 0 {
-		sleep(r.Context(), delay)
+		_ = hub.Sleep(r.Context(), delay)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,15 +145,6 @@
 	return !s.down
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Server) read(w http.ResponseWriter, r *http.Request, key string) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get(store.ParamAfter), 10, 64)
--- a/internal/upstream/loader/loader.go
+++ b/internal/upstream/loader/loader.go
@@ -143,7 +143,7 @@
 		if err != nil && !superseded {
 			l.note(err.Error())
 			l.options.Log.Error().Str("Version", target.Version).Err(err).Msg("version not served")
-			pause(ctx, retryPause)
+			_ = hub.Sleep(ctx, retryPause)
 		}
 	}
 }
@@ -283,7 +283,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	for {
-		pause(ctx, pollInterval)
+		_ = hub.Sleep(ctx, pollInterval)
 		status, err := l.options.Engine.Status(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -323,7 +323,7 @@
 func (l *Loader) watchEngine(ctx context.Context) {
 	unanswered := 0
 	for ctx.Err() == nil {
-		pause(ctx, pollInterval)
+		_ = hub.Sleep(ctx, pollInterval)
 		expected := l.ServingRoot()
 		status, err := l.options.Engine.Status(ctx)
 		if ctx.Err() != nil {
@@ -400,12 +400,3 @@
 	case <-timer.C:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/weights/transfer/server.go
+++ b/internal/weights/transfer/server.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/weights/manifest"
 	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
@@ -65,7 +66,7 @@
 			return holding, nil
 		case <-changed:
 			// A moment later, more has arrived that can be told together.
-			sleep(ctx, followBatch)
+			_ = hub.Sleep(ctx, followBatch)
 		}
 	}
 }
@@ -89,15 +90,6 @@
 	return out
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Fetch streams one chunk from an offset in paced pieces.
 func (s *Server) Fetch(r *message.FetchRequest, stream message.DRPCWeights_FetchStream) error {
 	ctx := stream.Context()
