--- a/internal/process/entry/operator.go
+++ b/internal/process/entry/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
@@ -11,6 +12,9 @@
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
+// historyTimeout bounds the reading of the history from the store.
+const historyTimeout = 3 * time.Second
+
 // operator answers the operators' commands and queries.
 type operator struct {
 	entry *Entry
@@ -26,7 +30,7 @@
 	switch {
 	case err == nil:
 		if value != nil {
-			p.catalog.PutDocument(hub.Document{Name: ledger.Key, Revision: revision, Value: value})
+			p.catalog.PutDocument(hub.Document{Name: ledger.Key, Revision: revision, Value: ledger.Current(value)})
 		}
 		log.Info().Uint64("Revision", revision).Uint64("Base", edit.Base).Str("Author", edit.Author).Msg("rules applied")
 		return &message.ApplyReply{Revision: revision}, nil
@@ -49,21 +53,28 @@
 	return &message.ApplyReply{Conflict: true, CurrentText: record.Text, CurrentRevision: revision}, nil
 }
 
-// ReadRules returns the rules that this process knows, with their history.
-func (o *operator) ReadRules(context.Context, *message.ReadRulesRequest) (*message.RulesReply, error) {
+// ReadRules returns the rules that this process knows, with their history from the store where it answers.
+func (o *operator) ReadRules(ctx context.Context, _ *message.ReadRulesRequest) (*message.RulesReply, error) {
 	d := o.entry.catalog.Document(ledger.Key)
 	if d.Revision == 0 {
 		return &message.RulesReply{}, nil
 	}
-	record, err := ledger.Decode(d.Value)
+	known, err := ledger.Decode(d.Value)
 	if err != nil {
 		return nil, err
 	}
-	reply := &message.RulesReply{Revision: d.Revision, Text: record.Text}
+	reply := &message.RulesReply{Revision: d.Revision, Text: known.Text}
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	record, revision, err := o.entry.ledger.Read(ctx)
+	if err != nil {
+		o.entry.journal.Logger(journal.State).Warn().Err(err).Msg("history not read")
+		return reply, nil
+	}
 	for _, e := range record.History {
 		reply.History = append(reply.History, toHistory(e))
 	}
-	current := ledger.Entry{Revision: d.Revision, Author: record.Author, Time: record.Time, Base: record.Base, Diff: record.Diff}
+	current := ledger.Entry{Revision: revision, Author: record.Author, Time: record.Time, Base: record.Base, Diff: record.Diff}
 	reply.History = append(reply.History, toHistory(current))
 	return reply, nil
 }
--- a/internal/rules/ledger/codec.go
+++ b/internal/rules/ledger/codec.go
@@ -76,3 +76,18 @@
 	}
 	return history
 }
+
+// Current returns the stored form without the history, which is what spreads to every process; a value
+// that can't be read is returned as it is.
+func Current(data []byte) []byte {
+	record, err := Decode(data)
+	if err != nil {
+		return data
+	}
+	record.History, record.Diff = nil, ""
+	short, err := Encode(record)
+	if err != nil {
+		return data
+	}
+	return short
+}
--- a/internal/rules/ledger/ledger_test.go
+++ b/internal/rules/ledger/ledger_test.go
@@ -142,6 +142,22 @@
 	assert.Assert(t, len(compact(history)) > 5)
 }
 
+// TestHistoryDoesNotSpread wants the spread form to keep the rules and to stay small whatever the history.
+func TestHistoryDoesNotSpread(t *testing.T) {
+	record := Record{Text: rulesText(1), WriteId: "w", Diff: strings.Repeat("d", 1000)}
+	for range 100 {
+		record.History = append(record.History, Entry{Diff: strings.Repeat("x", 1000)})
+	}
+	data, err := Encode(record)
+	assert.NilError(t, err)
+	short := Current(data)
+	assert.Assert(t, len(short) < 1000, "%d bytes spread", len(short))
+	got, err := Decode(short)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Text, record.Text)
+	assert.Equal(t, got.WriteId, record.WriteId)
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(Record{Text: rulesText(1)})
 	assert.NilError(f, err)
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -39,8 +39,8 @@
 	return r.reachable.Load()
 }
 
-// Run watches one key until ctx ends.
-func (r *Relay) Run(ctx context.Context, key string) {
+// Run watches one key until ctx ends; shorten, unless nil, returns the part of a value that is to spread.
+func (r *Relay) Run(ctx context.Context, key string, shorten func([]byte) []byte) {
 	pause := firstPause
 	for ctx.Err() == nil {
 		known := r.catalog.Document(key).Revision
@@ -49,6 +49,9 @@
 		case err == nil:
 			r.reachable.Store(true)
 			pause = firstPause
+			if shorten != nil {
+				value.Data = shorten(value.Data)
+			}
 			r.catalog.PutDocument(hub.Document{Name: key, Revision: value.Revision, Value: value.Data})
 		case errors.Is(err, hub.ErrNotFound):
 			r.reachable.Store(true)
