--- a/internal/bench/harness/requests_test.go
+++ b/internal/bench/harness/requests_test.go
@@ -259,10 +259,14 @@
 func TestListedAsLeaving(t *testing.T) {
 	h := withTestService(t, func(*Options) {})
 	vm := h.Vms[0]
+	inService := func(n int) func() bool {
+		return func() bool {
+			return h.Entries[0].InService(vm.Group) == n && h.Entries[1].InService(vm.Group) == n
+		}
+	}
+	assert.NilError(t, Await(t.Context(), burstLimit, inService(3)))
 	h.VmList.Put(hub.VM{Id: vm.Id, Leaving: true})
-	assert.NilError(t, Await(t.Context(), burstLimit, func() bool {
-		return h.Entries[0].InService(vm.Group) == 2 && h.Entries[1].InService(vm.Group) == 2
-	}))
+	assert.NilError(t, Await(t.Context(), burstLimit, inService(2)))
 	before := vm.Side.Admitted()
 	for i := range 60 {
 		outcome, _ := send(t.Context(), h, i%2, fmt.Sprint("listed-", i), "")
