bench/harness, route/queue: make four tests need their guards

Cause: prove showed that they passed without: no retry was paid for, a stopped side process had no call in progress or none that outlasted its notice, the account that waits had no rival.

--- a/internal/bench/harness/requests_test.go
+++ b/internal/bench/harness/requests_test.go
@@ -150,7 +150,8 @@
 func TestLeavingSideCutsNothing(t *testing.T) {
 	h := withTestService(t, func(*Options) {})
 	for _, vm := range h.Vms {
-		vm.Service.SetDelay(300 * time.Millisecond)
+		// Longer than the notice of a leaving process, so that calls are in progress when it is over.
+		vm.Service.SetDelay(1500 * time.Millisecond)
 	}
 	const calls = 24
 	outcomes := make([]string, calls)
@@ -161,7 +162,10 @@
 			outcomes[i], _ = send(t.Context(), h, i%2, fmt.Sprint("leave-", i), "")
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, Await(t.Context(), burstLimit, func() bool {
+		_, inProgress := h.Vms[0].Side.Guard().Load()
+		return inProgress > 0
+	}))
 	h.Vms[0].Side.Stop(t.Context())
 	running.Wait()
 	for i, o := range outcomes {
@@ -224,6 +228,10 @@
 	for name, after := range map[string]bool{"before the run": false, "after the run": true} {
 		t.Run(name, func(t *testing.T) {
 			h := withTestService(t, func(o *Options) { o.OnceVms = 1 })
+			// So many calls pay for a retry, if there were one.
+			for i := range 30 {
+				_, _ = send(t.Context(), h, 0, fmt.Sprint("paid-", i), "")
+			}
 			h.Vms[0].Service.BreakNext(after)
 			outcome, status := send(t.Context(), h, 0, "broken", "")
 			assert.Equal(t, outcome, "unknown")
--- a/internal/route/queue/queue_test.go
+++ b/internal/route/queue/queue_test.go
@@ -56,8 +56,12 @@
 // its next one to be served as soon as that of an account that has never waited.
 func TestUnservedRequestsCostNothing(t *testing.T) {
 	q := New(1000)
-	busy, err := q.Enter("busy", 1)
-	assert.NilError(t, err)
+	var busy []*Ticket
+	for range 3 {
+		ticket, err := q.Enter("busy", 1)
+		assert.NilError(t, err)
+		busy = append(busy, ticket)
+	}
 	for range 50 {
 		ticket, err := q.Enter("unlucky", 1)
 		assert.NilError(t, err)
@@ -65,12 +69,7 @@
 	}
 	unlucky, err := q.Enter("unlucky", 1)
 	assert.NilError(t, err)
-	next := busy
-	for range 2 {
-		q.Served(next)
-		next, err = q.Enter("busy", 1)
-		assert.NilError(t, err)
-	}
+	q.Served(busy[0])
 	select {
 	case <-unlucky.Head():
 	default:
