cmd/oriolehub: let every process of the test take a free port itself

Ruled out: the program (its error was bind). Change: port 0 and the printed address. Measured: go test -race -count=2 -run Separate ./cmd/oriolehub: passes twice.

--- a/cmd/oriolehub/processes_test.go
+++ b/cmd/oriolehub/processes_test.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -98,14 +97,6 @@
 	return copied
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func TestSeparateProcesses(t *testing.T) {
 	for _, tc := range []struct{ deployment, model, engineGroup, onceCall string }{
 		{"nakhla", "scaler-7b@2026-12-03", "scaler-llm", "/ticket-desk/tickets"},
@@ -135,10 +126,14 @@
 	ports := map[string]string{
 		"12400": store.address(), "12500": origin.address(), "12701": first.address(), "12702": second.address(), "12703": desk.address(),
 	}
+	// Every process takes a port that is free and prints it; one that was free a moment ago may be taken.
 	for _, port := range []string{"18080", "17400", "17500", "17411", "17412", "17413", "17511", "17512", "17513", "17611", "17612", "17613"} {
-		ports[port] = freeAddress(t)
+		ports[port] = "127.0.0.1:0"
 	}
 	entry := start(t, "entry", "--settings", withTestPorts(t, filepath.Join(examples, "entry.yaml"), ports))
+	words := strings.Fields(entry.line)
+	ports["18080"] = strings.TrimSuffix(words[4], ",")
+	ports["17400"] = entry.address()
 	sides := []*process{
 		start(t, "side", "--settings", withTestPorts(t, filepath.Join(examples, "side-engine-1.yaml"), ports)),
 		start(t, "side", "--settings", withTestPorts(t, filepath.Join(examples, "side-engine-2.yaml"), ports)),
