state/view: decode the pins when they change and not with every member record

Cause: reading the whole change: each rebuild of the view decoded all pins again, though rules were guarded by their revision already. Change: the same guard for pins. Behaviour stays.

--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -23,7 +23,9 @@
 	RulesRevision uint64
 	Rules         *statement.Ruleset
 	Pins          pin.Table
-	Members       []catalog.Known
+	// PinsRevision is 0 until pins are known.
+	PinsRevision uint64
+	Members      []catalog.Known
 }
 
 // Target returns the pin that a group must serve.
@@ -88,6 +90,7 @@
 		RulesRevision: old.RulesRevision,
 		Rules:         old.Rules,
 		Pins:          old.Pins,
+		PinsRevision:  old.PinsRevision,
 		Members:       k.catalog.Members(),
 	}
 	k.takeRules(next)
@@ -118,12 +121,17 @@
 	k.log.Info().Uint64("Revision", d.Revision).Str("Author", record.Author).Msg("rules in force")
 }
 
+// takePins decodes a newer pins document; one that can't be decoded leaves the pins as they are.
 func (k *Keeper) takePins(v *View) {
 	d := k.catalog.Document(pin.Key)
+	if d.Revision <= v.PinsRevision {
+		return
+	}
 	table, err := pin.Decode(d.Value)
 	if err != nil {
 		k.log.Error().Uint64("Revision", d.Revision).Err(err).Msg("pins not taken")
 		return
 	}
 	v.Pins = table
+	v.PinsRevision = d.Revision
 }
