cli/experiments: one piece for the set-up and the limits of the measures

Cause: reading the whole change: three measures named the deployment, opened the log and compared with limits in copies. Change: prepare and misses serve all. Limits and messages stay. Measured: go vet, the tests of the table, wrong flags still exit 2.

--- a/internal/cli/experiments/burst.go
+++ b/internal/cli/experiments/burst.go
@@ -71,11 +71,7 @@
 	if err != nil || bytes == 0 {
 		return table.Exit(table.ExitUsage, "--size %q: want a size, e.g. 32MB", f.size)
 	}
-	d, err := deployment.Named(f.deployment)
-	if err != nil {
-		return table.Exit(table.ExitUsage, "%w", err)
-	}
-	j, closeLog, err := openLog(f.log)
+	d, j, closeLog, err := prepare(f.deployment, f.log)
 	if err != nil {
 		return err
 	}
@@ -107,31 +103,27 @@
 
 // burstMisses compares the results of the swarm with the targets.
 func burstMisses(results []burst.Result) []string {
-	var out []string
+	var out misses
 	small := 0.0
 	for _, r := range results {
 		if r.Strategy != topology.NameSwarm {
 			continue
 		}
-		check := func(value, limit float64, what string) {
-			if value > limit {
-				out = append(out, fmt.Sprintf("%d VMs: %s %.2f, want at most %.2f", r.Vms, what, value, limit))
-			}
-		}
+		subject := fmt.Sprintf("%d VMs: ", r.Vms)
 		ratio, origin := maxRatio, maxOrigin
 		if r.Faults {
 			ratio, origin = maxRatioFaults, maxOriginFaults
 		}
-		check(r.Ratio, ratio, "Ratio")
-		check(r.OriginCopies, origin, "OriginCopies")
-		check(r.MaxRegionLinkCopies, maxRegionCopies, "MaxRegionLinkCopies")
-		check(float64(r.WrongDigests), 0, "WrongDigests")
-		check(r.P95DuringMs, maxLatencyGrowth*r.P95BeforeMs, "P95DuringMs")
+		out.atMost(subject, "Ratio", r.Ratio, ratio)
+		out.atMost(subject, "OriginCopies", r.OriginCopies, origin)
+		out.atMost(subject, "MaxRegionLinkCopies", r.MaxRegionLinkCopies, maxRegionCopies)
+		out.atMost(subject, "WrongDigests", float64(r.WrongDigests), 0)
+		out.atMost(subject, "P95DuringMs", r.P95DuringMs, maxLatencyGrowth*r.P95BeforeMs)
 		if r.Vms == growthFrom {
 			small = r.Seconds100
 		}
 		if r.Vms == growsTo && small > 0 {
-			check(r.Seconds100, maxGrowth*small, "Seconds100")
+			out.atMost(subject, "Seconds100", r.Seconds100, maxGrowth*small)
 		}
 	}
 	return out
--- a/internal/cli/experiments/domain.go
+++ b/internal/cli/experiments/domain.go
@@ -50,11 +50,7 @@
 }
 
 func (f *domainFlags) run(ctx context.Context, env *table.Env) error {
-	d, err := deployment.Named(f.deployment)
-	if err != nil {
-		return table.Exit(table.ExitUsage, "%w", err)
-	}
-	j, closeLog, err := openLog(f.log)
+	d, j, closeLog, err := prepare(f.deployment, f.log)
 	if err != nil {
 		return err
 	}
@@ -82,23 +78,18 @@
 }
 
 func domainMisses(results []domain.Result) []string {
-	var out []string
+	var out misses
 	for _, r := range results {
 		if r.Policy != picker.NameTwoChoices {
 			continue
 		}
-		check := func(value, limit float64, what string) {
-			if value > limit {
-				out = append(out, fmt.Sprintf("%s %.2f, want at most %.2f", what, value, limit))
-			}
-		}
-		check(float64(r.Failed), 0, "Failed")
-		check(float64(r.NewWorkAfter3s), 0, "NewWorkAfter3s")
-		check(float64(r.TwiceRun), 0, "TwiceRun")
-		check(float64(r.WrongAnswers), 0, "WrongAnswers")
-		check(float64(r.MaxOverLimit), 0, "MaxOverLimit")
-		check(r.OutP95Ms, maxLatencyFactor*r.BaselineP95Ms, "OutP95Ms")
-		check(r.ReturnP95Ms, maxLatencyFactor*r.BaselineP95Ms, "ReturnP95Ms")
+		out.atMost("", "Failed", float64(r.Failed), 0)
+		out.atMost("", "NewWorkAfter3s", float64(r.NewWorkAfter3s), 0)
+		out.atMost("", "TwiceRun", float64(r.TwiceRun), 0)
+		out.atMost("", "WrongAnswers", float64(r.WrongAnswers), 0)
+		out.atMost("", "MaxOverLimit", float64(r.MaxOverLimit), 0)
+		out.atMost("", "OutP95Ms", r.OutP95Ms, maxLatencyFactor*r.BaselineP95Ms)
+		out.atMost("", "ReturnP95Ms", r.ReturnP95Ms, maxLatencyFactor*r.BaselineP95Ms)
 	}
 	return out
 }
@@ -124,11 +115,7 @@
 			{Name: "log", Help: "file for the log lines of all processes", Target: &logFile},
 		},
 		Run: func(ctx context.Context, env *table.Env) error {
-			d, err := deployment.Named(name)
-			if err != nil {
-				return table.Exit(table.ExitUsage, "%w", err)
-			}
-			j, closeLog, err := openLog(logFile)
+			d, j, closeLog, err := prepare(name, logFile)
 			if err != nil {
 				return err
 			}
--- a/internal/cli/experiments/fleet.go
+++ b/internal/cli/experiments/fleet.go
@@ -51,14 +51,10 @@
 			if err != nil {
 				return err
 			}
-			d, err := deployment.Named(name)
-			if err != nil {
-				return table.Exit(table.ExitUsage, "%w", err)
-			}
 			if changes < 1 || rate <= 0 || slices.Min(sizes) < minFleetDaemons {
 				return table.Exit(table.ExitUsage, "want --changes 1 or more, --rate above 0 and --daemons of %d or more", minFleetDaemons)
 			}
-			j, closeLog, err := openLog(logFile)
+			d, j, closeLog, err := prepare(name, logFile)
 			if err != nil {
 				return err
 			}
@@ -99,20 +95,16 @@
 }
 
 func fleetMisses(results []fleet.Result) []string {
-	var out []string
+	var out misses
 	for _, r := range results {
-		check := func(value, limit float64, what string) {
-			if value > limit {
-				out = append(out, fmt.Sprintf("%d daemons: %s %.2f, want at most %.2f", r.Daemons, what, value, limit))
-			}
-		}
+		subject := fmt.Sprintf("%d daemons: ", r.Daemons)
 		if len(r.Faults) == 0 && r.Daemons <= spreadDaemons {
-			check(r.SecondsToAll100, maxSpreadSeconds, "SecondsToAll100")
+			out.atMost(subject, "SecondsToAll100", r.SecondsToAll100, maxSpreadSeconds)
 		}
-		check(r.ControlBytesPerSecondPerDaemon, maxControlBytes, "ControlBytesPerSecondPerDaemon")
-		check(r.CpuPercentPerDaemon, maxControlCPU, "CpuPercentPerDaemon")
-		check(r.MemoryMbPerDaemon, maxControlMemory, "MemoryMbPerDaemon")
-		check(float64(r.Reverted), 0, "Reverted")
+		out.atMost(subject, "ControlBytesPerSecondPerDaemon", r.ControlBytesPerSecondPerDaemon, maxControlBytes)
+		out.atMost(subject, "CpuPercentPerDaemon", r.CpuPercentPerDaemon, maxControlCPU)
+		out.atMost(subject, "MemoryMbPerDaemon", r.MemoryMbPerDaemon, maxControlMemory)
+		out.atMost(subject, "Reverted", float64(r.Reverted), 0)
 	}
 	return out
 }
--- a/internal/cli/experiments/measure.go
+++ b/internal/cli/experiments/measure.go
@@ -6,7 +6,9 @@
 	"strconv"
 	"strings"
 
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
 	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
 )
 
 // parseSizes returns the whole numbers of a comma-separated list.
@@ -22,6 +24,26 @@
 	return out, nil
 }
 
+// prepare returns the named deployment and the journal of all processes, with what closes it.
+func prepare(name, logFile string) (deployment.Deployment, *journal.Journal, func(), error) {
+	d, err := deployment.Named(name)
+	if err != nil {
+		return d, nil, nil, table.Exit(table.ExitUsage, "%w", err)
+	}
+	j, closeLog, err := openLog(logFile)
+	return d, j, closeLog, err
+}
+
+// misses gathers the targets that a measurement missed.
+type misses []string
+
+// atMost records a value above its limit; subject tells which result it is of and may be empty.
+func (m *misses) atMost(subject, what string, value, limit float64) {
+	if value > limit {
+		*m = append(*m, fmt.Sprintf("%s%s %.2f, want at most %.2f", subject, what, value, limit))
+	}
+}
+
 // printLine prints one result as one line of JSON.
 func printLine(env *table.Env, v any) error {
 	data, err := json.Marshal(v)
