platform, process/node: run on the users' platform, entry to upstream directly

Cause: the product spoke to its own store and engines only, and each request went through a side process. Ruled out: keeping the hop through the side process (plain services have none; a killed side process would cut answers). Change: platform/ translates store, keys, heads, engine and origin; the product grows routes, client accounts, upstream connections of its own, placement by load, shared repeats, streams that go on elsewhere, and a stager that fills engines from the swarm. The start line is structured; the test of processes reads it from there.

--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -26,6 +26,8 @@
 		Commands: []*table.Command{
 			commands.Entry(),
 			commands.Side(),
+			commands.PlatformEntry(),
+			commands.PlatformSide(),
 			commands.RulesApply(),
 			commands.RulesFormat(),
 			commands.RolloutPause(),
--- /dev/null
+++ b/internal/cli/commands/platform.go
@@ -0,0 +1,80 @@
+package commands
+
+import (
+	"os"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/process/node"
+	"github.com/oriolehub/oriolehub/internal/process/settings"
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
+	"github.com/oriolehub/oriolehub/platform"
+)
+
+// settingsVariable names the environment variable that holds the path of the settings file on the platform.
+const settingsVariable = "ORIOLEHUB_CONFIG"
+
+// PlatformEntry returns the command that runs an entry process on the users' platform.
+func PlatformEntry() *table.Command {
+	return program[settings.Node]{
+		name: "platform entry",
+		file: platformFile("entry.yaml"),
+		help: "run an entry process on the users' platform",
+		load: func(file string) (settings.Node, error) { return settings.LoadNode(file, false) },
+		log:  func(s *settings.Node) settings.Log { return s.Log },
+		stop: func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
+		start: func(s settings.Node, j *journal.Journal) (daemon, addresses, error) {
+			p, err := node.StartEntry(s, j, adapter())
+			if err != nil {
+				return nil, addresses{}, err
+			}
+			return p, addresses{Id: s.Id, Callers: s.Listen, Control: s.ControlListen}, nil
+		},
+	}.command()
+}
+
+// PlatformSide returns the command that runs a side process on the users' platform.
+func PlatformSide() *table.Command {
+	return program[settings.Node]{
+		name: "platform side",
+		file: platformFile("side.yaml"),
+		help: "run the side process of a model engine on the users' platform",
+		load: func(file string) (settings.Node, error) { return settings.LoadNode(file, true) },
+		log:  func(s *settings.Node) settings.Log { return s.Log },
+		stop: func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
+		start: func(s settings.Node, j *journal.Journal) (daemon, addresses, error) {
+			p, err := node.StartSide(s, j, adapter())
+			if err != nil {
+				return nil, addresses{}, err
+			}
+			return p, addresses{Id: s.Id, Control: s.ControlListen}, nil
+		},
+	}.command()
+}
+
+// platformFile returns the settings file that the platform names, or a default.
+func platformFile(otherwise string) string {
+	if file := os.Getenv(settingsVariable); file != "" {
+		return file
+	}
+	return otherwise
+}
+
+// adapter returns the parts that translate between the platform and the product.
+func adapter() node.Platform {
+	return node.Platform{
+		Decoder: platform.Decoder{},
+		Format:  platform.CallFormat{},
+		Store: func(address string, dial socket.DialFunc) hub.StateSource {
+			return platform.NewStore(address, dial)
+		},
+		Engine: func(address string, dial socket.DialFunc) hub.LocalUpstream {
+			return platform.NewEngine(address, dial)
+		},
+		Source: func(o *hub.Origin, e *hub.EngineModel, dial socket.DialFunc) hub.WeightSource {
+			return platform.NewOrigin(o.Address, e.Model, e.ChunkBytes, dial)
+		},
+	}
+}
--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,20 +20,33 @@
 	Stop(ctx context.Context)
 }
 
+// addresses are what the first line of a running process tells.
+type addresses struct {
+	Id string
+	// Callers is the callers' address, empty for side processes.
+	Callers string
+	Control string
+}
+
 // program is one kind of process with the type of its settings.
 type program[S any] struct {
 	name string
+	// file is the settings file where the command line names none; "" stands for the name with .yaml.
+	file string
 	help string
 	load func(file string) (S, error)
 	log  func(s *S) settings.Log
 	stop func(s *S) time.Duration
-	// start runs the process and returns what to print about it.
-	start func(s S, j *journal.Journal) (daemon, string, error)
+	// start runs the process and returns its addresses.
+	start func(s S, j *journal.Journal) (daemon, addresses, error)
 }
 
 // command returns the command that runs the process until a signal comes.
 func (p program[S]) command() *table.Command {
-	file := p.name + ".yaml"
+	file := p.file
+	if file == "" {
+		file = p.name + ".yaml"
+	}
 	return &table.Command{
 		Name:    p.name,
 		Section: table.Processes,
@@ -51,12 +63,14 @@
 				return err
 			}
 			defer j.Close()
-			d, line, err := p.start(s, j)
+			d, at, err := p.start(s, j)
 			if err != nil {
 				return err
 			}
-			fmt.Fprintln(env.Out, line)
+			l := j.Logger(journal.Process)
+			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
 			untilSignal(ctx, p.stop(&s), d.Stop)
+			l.Info().Msg("stopped")
 			return nil
 		},
 	}
@@ -70,12 +84,12 @@
 		load: settings.LoadEntry,
 		log:  func(s *settings.Entry) settings.Log { return s.Log },
 		stop: func(s *settings.Entry) time.Duration { return s.Requests.StopTimeout.Std() },
-		start: func(s settings.Entry, j *journal.Journal) (daemon, string, error) {
+		start: func(s settings.Entry, j *journal.Journal) (daemon, addresses, error) {
 			p, err := entry.Start(s, j, entry.Extras{})
 			if err != nil {
-				return nil, "", err
+				return nil, addresses{}, err
 			}
-			return p, fmt.Sprintf("entry %s: callers on %s, control on %s", s.Id, p.HttpAddress(), p.Address()), nil
+			return p, addresses{Id: s.Id, Callers: p.HttpAddress(), Control: p.Address()}, nil
 		},
 	}.command()
 }
@@ -88,18 +102,18 @@
 		load: settings.LoadSide,
 		log:  func(s *settings.Side) settings.Log { return s.Log },
 		stop: func(s *settings.Side) time.Duration { return s.StopTimeout.Std() },
-		start: func(s settings.Side, j *journal.Journal) (daemon, string, error) {
+		start: func(s settings.Side, j *journal.Journal) (daemon, addresses, error) {
 			p, err := side.Start(s, j, side.Extras{})
 			if err != nil {
-				return nil, "", err
+				return nil, addresses{}, err
 			}
-			return p, fmt.Sprintf("side %s: group %s, control on %s", s.Id, s.Group, p.Address()), nil
+			return p, addresses{Id: s.Id, Control: p.Address()}, nil
 		},
 	}.command()
 }
 
 func openJournal(l settings.Log, env *table.Env) (*journal.Journal, error) {
-	return journal.New(journal.Options{Writer: env.Err, Format: l.Format, Level: l.Level, Async: true})
+	return journal.New(journal.Options{Writer: env.Out, Format: l.Format, Level: l.Level, Async: true})
 }
 
 func invalid(err error) error {
--- a/internal/hub/errors.go
+++ b/internal/hub/errors.go
@@ -18,6 +18,8 @@
 	ErrCorrupt = errors.New("digest mismatch")
 	// ErrThrottled reports a platform service that refused a call for its rate limit.
 	ErrThrottled = errors.New("rate limit reached")
+	// ErrHistoryLost reports changes that the store no longer keeps.
+	ErrHistoryLost = errors.New("history is no longer kept")
 	// ErrLeaseLost reports a lease that has lapsed or is held by another process.
 	ErrLeaseLost = errors.New("lease lost")
 	// ErrMemoryLimit reports weights that do not fit into the configured memory.
--- a/internal/process/settings/decode.go
+++ b/internal/process/settings/decode.go
@@ -119,6 +119,8 @@
 		v.SetString(n.Value)
 	case reflect.Int:
 		d.scalar(n, v, path, "a whole number")
+	case reflect.Float64:
+		d.scalar(n, v, path, "a number")
 	case reflect.Bool:
 		d.scalar(n, v, path, "true or false")
 	}
--- a/internal/process/settings/load.go
+++ b/internal/process/settings/load.go
@@ -108,11 +108,15 @@
 		checkAddress(d, fmt.Sprintf("Peers[%d]", i), p)
 	}
 	wantPositive(d, "ExchangeInterval", c.ExchangeInterval)
-	d.want(slices.Contains(journal.Levels(), c.Log.Level), "Log.Level", "%q: want %s", c.Log.Level, strings.Join(journal.Levels(), ", "))
-	d.want(c.Log.Format == journal.FormatJson || c.Log.Format == journal.FormatConsole, "Log.Format", "%q: want %s or %s", c.Log.Format, journal.FormatJson, journal.FormatConsole)
+	checkLog(d, &c.Log)
 	checkTLS(d, &c.Tls)
 }
 
+func checkLog(d *decoder, l *Log) {
+	d.want(slices.Contains(journal.Levels(), l.Level), "Log.Level", "%q: want %s", l.Level, strings.Join(journal.Levels(), ", "))
+	d.want(l.Format == journal.FormatJson || l.Format == journal.FormatConsole, "Log.Format", "%q: want %s or %s", l.Format, journal.FormatJson, journal.FormatConsole)
+}
+
 func checkTLS(d *decoder, t *Tls) {
 	d.want(t.Mode == "mutual" || t.Mode == "off", "Tls.Mode", "%q: want mutual or off", t.Mode)
 	if t.Mode != "mutual" {
--- /dev/null
+++ b/internal/route/channel/quiet.go
@@ -0,0 +1,26 @@
+package channel
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet reports whether nothing has arrived on an idle connection and the other end has not closed it.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && still
+}
--- /dev/null
+++ b/internal/route/placement/load.go
@@ -0,0 +1,122 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+)
+
+const (
+	// reportLimit is the age up to which a report of an upstream is believed.
+	reportLimit = 1500 * time.Millisecond
+	// failurePause is the time for which an upstream that failed is chosen only if there is no other;
+	// it doubles with each further failure in a row up to maxFailurePause.
+	failurePause    = 150 * time.Millisecond
+	maxFailurePause = 2 * time.Second
+	// fullPause is the time for which an upstream that refused is left alone.
+	fullPause = 60 * time.Millisecond
+)
+
+// Load is what this process knows of the load of one lifetime of an upstream.
+type Load struct {
+	running atomic.Int64
+	// others is the load that other processes cause, by the last report.
+	others atomic.Int64
+	report atomic.Pointer[timedReport]
+	// avoidUntil is on the monotonic clock, in nanoseconds since start.
+	avoidUntil atomic.Int64
+	failures   atomic.Int64
+	cold       coldLimiter
+}
+
+type timedReport struct {
+	hub.UpstreamReport
+	at time.Time
+}
+
+var start = time.Now()
+
+func monotonic() int64 { return int64(time.Since(start)) }
+
+// Report takes in what the upstream said of itself.
+func (l *Load) Report(r hub.UpstreamReport) {
+	l.others.Store(max(0, int64(r.Running+r.Waiting)-l.running.Load()))
+	l.report.Store(&timedReport{UpstreamReport: r, at: time.Now()})
+}
+
+// fresh returns the last report, or nil when it is too old.
+func (l *Load) fresh() *timedReport {
+	r := l.report.Load()
+	if r == nil || time.Since(r.at) > reportLimit {
+		return nil
+	}
+	return r
+}
+
+// total returns the requests that the upstream is believed to have.
+func (l *Load) total() int {
+	n := int(l.running.Load())
+	if l.fresh() != nil {
+		n += int(l.others.Load())
+	}
+	return n
+}
+
+// Failed makes the upstream a last resort for a while that grows with each failure in a row.
+func (l *Load) Failed() {
+	n := l.failures.Add(1)
+	pause := time.Duration(float64(failurePause) * math.Exp2(float64(min(n-1, 8))))
+	l.avoidUntil.Store(monotonic() + int64(min(pause, maxFailurePause)))
+}
+
+// Refused leaves the upstream alone for a moment.
+func (l *Load) Refused(pause time.Duration) {
+	l.avoidUntil.Store(max(l.avoidUntil.Load(), monotonic()+int64(max(pause, fullPause))))
+}
+
+// Succeeded forgets the failures.
+func (l *Load) Succeeded() { l.failures.Store(0) }
+
+func (l *Load) avoided() bool { return monotonic() < l.avoidUntil.Load() }
+
+// held returns the version that the upstream answers from, by the newest source.
+func (l *Load) held(u *directory.Upstream) uint64 {
+	if r := l.fresh(); r != nil && r.Born == u.Born {
+		return r.Held
+	}
+	return u.Version
+}
+
+// loading reports whether the upstream is known to be taking new weights.
+func (l *Load) loading() bool {
+	r := l.fresh()
+	return r != nil && r.Busy
+}
+
+// coldLimiter bounds the requests that this process sends to a cold upstream.
+type coldLimiter struct {
+	mu     sync.Mutex
+	tokens float64
+	at     time.Time
+}
+
+// take reports whether one more request may be sent at rate a second.
+func (c *coldLimiter) take(rate float64, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at.IsZero() {
+		c.tokens = 1
+	} else {
+		c.tokens = min(1, c.tokens+rate*now.Sub(c.at).Seconds())
+	}
+	c.at = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/route/placement/placement.go
@@ -0,0 +1,260 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/route/queue"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+)
+
+const (
+	// sampled bounds the upstreams that one choice looks at, so that its cost does not grow with the fleet.
+	sampled = 48
+	// otherRegion is the number of running requests that the way to another region is worth.
+	otherRegion = 1.5
+	otherDomain = 0.5
+	// jitter keeps entry processes with the same knowledge from choosing the same upstream.
+	jitter = 0.7
+	// switchLimit is the time after a version is named from which upstreams with an older one get nothing.
+	// The rest of the bound is for requests on their way.
+	switchMargin = 1200 * time.Millisecond
+	// maxWaiting bounds the requests that wait for one service at one priority.
+	maxWaiting = 256
+	// plainSlots is the limit of running requests where the list names none.
+	plainSlots = 8
+)
+
+// Options are what a placement works with.
+type Options struct {
+	Directory *directory.Directory
+	Domain    string
+	Region    string
+	// SwitchBound is the time within which a named version replaces older ones everywhere.
+	SwitchBound time.Duration
+	// Entries returns the number of live entry processes.
+	Entries func() int
+}
+
+// Placement keeps the load of all upstreams.
+type Placement struct {
+	options Options
+	loads   atomic.Pointer[map[directory.Key]*Load]
+
+	mu      sync.Mutex
+	queues  map[queueKey]*queue.Queue
+	room    map[string]chan struct{}
+	waiting map[string]int
+}
+
+// queueKey tells apart the requests that do not wait for each other's upstreams.
+type queueKey struct {
+	service  string
+	priority int
+	regions  string
+}
+
+// Need is what a request wants of an upstream.
+type Need struct {
+	Service  string
+	Account  string
+	Priority int
+	// Regions are those that the route and the account allow; an empty list allows all.
+	Regions [][]string
+	// Tried are the upstreams that are not to be chosen again.
+	Tried []directory.Key
+}
+
+// Choice is an upstream with a place for one request, which must be released.
+type Choice struct {
+	Upstream *directory.Upstream
+	Load     *Load
+	// Version must answer, 0 for any.
+	Version uint64
+	// Running is the load at the choice, Candidates the number of upstreams that could run the request.
+	Running    int
+	Candidates int
+
+	placement *Placement
+	released  bool
+}
+
+// New returns a placement without upstreams.
+func New(o Options) *Placement {
+	p := &Placement{options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{}, waiting: map[string]int{}}
+	p.loads.Store(&map[directory.Key]*Load{})
+	return p
+}
+
+// Run keeps a load for each listed upstream until ctx ends.
+func (p *Placement) Run(ctx context.Context) {
+	for {
+		changed := p.options.Directory.Changed()
+		p.Refresh()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// Refresh takes over the upstreams of the current snapshot; it must not be called concurrently.
+func (p *Placement) Refresh() {
+	known := *p.loads.Load()
+	next := make(map[directory.Key]*Load, len(known))
+	s := p.options.Directory.Current()
+	for name, service := range s.Services() {
+		for _, u := range service.Upstreams {
+			l := known[u.Key()]
+			if l == nil {
+				l = &Load{}
+			}
+			next[u.Key()] = l
+		}
+		defer p.wake(name)
+	}
+	p.loads.Store(&next)
+}
+
+// Report takes in the report of the upstream at address.
+func (p *Placement) Report(address string, r hub.UpstreamReport) {
+	s := p.options.Directory.Current()
+	loads := *p.loads.Load()
+	for name, service := range s.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		for _, u := range service.Upstreams {
+			if u.Address != address || u.Born != r.Born {
+				continue
+			}
+			if l := loads[u.Key()]; l != nil {
+				l.Report(r)
+				p.wake(name)
+			}
+			return
+		}
+	}
+}
+
+// Waiting returns the number of requests that wait for a service.
+func (p *Placement) Waiting(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting[service]
+}
+
+// Choose returns the best upstream with room, or false.
+func (p *Placement) Choose(n *Need) (Choice, bool) {
+	service := p.options.Directory.Current().Service(n.Service)
+	if service == nil || len(service.Upstreams) == 0 {
+		return Choice{}, false
+	}
+	loads := *p.loads.Load()
+	now := time.Now()
+	version := p.requiredVersion(service, now)
+	best, bestScore, candidates := -1, 0.0, 0
+	first := rand.IntN(len(service.Upstreams))
+	for i := range min(sampled, len(service.Upstreams)) {
+		at := (first + i) % len(service.Upstreams)
+		u := service.Upstreams[at]
+		l := loads[u.Key()]
+		if l == nil || !p.usable(service, u, l, n, version) {
+			continue
+		}
+		candidates++
+		total := l.total()
+		if total >= p.limit(service, u) {
+			continue
+		}
+		if score := p.score(u, l, total); best < 0 || score < bestScore {
+			best, bestScore = at, score
+		}
+	}
+	if best < 0 {
+		return Choice{Candidates: candidates}, false
+	}
+	u := service.Upstreams[best]
+	l := loads[u.Key()]
+	if now.Before(u.ColdUntil) && service.ColdPerSecond > 0 && !l.cold.take(service.ColdPerSecond/float64(max(1, p.options.Entries())), now) {
+		return Choice{Candidates: candidates}, false
+	}
+	running := l.total()
+	l.running.Add(1)
+	return Choice{Upstream: u, Load: l, Version: version, Running: running, Candidates: candidates, placement: p}, true
+}
+
+// Release gives the place back.
+func (c *Choice) Release() {
+	if c.released || c.placement == nil {
+		return
+	}
+	c.released = true
+	c.Load.running.Add(-1)
+	c.placement.wake(c.Upstream.Service)
+}
+
+// requiredVersion returns the version that must answer now, 0 while older ones still may.
+func (p *Placement) requiredVersion(s *directory.Service, now time.Time) uint64 {
+	if s.Engine == nil || s.Target.Since.IsZero() || now.Sub(s.Target.Since) < p.options.SwitchBound-switchMargin {
+		return 0
+	}
+	return s.Target.Version
+}
+
+// usable reports whether a request may be sent to an upstream by all that is known here.
+func (p *Placement) usable(s *directory.Service, u *directory.Upstream, l *Load, n *Need, version uint64) bool {
+	snapshot := p.options.Directory.Current()
+	if u.Leaving || snapshot.Evacuated[u.Domain] || slices.Contains(n.Tried, u.Key()) {
+		return false
+	}
+	for _, regions := range n.Regions {
+		if len(regions) > 0 && !slices.Contains(regions, u.Region) {
+			return false
+		}
+	}
+	if s.Engine == nil {
+		return true
+	}
+	held := l.held(u)
+	return held != 0 && held >= version && !l.loading()
+}
+
+// limit returns the number of requests that an upstream is given at the same time.
+func (p *Placement) limit(s *directory.Service, u *directory.Upstream) int {
+	if s.Engine != nil {
+		return s.Engine.Slots
+	}
+	if u.Slots > 0 {
+		return u.Slots
+	}
+	return plainSlots
+}
+
+// score is lower for better upstreams: its unit is one running request.
+func (p *Placement) score(u *directory.Upstream, l *Load, total int) float64 {
+	score := float64(total)
+	if r := l.fresh(); r != nil && r.Pace > 1 {
+		score = (score + 1) * r.Pace
+	}
+	switch {
+	case u.Domain == p.options.Domain:
+	case u.Region == p.options.Region:
+		score += otherDomain
+	default:
+		score += otherRegion
+	}
+	if l.avoided() {
+		score += avoidedPenalty
+	}
+	return score + jitter*rand.Float64()
+}
+
+// avoidedPenalty makes an upstream that just failed or refused the last to be chosen.
+const avoidedPenalty = 1000
--- /dev/null
+++ b/internal/route/placement/wait.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/queue"
+)
+
+var (
+	// ErrNoRoom reports that no upstream had room in time.
+	ErrNoRoom = errors.New("no upstream has room")
+	// ErrNoUpstream reports that no upstream may run the request.
+	ErrNoUpstream = errors.New("no upstream may run the request")
+)
+
+// recheckInterval is the longest time between two looks for room: what a pause or a cold limit held back
+// comes free without a notice.
+const recheckInterval = 25 * time.Millisecond
+
+// Acquire returns an upstream with room, waiting up to patience for one in the order of priorities and accounts.
+func (p *Placement) Acquire(ctx context.Context, n *Need, patience time.Duration) (Choice, error) {
+	q := p.queue(n)
+	c, ok := Choice{}, false
+	if q.Empty() && !p.moreUrgentWaits(n) {
+		if c, ok = p.Choose(n); ok {
+			return c, nil
+		}
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, patience, ErrNoRoom)
+	defer cancel()
+	ticket, err := q.Enter(n.Account, 1)
+	if err != nil {
+		return Choice{}, fmt.Errorf("%w: %w", ErrNoRoom, err)
+	}
+	p.count(n.Service, 1)
+	defer p.count(n.Service, -1)
+	c, err = p.wait(ctx, n, ticket)
+	if err != nil {
+		q.Leave(ticket)
+		return c, err
+	}
+	q.Served(ticket)
+	return c, nil
+}
+
+func (p *Placement) wait(ctx context.Context, n *Need, ticket *queue.Ticket) (Choice, error) {
+	select {
+	case <-ticket.Head():
+	case <-ticket.Evicted():
+		return Choice{}, fmt.Errorf("%w: place given up to another account", ErrNoRoom)
+	case <-ctx.Done():
+		return p.gaveUp(ctx, n)
+	}
+	timer := time.NewTimer(recheckInterval)
+	defer timer.Stop()
+	for {
+		room := p.roomOf(n.Service)
+		if !p.moreUrgentWaits(n) {
+			if c, ok := p.Choose(n); ok {
+				return c, nil
+			}
+		}
+		timer.Reset(recheckInterval)
+		select {
+		case <-room:
+		case <-timer.C:
+		case <-ticket.Evicted():
+			return Choice{}, fmt.Errorf("%w: place given up to another account", ErrNoRoom)
+		case <-ctx.Done():
+			return p.gaveUp(ctx, n)
+		}
+	}
+}
+
+// gaveUp tells whether there was an upstream at all.
+func (p *Placement) gaveUp(ctx context.Context, n *Need) (Choice, error) {
+	if cause := context.Cause(ctx); !errors.Is(cause, ErrNoRoom) {
+		return Choice{}, cause
+	}
+	c, ok := p.Choose(n)
+	switch {
+	case ok:
+		return c, nil
+	case c.Candidates == 0:
+		return c, ErrNoUpstream
+	default:
+		return c, ErrNoRoom
+	}
+}
+
+func (p *Placement) queue(n *Need) *queue.Queue {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := queueKey{service: n.Service, priority: n.Priority, regions: fmt.Sprint(n.Regions)}
+	q := p.queues[key]
+	if q == nil {
+		q = queue.New(maxWaiting)
+		p.queues[key] = q
+	}
+	return q
+}
+
+// moreUrgentWaits reports whether a request of a better rank waits for the same service.
+func (p *Placement) moreUrgentWaits(n *Need) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, q := range p.queues {
+		if key.service == n.Service && key.priority < n.Priority && !q.Empty() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placement) count(service string, by int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[service] += by
+}
+
+// roomOf returns a channel that is closed when an upstream of a service may have room.
+func (p *Placement) roomOf(service string) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ch := p.room[service]
+	if ch == nil {
+		ch = make(chan struct{})
+		p.room[service] = ch
+	}
+	return ch
+}
+
+func (p *Placement) wake(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ch := p.room[service]; ch != nil {
+		close(ch)
+		delete(p.room, service)
+	}
+}
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,7 +35,9 @@
 	Interval time.Duration
 	// Seeds are addresses that are asked at the start and now and then.
 	Seeds []string
-	Log   *log.Logger
+	// MoreSeeds returns further such addresses as they are known now; it may be nil.
+	MoreSeeds func() []string
+	Log       *log.Logger
 }
 
 // Client exchanges with neighbours: at an interval, and at once when a document changes.
@@ -71,7 +74,7 @@
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		renewed := c.options.Catalog.Renewed()
-		c.round(ctx)
+		c.Round(ctx)
 		c.pause(ctx, renewed)
 	}
 }
@@ -87,8 +90,8 @@
 	}
 }
 
-// round exchanges once with each neighbour, all at the same time.
-func (c *Client) round(ctx context.Context) {
+// Round exchanges once with each neighbour, all at the same time.
+func (c *Client) Round(ctx context.Context) {
 	var running sync.WaitGroup
 	neighbours, selfAddress := c.neighbours()
 	for _, n := range neighbours {
@@ -127,11 +130,18 @@
 func (c *Client) seed(neighbours int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.options.Seeds) == 0 || neighbours > 0 && time.Since(c.seededAt) < seedInterval {
+	if neighbours > 0 && time.Since(c.seededAt) < seedInterval {
+		return ""
+	}
+	seeds := c.options.Seeds
+	if c.options.MoreSeeds != nil {
+		seeds = append(slices.Clone(seeds), c.options.MoreSeeds()...)
+	}
+	if len(seeds) == 0 {
 		return ""
 	}
 	c.seededAt = time.Now()
-	return c.options.Seeds[rand.IntN(len(c.options.Seeds))]
+	return seeds[rand.IntN(len(seeds))]
 }
 
 // suspect records that a neighbour has not answered for a while.
--- /dev/null
+++ b/internal/state/mirror/snapshot.go
@@ -0,0 +1,95 @@
+package mirror
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+)
+
+// Names of the documents that a mirror keeps.
+const (
+	DocumentConfiguration = "Configuration"
+	DocumentDirectives    = "Directives"
+	DocumentUpstreams     = "Upstreams"
+)
+
+// Entry is one key in a document that holds several.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
+// Decode returns the entries of a document.
+func Decode(value []byte) ([]Entry, error) {
+	var out []Entry
+	if len(value) == 0 {
+		return nil, nil
+	}
+	if err := json.Unmarshal(value, &out); err != nil {
+		return nil, fmt.Errorf("document of entries: %w", err)
+	}
+	return out, nil
+}
+
+// keys is what is known below a prefix at a revision of the store.
+type keys struct {
+	items map[string]hub.Item
+	at    uint64
+}
+
+// replace takes in a full read.
+func (k *keys) replace(l hub.Listing) {
+	k.items = make(map[string]hub.Item, len(l.Items))
+	k.at = l.Revision
+	for _, i := range l.Items {
+		k.items[i.Key] = i
+	}
+}
+
+// apply takes in changes.
+func (k *keys) apply(l hub.Listing) {
+	for _, i := range l.Items {
+		if known, ok := k.items[i.Key]; ok && known.Revision > i.Revision {
+			continue
+		}
+		if i.Deleted {
+			delete(k.items, i.Key)
+			continue
+		}
+		k.items[i.Key] = i
+	}
+	k.at = max(k.at, l.Revision)
+}
+
+// encode returns the entries that want accepts in the order of their keys.
+func (k *keys) encode(want func(key string) bool) ([]byte, error) {
+	out := []Entry{}
+	for _, i := range k.items {
+		if want(i.Key) {
+			out = append(out, Entry{Key: i.Key, Value: i.Value, Revision: i.Revision})
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
+	data, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode document: %w", err)
+	}
+	return data, nil
+}
+
+// adopt replaces the entries that own accepts by those of a document at a higher revision.
+func (k *keys) adopt(entries []Entry, revision uint64, own func(key string) bool) {
+	for key := range k.items {
+		if own(key) {
+			delete(k.items, key)
+		}
+	}
+	for _, e := range entries {
+		k.items[e.Key] = hub.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}
+	}
+	k.at = revision
+}
--- a/internal/weights/manifest/manifest.go
+++ b/internal/weights/manifest/manifest.go
@@ -14,6 +14,8 @@
 
 const (
 	digestPrefix = "sha256:"
+	// listPrefix marks a root that is made from the chunks' digests and not from the content.
+	listPrefix = "sha256-list:"
 	// MinChunkBytes and MaxChunkBytes bound the chunk size of a manifest.
 	MinChunkBytes = 4 << 10
 	// MaxChunkBytes is the largest allowed chunk.
@@ -85,6 +87,26 @@
 	return m, m.Check()
 }
 
+// FromChunks returns the manifest of content whose chunks are all of one length and whose publisher gives
+// only the chunks' digests, in hex; its root is made from their list.
+func FromChunks(version string, chunkBytes int, digests []string) Manifest {
+	m := Manifest{Version: version, ChunkBytes: chunkBytes, Size: int64(chunkBytes) * int64(len(digests))}
+	for _, d := range digests {
+		m.Chunks = append(m.Chunks, digestPrefix+strings.ToLower(d))
+	}
+	m.Root = listRoot(m.Chunks)
+	return m
+}
+
+// RootOfList reports whether the root is made from the chunks' digests: content whose every chunk has its
+// digest then has the root as well.
+func (m *Manifest) RootOfList() bool { return strings.HasPrefix(m.Root, listPrefix) }
+
+func listRoot(chunks []string) string {
+	sum := sha256.Sum256([]byte(strings.Join(chunks, "\n")))
+	return listPrefix + hex.EncodeToString(sum[:])
+}
+
 // Encode returns the manifest as JSON, the form whose digest is pinned.
 func (m *Manifest) Encode() ([]byte, error) {
 	data, err := json.Marshal(m)
@@ -117,7 +139,9 @@
 		return fmt.Errorf("manifest of %q: %d chunks: %w", m.Version, len(m.Chunks), hub.ErrCorrupt)
 	case int64(len(m.Chunks)) != (m.Size+int64(m.ChunkBytes)-1)/int64(m.ChunkBytes):
 		return fmt.Errorf("manifest of %q: %d chunks for %d bytes: %w", m.Version, len(m.Chunks), m.Size, hub.ErrCorrupt)
-	case !strings.HasPrefix(m.Root, digestPrefix):
+	case m.RootOfList() && m.Root != listRoot(m.Chunks):
+		return fmt.Errorf("manifest of %q: root %q does not match its chunks: %w", m.Version, m.Root, hub.ErrCorrupt)
+	case !m.RootOfList() && !strings.HasPrefix(m.Root, digestPrefix):
 		return fmt.Errorf("manifest of %q: root %q: %w", m.Version, m.Root, hub.ErrCorrupt)
 	}
 	return nil
--- a/internal/weights/replica/replica.go
+++ b/internal/weights/replica/replica.go
@@ -101,7 +101,7 @@
 		}
 		h.Write(chunk)
 	}
-	if have := manifest.FormatDigest(h); have != r.Manifest.Root {
+	if have := manifest.FormatDigest(h); have != r.Manifest.Root && !r.Manifest.RootOfList() {
 		r.clear()
 		return fmt.Errorf("content of %s: want %s, have %s: %w", r.Manifest.Version, r.Manifest.Root, have, hub.ErrCorrupt)
 	}
--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -61,9 +61,17 @@
 		return nil, err
 	}
 	started(held)
+	if err := f.Complete(ctx, pin, held); err != nil {
+		return nil, err
+	}
+	return held, nil
+}
+
+// Complete fetches the chunks that a replica lacks until its content is whole and checked, or ctx ends.
+func (f *Fetcher) Complete(ctx context.Context, pin hub.Pin, held *replica.Replica) error {
 	for !held.Sealed() {
 		if err := newSession(f, pin, held).run(ctx); err != nil {
-			return nil, err
+			return err
 		}
 		err := held.Seal()
 		if err == nil {
@@ -71,10 +79,10 @@
 		}
 		f.options.Log.Error().Str("Version", pin.Version).Err(err).Msg("content dropped")
 		if !errors.Is(err, hub.ErrCorrupt) {
-			return nil, err
+			return err
 		}
 	}
-	return held, nil
+	return nil
 }
 
 // manifest finds the pinned manifest: from a peer, and from the sources where no peer has it.
--- /dev/null
+++ b/internal/wire/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket opens TCP connections that notice a silent other end.
+package socket
