state/directory, upstream/stager: judge each named version by its own time

Change: the target remembers what was named and when; placement excludes what is due; the stager keeps a nearly done fetch beside the new one and spreads its waves over the time that is left.

--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -65,8 +65,6 @@
 	Remaining time.Duration
 	// LastEvent resumes a stream after that event.
 	LastEvent string
-	// Version is the model version that must answer, 0 for any.
-	Version uint64
 	// Priority is the rank at the upstream, 0 first, or -1 for the usual one.
 	Priority int
 }
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -195,7 +195,7 @@
 }
 
 func (x *exchange) call(c *placement.Choice, remaining time.Duration) *channel.Call {
-	a := hub.Attempt{Instance: c.Upstream.Id, Remaining: remaining, Version: c.Version, Priority: -1}
+	a := hub.Attempt{Instance: c.Upstream.Id, Remaining: remaining, Priority: -1}
 	if x.account != nil {
 		a.Account = x.account.Name
 	}
@@ -338,7 +338,7 @@
 
 func (x *exchange) logChoice(c *placement.Choice, remaining time.Duration) {
 	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Str("Address", c.Upstream.Address).
-		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Version", c.Version).
+		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Held", c.Held).
 		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", x.sent).Dur("Waited", time.Since(x.started)).Dur("Left", remaining).
 		Msg("upstream chosen")
 }
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -21,9 +21,9 @@
 	otherDomain = 0.5
 	// jitter keeps entry processes with the same knowledge from choosing the same upstream.
 	jitter = 0.7
-	// switchLimit is the time after a version is named from which upstreams with an older one get nothing.
-	// The rest of the bound is for requests on their way.
-	switchMargin = 1200 * time.Millisecond
+	// switchMargin is how long before the bound upstreams with an older version get nothing any more, for
+	// requests on their way and for the time in which news of the version came here.
+	switchMargin = 700 * time.Millisecond
 	// maxWaiting bounds the requests that wait for one service at one priority.
 	maxWaiting = 256
 	// plainSlots is the limit of running requests where the list names none.
@@ -74,8 +74,8 @@
 type Choice struct {
 	Upstream *directory.Upstream
 	Load     *Load
-	// Version must answer, 0 for any.
-	Version uint64
+	// Held is the version that the upstream is believed to hold, 0 for plain services.
+	Held uint64
 	// Running is the load at the choice, Candidates the number of upstreams that could run the request.
 	Running    int
 	Candidates int
@@ -158,14 +158,14 @@
 	}
 	loads := *p.loads.Load()
 	now := time.Now()
-	version := p.requiredVersion(service, now)
+	oldest := p.oldestVersion(service, now)
 	best, bestScore, candidates := -1, 0.0, 0
 	first := rand.IntN(len(service.Upstreams))
 	for i := range min(sampled, len(service.Upstreams)) {
 		at := (first + i) % len(service.Upstreams)
 		u := service.Upstreams[at]
 		l := loads[u.Key()]
-		if l == nil || !p.usable(service, u, l, n, version) {
+		if l == nil || !p.usable(service, u, l, n, oldest) {
 			continue
 		}
 		candidates++
@@ -187,7 +187,7 @@
 	}
 	running := l.total()
 	l.running.Add(1)
-	return Choice{Upstream: u, Load: l, Version: version, Running: running, Candidates: candidates, placement: p}, true
+	return Choice{Upstream: u, Load: l, Held: l.held(u), Running: running, Candidates: candidates, placement: p}, true
 }
 
 // Release gives the place back.
@@ -200,16 +200,16 @@
 	c.placement.wake(c.Upstream.Service)
 }
 
-// requiredVersion returns the version that must answer now, 0 while older ones still may.
-func (p *Placement) requiredVersion(s *directory.Service, now time.Time) uint64 {
-	if s.Engine == nil || s.Target.Since.IsZero() || now.Sub(s.Target.Since) < p.options.SwitchBound-switchMargin {
+// oldestVersion returns the oldest version that may answer now, 0 for any.
+func (p *Placement) oldestVersion(s *directory.Service, now time.Time) uint64 {
+	if s.Engine == nil {
 		return 0
 	}
-	return s.Target.Version
+	return s.Target.Due(now, p.options.SwitchBound-switchMargin)
 }
 
 // usable reports whether a request may be sent to an upstream by all that is known here.
-func (p *Placement) usable(s *directory.Service, u *directory.Upstream, l *Load, n *Need, version uint64) bool {
+func (p *Placement) usable(s *directory.Service, u *directory.Upstream, l *Load, n *Need, oldest uint64) bool {
 	snapshot := p.options.Directory.Current()
 	if u.Leaving || snapshot.Evacuated[u.Domain] || slices.Contains(n.Tried, u.Key()) {
 		return false
@@ -223,7 +223,7 @@
 		return true
 	}
 	held := l.held(u)
-	return held != 0 && held >= version && !l.loading()
+	return held != 0 && held >= oldest && !l.loading()
 }
 
 // limit returns the number of requests that an upstream is given at the same time.
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -151,7 +151,7 @@
 			targets[t.Model] = known
 			continue
 		}
-		targets[t.Model] = Target{Version: t.Version, Since: time.Now()}
+		targets[t.Model] = known.with(t.Version, time.Now())
 		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", doc.Revision).Msg("version named")
 	}
 	d.targets = targets
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -51,13 +51,48 @@
 	Born int64
 }
 
-// Target is a version that upstreams are to hold.
+// Target is the version that upstreams are to hold, with the earlier ones whose time may not be over yet.
 type Target struct {
 	Version uint64
-	// Since is when this process learned of it.
-	Since time.Time
+	// Named are the versions that the operator has named, the newest last.
+	Named []Named
 }
 
+// Named is a version with the time at which this process learned of it.
+type Named struct {
+	Version uint64
+	Since   time.Time
+}
+
+// Due returns the newest version that was named longer than bound ago, 0 for none: older ones must not answer.
+func (t *Target) Due(now time.Time, bound time.Duration) uint64 {
+	for i := len(t.Named) - 1; i >= 0; i-- {
+		if now.Sub(t.Named[i].Since) >= bound {
+			return t.Named[i].Version
+		}
+	}
+	return 0
+}
+
+// After returns the oldest version that was named after held, with the time at which that became known.
+func (t *Target) After(held uint64) (Named, bool) {
+	for _, n := range t.Named {
+		if n.Version > held {
+			return n, true
+		}
+	}
+	return Named{}, false
+}
+
+// with returns the target once another version is named; only the last few are remembered.
+func (t Target) with(version uint64, now time.Time) Target {
+	named := append(slices.Clone(t.Named), Named{Version: version, Since: now})
+	return Target{Version: version, Named: named[max(0, len(named)-keptVersions):]}
+}
+
+// keptVersions is the number of named versions that are remembered.
+const keptVersions = 8
+
 // Ready reports whether enough is known to serve requests.
 func (s *Snapshot) Ready() bool { return s.Configuration != nil && s.UpstreamsRevision != 0 }
 
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -17,8 +16,6 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
-	"github.com/oriolehub/oriolehub/internal/weights/topology"
-	"github.com/oriolehub/oriolehub/internal/weights/transfer"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
 
@@ -29,11 +26,16 @@
 	orderGrace = 400 * time.Millisecond
 	// waves is the number of groups that take a new version one after the other.
 	waves = 3
-	// firstWave and waveStep are parts of the switch bound: when the first wave may load, and the pause to the next.
-	firstWave = 0.45
-	waveStep  = 0.12
-	// stagedProbe is the number of staged chunks of another version after which the rest is not looked at.
-	stagedProbe = 3
+	// waveStep is the longest pause between two waves, as a part of the switch bound.
+	waveStep = 0.1
+	// loadTime is the part of the switch bound in which an engine finishes what it runs and takes new weights.
+	loadTime = 0.36
+	// lastChance is the part of the switch bound after which a version is loaded although a newer one is named
+	// but not held yet.
+	lastChance = 0.6
+	// nearlyFetched is the part of a version's chunks from which its fetch goes on beside that of a newer one:
+	// the newer one may take long, if the origin fails meanwhile.
+	nearlyFetched = 0.5
 )
 
 // Options are what a stager works with.
@@ -64,10 +66,7 @@
 	report atomic.Pointer[hub.UpstreamReport]
 
 	mu      sync.Mutex
-	replica *replica.Replica
-	// wanted is the version being fetched or held, cancel ends its fetch.
-	wanted uint64
-	cancel context.CancelFunc
+	fetches map[uint64]*fetch
 
 	orderedAt time.Time
 	down      bool
@@ -75,7 +74,7 @@
 
 // New returns a stager.
 func New(o Options) *Stager {
-	return &Stager{options: o, machine: fsm.NewFSM(StateIdle, transitions, nil)}
+	return &Stager{options: o, fetches: map[uint64]*fetch{}, machine: fsm.NewFSM(StateIdle, transitions, nil)}
 }
 
 // Serving returns the version that the engine answers from, and whether the engine has reported at all.
@@ -138,9 +137,12 @@
 
 // pursue brings the engine closer to the target.
 func (s *Stager) pursue(ctx context.Context, service *directory.Service, report hub.UpstreamReport) {
-	target := service.Target
-	s.want(ctx, service)
-	if report.Held >= target.Version && whole(service, report) {
+	held := report.Held
+	if !whole(service, report) {
+		held = 0
+	}
+	s.want(ctx, service, held)
+	if held >= service.Target.Version {
 		s.fire(EventServe)
 		return
 	}
@@ -150,8 +152,8 @@
 	if s.machine.Current() == StateIdle {
 		s.fire(EventFetch)
 	}
-	held := s.held(target.Version)
-	if held == nil {
+	best := s.newest(held)
+	if best == nil {
 		return
 	}
 	s.fire(EventHeld)
@@ -161,10 +163,9 @@
 	if s.machine.Current() == StateLoading {
 		s.fire(EventFailed)
 	}
-	if report.Held != 0 && !s.turn(target) {
-		return
+	if held == 0 || s.turn(service.Target, held, best) {
+		s.order(ctx, service, best, report)
 	}
-	s.order(ctx, service, held, report)
 }
 
 // whole reports whether every layer is held.
@@ -172,21 +173,32 @@
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
 }
 
-// turn reports whether this engine may leave service for the load: engines go in waves, so that enough of them
-// serve meanwhile, and the last wave leaves time for the requests in progress.
-func (s *Stager) turn(target directory.Target) bool {
-	rank, total := s.place("turn/" + strconv.FormatUint(target.Version, 10))
+// turn reports whether this engine may leave service for the load of what was fetched. Engines go in waves, so
+// that enough of them serve meanwhile, and the last wave leaves time for the requests in progress.
+func (s *Stager) turn(target directory.Target, held uint64, best *fetch) bool {
+	oldest, ok := target.After(held)
+	if !ok {
+		return true
+	}
+	bound := s.options.SwitchBound
+	if best.version < target.Version && time.Since(oldest.Since) < part(bound, lastChance) {
+		return false
+	}
+	rank, total := s.place("turn/" + strconv.FormatUint(best.version, 10))
 	wave := rank * waves / max(1, total)
-	after := time.Duration((firstWave + waveStep*float64(wave)) * float64(s.options.SwitchBound))
-	return time.Since(target.Since) >= after
+	last := oldest.Since.Add(bound - part(bound, loadTime))
+	step := min(part(bound, waveStep), last.Sub(best.heldAt)/(waves-1))
+	return time.Since(best.heldAt) >= time.Duration(wave)*max(0, step)
 }
 
+func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
 // order stages the chunks anew, for staged ones may rot, and orders the load.
-func (s *Stager) order(ctx context.Context, service *directory.Service, r *replica.Replica, report hub.UpstreamReport) {
+func (s *Stager) order(ctx context.Context, service *directory.Service, f *fetch, report hub.UpstreamReport) {
 	model := service.Engine.Model
 	began := time.Now()
-	for i := range r.Manifest.Chunks {
-		chunk, err := r.Chunk(i)
+	for i := range f.replica.Manifest.Chunks {
+		chunk, err := f.replica.Chunk(i)
 		if err == nil {
 			err = s.options.Engine.Stage(ctx, model, i, chunk)
 		}
@@ -197,128 +209,19 @@
 	}
 	s.orderedAt = time.Now()
 	s.fire(EventOrder)
-	err := s.options.Engine.Load(ctx, hub.LoadOrder{Model: model, Version: service.Target.Version, Orders: report.Orders})
+	err := s.options.Engine.Load(ctx, hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders})
 	line := s.options.Log.Info()
 	if err != nil {
 		line = s.options.Log.Warn().Err(err)
 	}
-	line.Str("Model", model).Uint64("Version", service.Target.Version).Uint64("Before", report.Held).Int64("Born", report.Born).
-		Uint64("Orders", report.Orders).Dur("Staging", s.orderedAt.Sub(began)).Dur("SinceNamed", time.Since(service.Target.Since)).Msg("load ordered")
+	line.Str("Model", model).Uint64("Version", f.version).Uint64("Before", report.Held).Int64("Born", report.Born).
+		Uint64("Orders", report.Orders).Dur("Staging", s.orderedAt.Sub(began)).Dur("SinceHeld", time.Since(f.heldAt)).Msg("load ordered")
 	if errors.Is(err, hub.ErrConflict) {
 		s.orderedAt = time.Time{}
 		s.fire(EventFailed)
 	}
 }
 
-// want begins the fetch of the target unless it is under way.
-func (s *Stager) want(ctx context.Context, service *directory.Service) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	version := service.Target.Version
-	if s.wanted == version || s.options.Directory.Current().Origin() == nil {
-		return
-	}
-	if s.cancel != nil {
-		s.cancel()
-	}
-	s.fire(EventReset)
-	s.wanted, s.replica = version, nil
-	ctx, s.cancel = context.WithCancel(ctx)
-	go s.fetch(ctx, service)
-}
-
-// held returns the checked content of a version, or nil while it is incomplete.
-func (s *Stager) held(version uint64) *replica.Replica {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.replica == nil || s.wanted != version || !s.replica.Sealed() {
-		return nil
-	}
-	return s.replica
-}
-
-// fetch brings the content of the service's target into memory.
-func (s *Stager) fetch(ctx context.Context, service *directory.Service) {
-	version := service.Target.Version
-	began := time.Now()
-	err := s.fetchOnce(ctx, service)
-	switch {
-	case ctx.Err() != nil:
-		s.options.Log.Info().Uint64("Version", version).Msg("fetch given up for a newer version")
-	case err != nil:
-		s.options.Log.Error().Uint64("Version", version).Err(err).Msg("fetch failed")
-		s.mu.Lock()
-		if s.wanted == version {
-			s.wanted = 0
-		}
-		s.mu.Unlock()
-	default:
-		s.options.Log.Info().Uint64("Version", version).Dur("Took", time.Since(began)).Dur("SinceNamed", time.Since(service.Target.Since)).Msg("weights held and checked")
-	}
-}
-
-func (s *Stager) fetchOnce(ctx context.Context, service *directory.Service) error {
-	model, version := service.Engine.Model, service.Target.Version
-	encoded, m, err := s.manifest(ctx, model, version)
-	if err != nil {
-		return err
-	}
-	if len(m.Chunks) != service.Engine.Chunks {
-		return fmt.Errorf("manifest has %d chunks, the desired state says %d: %w", len(m.Chunks), service.Engine.Chunks, hub.ErrCorrupt)
-	}
-	r, err := s.options.Shelf.Open(m, encoded, "")
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.replica = r
-	s.mu.Unlock()
-	s.takeStaged(ctx, model, r)
-	fetcher := transfer.NewFetcher(transfer.Options{
-		Self:                 s.options.Self,
-		Link:                 s.options.Link,
-		Shelf:                s.options.Shelf,
-		Pacer:                s.options.Pacer,
-		Sources:              []hub.WeightSource{s.source()},
-		Topology:             topology.Swarm{},
-		OriginBytesPerSecond: s.options.Directory.Current().Origin().BytesPerSecond,
-		Participants:         s.participants,
-		Log:                  s.options.Log,
-	})
-	pin := hub.Pin{Version: m.Version, Root: m.Root, Size: m.Size}
-	return fetcher.Complete(ctx, pin, r)
-}
-
-// takeStaged takes over what is staged beside the engine and has the right digests: it outlives this process.
-func (s *Stager) takeStaged(ctx context.Context, model string, r *replica.Replica) {
-	taken, foreign := 0, 0
-	for i := range r.Manifest.Chunks {
-		data, err := s.options.Engine.Staged(ctx, model, i)
-		if err == nil {
-			_, err = r.Put(i, data)
-		}
-		switch {
-		case err == nil:
-			taken++
-		case taken == 0 && foreign >= stagedProbe:
-			return
-		default:
-			foreign++
-		}
-	}
-	s.options.Log.Info().Int("Taken", taken).Int("Others", foreign).Str("Version", r.Manifest.Version).Msg("staged chunks taken over")
-}
-
-// source returns the origin of the service's weights, or nil.
-func (s *Stager) source() hub.WeightSource {
-	snapshot := s.options.Directory.Current()
-	service, origin := snapshot.Service(s.options.Service), snapshot.Origin()
-	if service == nil || service.Engine == nil || origin == nil {
-		return nil
-	}
-	return s.options.NewSource(origin, service.Engine)
-}
-
 // fire moves the state machine; an event that does not fit the state changes nothing.
 func (s *Stager) fire(event string) {
 	before := s.machine.Current()
