--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -44,6 +44,7 @@
 			return nil
 		}
 		if err != nil {
+			_ = x.flush()
 			err = fmt.Errorf("%w: %w", channel.ErrBroken, errorOf(ctx, err))
 			x.upstreamFailed(c, err)
 			return err
@@ -54,7 +55,7 @@
 			return err
 		}
 		if !events.Buffered() {
-			if err := http.NewResponseController(x.w).Flush(); err != nil {
+			if err := x.flush(); err != nil {
 				return fmt.Errorf("%w: %w", errGone, err)
 			}
 		}
@@ -62,6 +63,14 @@
 	}
 }
 
+// flush sends what was written to the caller.
+func (x *exchange) flush() error {
+	if x.relay == nil {
+		return nil
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
 // passEvent writes one event to the caller.
 func (x *exchange) passEvent(e stream.Event, answer *channel.Answer) error {
 	if x.relay == nil {
--- /dev/null
+++ b/internal/state/directory/directory_test.go
@@ -0,0 +1,175 @@
+package directory_test
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+	"github.com/oriolehub/oriolehub/internal/state/mirror"
+)
+
+// decoder reads values that are the product's types as JSON.
+type decoder struct{}
+
+var errBad = errors.New("bad value")
+
+func (decoder) Prefixes() (string, string)       { return "up/", "op/" }
+func (decoder) IsConfiguration(key string) bool { return key == "op/configuration" }
+
+func (decoder) Configuration(value []byte) (*hub.Configuration, error) {
+	var c hub.Configuration
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, errBad
+	}
+	return &c, nil
+}
+
+func (decoder) Instance(_ string, value []byte) (hub.Instance, error) {
+	var i hub.Instance
+	if err := json.Unmarshal(value, &i); err != nil {
+		return i, errBad
+	}
+	return i, nil
+}
+
+func (decoder) Directive(key string, value []byte, d *hub.Directives) error {
+	if domain, ok := strings.CutPrefix(key, "op/out/"); ok {
+		d.Evacuated = append(d.Evacuated, domain)
+		return nil
+	}
+	var t hub.ModelTarget
+	if err := json.Unmarshal(value, &t); err != nil {
+		return errBad
+	}
+	d.Targets = append(d.Targets, t)
+	return nil
+}
+
+type fixture struct {
+	t         *testing.T
+	catalog   *catalog.Catalog
+	directory *directory.Directory
+}
+
+func withTestDirectory(t *testing.T) *fixture {
+	c := catalog.New(1)
+	d := directory.New(directory.Options{
+		Catalog: c, Decoder: decoder{}, Regions: map[string]string{"a": "north"}, Log: journal.Discard().Logger(journal.State),
+	})
+	return &fixture{t: t, catalog: c, directory: d}
+}
+
+// put publishes a document and rebuilds; a value that is not bytes is encoded as JSON.
+func (f *fixture) put(name string, revision uint64, value any) {
+	f.t.Helper()
+	data, ok := value.([]byte)
+	if !ok {
+		var err error
+		data, err = json.Marshal(value)
+		assert.NilError(f.t, err)
+	}
+	f.catalog.PutDocument(hub.Document{Name: name, Revision: revision, Value: data})
+	f.directory.Rebuild()
+}
+
+func encoded(t *testing.T, v any) []byte {
+	data, err := json.Marshal(v)
+	assert.NilError(t, err)
+	return data
+}
+
+func (f *fixture) configure(revision, version uint64) {
+	f.put(mirror.DocumentConfiguration, revision, hub.Configuration{
+		Version:  version,
+		Services: []hub.Service{{Name: "engine", Engine: &hub.EngineModel{Model: "m"}}},
+		Routes: []hub.Route{
+			{Name: "short", Host: "Example.test", PathPrefix: "/a/", Targets: []hub.Target{{Service: "engine", Weight: 1}}},
+			{Name: "long", Host: "example.test", PathPrefix: "/a/b/", Targets: []hub.Target{{Service: "engine", Weight: 1}}},
+		},
+		Accounts: []hub.Account{{Name: "one", Keys: []string{"k"}}},
+	})
+}
+
+func (f *fixture) target(revision, version uint64) {
+	f.put(mirror.DocumentDirectives, revision, []mirror.Entry{{Key: "op/target/m", Value: encoded(f.t, hub.ModelTarget{Model: "m", Version: version}), Revision: revision}})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	f := withTestDirectory(t)
+	f.configure(5, 1)
+	s := f.directory.Current()
+	assert.Equal(t, s.Route("example.TEST:80", "/a/b/c").Name, "long")
+	assert.Equal(t, s.Route("example.test", "/a/bc").Name, "short")
+	assert.Assert(t, s.Route("example.test", "/x/") == nil)
+	assert.Assert(t, s.Route("other.test", "/a/") == nil)
+	assert.Equal(t, s.Account("k").Name, "one")
+}
+
+func TestUnreadableStateLeavesTheLastInForce(t *testing.T) {
+	f := withTestDirectory(t)
+	f.configure(5, 1)
+	f.put(mirror.DocumentConfiguration, 6, []byte("{"))
+	assert.Equal(t, f.directory.Current().Configuration.Version, uint64(1))
+	f.configure(7, 3)
+	assert.Equal(t, f.directory.Current().Configuration.Version, uint64(3))
+}
+
+func TestUnreadableEntryNamesNoUpstream(t *testing.T) {
+	f := withTestDirectory(t)
+	f.configure(5, 1)
+	good := hub.Instance{Id: "i", Service: "engine", Domain: "a", Born: 4}
+	f.put(mirror.DocumentUpstreams, 6, []mirror.Entry{
+		{Key: "up/bad", Value: []byte("[]"), Revision: 6},
+		{Key: "up/i", Value: encoded(t, good), Revision: 5},
+	})
+	upstreams := f.directory.Current().Service("engine").Upstreams
+	assert.Equal(t, len(upstreams), 1)
+	assert.Equal(t, upstreams[0].Region, "north")
+}
+
+// A version is due by the time at which it was named itself, whatever was named after it.
+func TestEachVersionIsDueByItsOwnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestDirectory(t)
+		f.configure(1, 1)
+		f.target(2, 2)
+		time.Sleep(2 * time.Second)
+		f.target(3, 3)
+		target := f.directory.Current().Service("engine").Target
+		assert.Equal(t, target.Version, uint64(3))
+		assert.Equal(t, target.Due(time.Now(), 8*time.Second), uint64(0))
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, target.Due(time.Now(), 8*time.Second), uint64(2))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, target.Due(time.Now(), 8*time.Second), uint64(3))
+		oldest, ok := target.After(1)
+		assert.Assert(t, ok)
+		assert.Equal(t, oldest.Version, uint64(2))
+	})
+}
+
+func TestTargetNeverGoesBack(t *testing.T) {
+	f := withTestDirectory(t)
+	f.configure(1, 1)
+	f.target(2, 4)
+	f.target(3, 2)
+	assert.Equal(t, f.directory.Current().Service("engine").Target.Version, uint64(4))
+}
+
+func TestEvacuationIsTakenBack(t *testing.T) {
+	f := withTestDirectory(t)
+	f.configure(1, 1)
+	f.put(mirror.DocumentDirectives, 2, []mirror.Entry{{Key: "op/out/a", Value: []byte("{}"), Revision: 2}})
+	assert.Assert(t, f.directory.Current().Evacuated["a"])
+	f.put(mirror.DocumentDirectives, 3, []mirror.Entry{})
+	assert.Assert(t, !f.directory.Current().Evacuated["a"])
+}
