route/forward: let the deadline alone end what may not be repeated

Cause: the timer for slow answers raced the deadline at the same instant, so a timeout was told as 502 at times (test failed once: 502, want 504). Change: that timer never fires before the deadline of such a request.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -187,7 +187,8 @@
 
 // slowTimer cancels an attempt whose answer takes too long, if the request may be repeated.
 func (x *exchange) slowTimer(cancel context.CancelCauseFunc) *time.Timer {
-	limit := time.Until(x.deadline)
+	// What may not be repeated is ended by the deadline alone.
+	limit := time.Until(x.deadline) + time.Second
 	if x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts {
 		limit = min(limit, max(minPatience, slowFactor*x.route.Objective))
 	}
