route/placement: leave a wrong instance alone, divide allowances by all that may live, begin before a version is due

Change: a lifetime whose address answers for another is left until it reports again; the share is by all entry processes heard of, at least two a seed; an attempt that has not begun when the version is due ends.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -55,7 +55,7 @@
 		Domain:      s.Domain,
 		Region:      s.Region,
 		SwitchBound: s.Bounds.Switch.Std(),
-		Entries:     func() int { return len(e.entries()) },
+		Entries:     e.sharers,
 	})
 	if err := e.listen(nil, e.record, e.serving); err != nil {
 		return nil, err
@@ -113,7 +113,7 @@
 			Ratio:  s.Bounds.RepeatRatio,
 			Slack:  s.Bounds.RepeatSlack,
 			Window: s.Bounds.RepeatWindow.Std(),
-		}, func() int { return len(e.entries()) }),
+		}, e.sharers),
 		Format:  e.platform.Format,
 		Log:     e.journal.Logger(journal.Routing),
 		Metrics: e.metrics,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -35,6 +35,8 @@
 	forgetAfter    = 30 * time.Second
 	// peerDialTimeout bounds the opening of a connection to another process or to the platform.
 	peerDialTimeout = time.Second
+	// seedShare is the number of entry processes that are assumed for each seed until they are known.
+	seedShare = 2
 	// memoryPart is the part of the memory limit at which the garbage collector works harder.
 	memoryPart = 0.6
 	// garbagePercent is the growth of the heap between two collections.
@@ -215,6 +217,19 @@
 	return out
 }
 
+// sharers returns the number of entry processes among which shared allowances are divided: all that were
+// heard of lately, for one that can't be reached may live, and no fewer than seedShare for each seed, for a
+// process that has just started knows nobody.
+func (n *node) sharers() int {
+	known := 0
+	for _, m := range n.catalog.Members() {
+		if m.Role == hub.RoleEntry {
+			known++
+		}
+	}
+	return max(known, seedShare*len(n.settings.Peers))
+}
+
 // reportAddresses returns where the entry processes receive reports.
 func (n *node) reportAddresses() []*net.UDPAddr {
 	_, portText, err := net.SplitHostPort(n.settings.ReportListen)
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -168,7 +168,7 @@
 	defer cancel(nil)
 	x.sent++
 	x.logChoice(c, remaining)
-	slow := x.slowTimer(cancel)
+	slow := x.slowTimer(c, cancel)
 	defer slow.Stop()
 	answer, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
@@ -185,13 +185,17 @@
 	return x.take(ctx, c, answer, slow)
 }
 
-// slowTimer cancels an attempt whose answer takes too long, if the request may be repeated.
-func (x *exchange) slowTimer(cancel context.CancelCauseFunc) *time.Timer {
+// slowTimer cancels an attempt whose answer takes too long, if the request may be repeated, and one that waits at
+// an upstream whose version is due to be replaced.
+func (x *exchange) slowTimer(c *placement.Choice, cancel context.CancelCauseFunc) *time.Timer {
 	// What may not be repeated is ended by the deadline alone.
 	limit := time.Until(x.deadline) + time.Second
 	if x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts {
 		limit = min(limit, max(minPatience, slowFactor*x.route.Objective))
 	}
+	if !c.StartBy.IsZero() {
+		limit = min(limit, time.Until(c.StartBy))
+	}
 	return time.AfterFunc(limit, func() { cancel(errSlow) })
 }
 
@@ -228,7 +232,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes))
 		c.Load.Refused(0)
 		if verdict.WrongInstance {
-			c.Load.Refused(wrongInstancePause)
+			c.Load.Gone()
 			x.tried = append(x.tried, c.Upstream.Key())
 		}
 		return fmt.Errorf("%w: status %d", errRefused, answer.Status)
@@ -244,9 +248,6 @@
 	return x.takeWhole(ctx, c, answer, success)
 }
 
-// wrongInstancePause is the time for which an address that another upstream answers at is left alone.
-const wrongInstancePause = 300 * time.Millisecond
-
 // takeWhole reads the whole answer before any of it is passed on.
 func (x *exchange) takeWhole(ctx context.Context, c *placement.Choice, answer *channel.Answer, success bool) error {
 	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -408,3 +408,17 @@
 	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
 	assert.Equal(t, u.count(), 0)
 }
+
+// An address that answers for another lifetime is left alone until that lifetime is heard of again.
+func TestWrongInstanceIsAskedOnce(t *testing.T) {
+	other := withTestUpstream(t, func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nX-Oriolehub-Attempt-Id: "+id(r)+"\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	good := withTestUpstream(t, answer(200, "done"))
+	f := withTestEntry(t, other, good)
+	for range 20 {
+		assert.Equal(t, f.post("/once/").status, 200)
+	}
+	assert.Assert(t, other.count() <= 1, "%d requests reached the wrong instance", other.count())
+}
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -30,7 +30,9 @@
 	// avoidUntil is on the monotonic clock, in nanoseconds since start.
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
-	cold       coldLimiter
+	// goneAt is when the upstream's address answered for another lifetime, or for one without weights.
+	goneAt atomic.Int64
+	cold   coldLimiter
 }
 
 type timedReport struct {
@@ -78,10 +80,26 @@
 	l.avoidUntil.Store(max(l.avoidUntil.Load(), monotonic()+int64(max(pause, fullPause))))
 }
 
+// Gone keeps the upstream from being chosen until a later report shows that this lifetime serves after all.
+func (l *Load) Gone() { l.goneAt.Store(monotonic()) }
+
+// gone reports whether nothing has been heard of the upstream since its address answered for another lifetime.
+func (l *Load) gone() bool {
+	at := l.goneAt.Load()
+	if at == 0 {
+		return false
+	}
+	r := l.report.Load()
+	return r == nil || int64(r.at.Sub(start)) <= at
+}
+
+// silent reports whether the side process of the upstream told of it once and no longer does.
+func (l *Load) silent() bool { return l.report.Load() != nil && l.fresh() == nil }
+
 // Succeeded forgets the failures.
 func (l *Load) Succeeded() { l.failures.Store(0) }
 
-func (l *Load) avoided() bool { return monotonic() < l.avoidUntil.Load() }
+func (l *Load) avoided() bool { return monotonic() < l.avoidUntil.Load() || l.silent() }
 
 // held returns the version that the upstream answers from, by the newest source.
 func (l *Load) held(u *directory.Upstream) uint64 {
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -24,6 +24,8 @@
 	// switchMargin is how long before the bound upstreams with an older version get nothing any more, for
 	// requests on their way and for the time in which news of the version came here.
 	switchMargin = 700 * time.Millisecond
+	// startMargin is how long before the bound a request must have begun at an upstream with an older version.
+	startMargin = 150 * time.Millisecond
 	// maxWaiting bounds the requests that wait for one service at one priority.
 	maxWaiting = 256
 	// plainSlots is the limit of running requests where the list names none.
@@ -76,6 +78,8 @@
 	Load     *Load
 	// Held is the version that the upstream is believed to hold, 0 for plain services.
 	Held uint64
+	// StartBy is when the request must have begun because the version is due to be replaced, or zero.
+	StartBy time.Time
 	// Running is the load at the choice, Candidates the number of upstreams that could run the request.
 	Running    int
 	Candidates int
@@ -187,7 +191,19 @@
 	}
 	running := l.total()
 	l.running.Add(1)
-	return Choice{Upstream: u, Load: l, Held: l.held(u), Running: running, Candidates: candidates, placement: p}, true
+	held := l.held(u)
+	return Choice{
+		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: candidates, placement: p,
+	}, true
+}
+
+// startBy returns when a request must have begun at an upstream that holds a version, or zero.
+func (p *Placement) startBy(s *directory.Service, held uint64) time.Time {
+	next, ok := s.Target.After(held)
+	if s.Engine == nil || !ok {
+		return time.Time{}
+	}
+	return next.Since.Add(p.options.SwitchBound - startMargin)
 }
 
 // Release gives the place back.
@@ -211,7 +227,7 @@
 // usable reports whether a request may be sent to an upstream by all that is known here.
 func (p *Placement) usable(s *directory.Service, u *directory.Upstream, l *Load, n *Need, oldest uint64) bool {
 	snapshot := p.options.Directory.Current()
-	if u.Leaving || snapshot.Evacuated[u.Domain] || slices.Contains(n.Tried, u.Key()) {
+	if u.Leaving || l.gone() || snapshot.Evacuated[u.Domain] || slices.Contains(n.Tried, u.Key()) {
 		return false
 	}
 	for _, regions := range n.Regions {
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -22,7 +22,7 @@
 
 var errBad = errors.New("bad value")
 
-func (decoder) Prefixes() (string, string)       { return "up/", "op/" }
+func (decoder) Prefixes() (string, string)      { return "up/", "op/" }
 func (decoder) IsConfiguration(key string) bool { return key == "op/configuration" }
 
 func (decoder) Configuration(value []byte) (*hub.Configuration, error) {
