--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -230,7 +230,7 @@
 	if verdict.NotRun {
 		x.runs--
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes))
-		c.Load.Refused(0)
+		c.Load.Refused()
 		if verdict.WrongInstance {
 			c.Load.Gone()
 			x.tried = append(x.tried, c.Upstream.Key())
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -30,6 +30,8 @@
 	// avoidUntil is on the monotonic clock, in nanoseconds since start.
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
+	// fullUntil is the end of the pause after a refusal, on the same clock.
+	fullUntil atomic.Int64
 	// goneAt is when the upstream's address answered for another lifetime, or for one without weights.
 	goneAt atomic.Int64
 	cold   coldLimiter
@@ -75,10 +77,11 @@
 	l.avoidUntil.Store(monotonic() + int64(min(pause, maxFailurePause)))
 }
 
-// Refused leaves the upstream alone for a moment.
-func (l *Load) Refused(pause time.Duration) {
-	l.avoidUntil.Store(max(l.avoidUntil.Load(), monotonic()+int64(max(pause, fullPause))))
-}
+// Refused keeps the upstream from being chosen for a moment: it has no place or takes new weights.
+func (l *Load) Refused() { l.fullUntil.Store(monotonic() + int64(fullPause)) }
+
+// full reports whether the upstream refused a moment ago.
+func (l *Load) full() bool { return monotonic() < l.fullUntil.Load() }
 
 // Gone keeps the upstream from being chosen until a later report shows that this lifetime serves after all.
 func (l *Load) Gone() { l.goneAt.Store(monotonic()) }
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -174,7 +174,7 @@
 		}
 		candidates++
 		total := l.total()
-		if total >= p.limit(service, u) {
+		if total >= p.limit(service, u) || l.full() {
 			continue
 		}
 		if score := p.score(u, l, total); best < 0 || score < bestScore {
