route/placement, upstream/stager: choose by unread prompts; load one by one and let streams go on elsewhere

Cause: a returned engine with nothing running drew ten prompts from all entry processes within 0.1 s, and the last waited over a second for its first event, while all engines ran 5 of 16 requests. Ruled out: waiting at the entry process (0 ms at the 90th percentile), slots. Change: the score is the predicted time until an answer begins, by the prompts sent and not begun here, those reported, and distance. Loads follow one another evenly over the time that is left and cut streams, which go on elsewhere, where every route to the service allows that.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -178,4 +178,6 @@
 	Version uint64
 	// Orders is the number of accepted orders that the upstream is expected to report.
 	Orders uint64
+	// Cut breaks off the requests in progress instead of waiting for their end.
+	Cut bool
 }
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -114,7 +114,7 @@
 }
 
 func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
-	need := placement.Need{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried}
+	need := placement.Need{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens}
 	if x.account != nil {
 		need.Account = x.account.Name
 		need.Regions = append(need.Regions, x.account.Regions)
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -28,6 +28,9 @@
 	events   int
 	began    time.Time
 	resumed  int
+	// lastAt is when the last event was passed on, longestPause the longest time between two.
+	lastAt       time.Time
+	longestPause time.Duration
 }
 
 // takeStream passes the events of one upstream on, beginning the caller's answer with the first.
@@ -50,6 +53,7 @@
 			return err
 		}
 		slow.Stop()
+		c.Begun()
 		if err := x.passEvent(e, answer); err != nil {
 			x.upstreamFailed(c, err)
 			return err
@@ -85,6 +89,11 @@
 	if _, err := x.w.Write(e.Data); err != nil {
 		return fmt.Errorf("%w: %w", errGone, err)
 	}
+	now := time.Now()
+	if !x.relay.lastAt.IsZero() {
+		x.relay.longestPause = max(x.relay.longestPause, now.Sub(x.relay.lastAt))
+	}
+	x.relay.lastAt = now
 	if e.Id != "" {
 		x.relay.lastId = e.Id
 	}
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -17,6 +17,8 @@
 	// it doubles with each further failure in a row up to maxFailurePause.
 	failurePause    = 150 * time.Millisecond
 	maxFailurePause = 2 * time.Second
+	// unseenFactor scales the prompts sent from here for those that other processes send at the same time.
+	unseenFactor = 1.5
 	// fullPause is the time for which an upstream that refused is left alone.
 	fullPause = 60 * time.Millisecond
 )
@@ -24,9 +26,13 @@
 // Load is what this process knows of the load of one lifetime of an upstream.
 type Load struct {
 	running atomic.Int64
-	// others is the load that other processes cause, by the last report.
-	others atomic.Int64
-	report atomic.Pointer[timedReport]
+	// unread is the number of prompt tokens sent from here whose answers have not begun, waiting that of the requests.
+	unread  atomic.Int64
+	waiting atomic.Int64
+	// others is the load that other processes cause, by the last report; othersWaiting is the part that has not begun.
+	others        atomic.Int64
+	othersWaiting atomic.Int64
+	report        atomic.Pointer[timedReport]
 	// avoidUntil is on the monotonic clock, in nanoseconds since start.
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
@@ -49,6 +55,7 @@
 // Report takes in what the upstream said of itself.
 func (l *Load) Report(r hub.UpstreamReport) {
 	l.others.Store(max(0, int64(r.Running+r.Waiting)-l.running.Load()))
+	l.othersWaiting.Store(max(0, int64(r.Waiting)-l.waiting.Load()))
 	l.report.Store(&timedReport{UpstreamReport: r, at: time.Now()})
 }
 
@@ -70,6 +77,18 @@
 	return n
 }
 
+// readTime returns the time in which the upstream reads the prompts that it is believed to have unread.
+func (l *Load) readTime(e *hub.EngineModel) time.Duration {
+	tokens := unseenFactor * float64(l.unread.Load())
+	pace := 1.0
+	if r := l.fresh(); r != nil {
+		pace = max(pace, r.Pace)
+		others := float64(l.othersWaiting.Load()) * float64(e.UsualPrompt)
+		tokens += max(0, others-time.Since(r.at).Seconds()*e.ReadPerSecond)
+	}
+	return time.Duration(pace * tokens / e.ReadPerSecond * float64(time.Second))
+}
+
 // Failed makes the upstream a last resort for a while that grows with each failure in a row.
 func (l *Load) Failed() {
 	n := l.failures.Add(1)
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -16,11 +17,17 @@
 const (
 	// sampled bounds the upstreams that one choice looks at, so that its cost does not grow with the fleet.
 	sampled = 48
-	// otherRegion is the number of running requests that the way to another region is worth.
-	otherRegion = 1.5
-	otherDomain = 0.5
+	// runningCost is what a request in progress adds to the score: it makes later steps longer and takes a place.
+	runningCost = 4 * time.Millisecond
+	// plainCost is the same for plain services.
+	plainCost = 10 * time.Millisecond
+	// otherDomainCost and otherRegionCost are what the way to another failure domain or region is worth.
+	otherDomainCost = 3 * time.Millisecond
+	otherRegionCost = 8 * time.Millisecond
 	// jitter keeps entry processes with the same knowledge from choosing the same upstream.
-	jitter = 0.7
+	jitter = 8 * time.Millisecond
+	// avoidedCost makes an upstream that just failed the last to be chosen.
+	avoidedCost = time.Minute
 	// switchMargin is how long before the bound upstreams with an older version get nothing any more, for
 	// requests on their way and for the time in which news of the version came here.
 	switchMargin = 700 * time.Millisecond
@@ -68,6 +75,8 @@
 	Priority int
 	// Regions are those that the route and the account allow; an empty list allows all.
 	Regions [][]string
+	// PromptTokens is the length of the prompt, 0 where it is not known.
+	PromptTokens int
 	// Tried are the upstreams that are not to be chosen again.
 	Tried []directory.Key
 }
@@ -85,7 +94,9 @@
 	Candidates int
 
 	placement *Placement
-	released  bool
+	// unread is the number of prompt tokens that count as unread until the answer begins.
+	unread   int64
+	released bool
 }
 
 // New returns a placement without upstreams.
@@ -163,7 +174,7 @@
 	loads := *p.loads.Load()
 	now := time.Now()
 	oldest := p.oldestVersion(service, now)
-	best, bestScore, candidates := -1, 0.0, 0
+	best, bestScore, candidates := -1, time.Duration(0), 0
 	first := rand.IntN(len(service.Upstreams))
 	for i := range min(sampled, len(service.Upstreams)) {
 		at := (first + i) % len(service.Upstreams)
@@ -177,7 +188,7 @@
 		if total >= p.limit(service, u) || l.full() {
 			continue
 		}
-		if score := p.score(u, l, total); best < 0 || score < bestScore {
+		if score := p.score(service, u, l, total); best < 0 || score < bestScore {
 			best, bestScore = at, score
 		}
 	}
@@ -192,9 +203,15 @@
 	running := l.total()
 	l.running.Add(1)
 	held := l.held(u)
-	return Choice{
+	c := Choice{
 		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: candidates, placement: p,
-	}, true
+	}
+	if service.Engine != nil {
+		c.unread = int64(cmp.Or(n.PromptTokens, service.Engine.UsualPrompt, 1))
+		l.unread.Add(c.unread)
+		l.waiting.Add(1)
+	}
+	return c, true
 }
 
 // startBy returns when a request must have begun at an upstream that holds a version, or zero.
@@ -206,12 +223,23 @@
 	return next.Since.Add(p.options.SwitchBound - startMargin)
 }
 
+// Begun tells that the answer has begun, so that the prompt is read.
+func (c *Choice) Begun() {
+	if c.unread == 0 {
+		return
+	}
+	c.Load.unread.Add(-c.unread)
+	c.Load.waiting.Add(-1)
+	c.unread = 0
+}
+
 // Release gives the place back.
 func (c *Choice) Release() {
 	if c.released || c.placement == nil {
 		return
 	}
 	c.released = true
+	c.Begun()
 	c.Load.running.Add(-1)
 	c.placement.wake(c.Upstream.Service)
 }
@@ -253,24 +281,21 @@
 	return plainSlots
 }
 
-// score is lower for better upstreams: its unit is one running request.
-func (p *Placement) score(u *directory.Upstream, l *Load, total int) float64 {
-	score := float64(total)
-	if r := l.fresh(); r != nil && r.Pace > 1 {
-		score = (score + 1) * r.Pace
+// score predicts the time until an answer begins, with what the choice costs others; lower is better.
+func (p *Placement) score(s *directory.Service, u *directory.Upstream, l *Load, total int) time.Duration {
+	score := time.Duration(total) * plainCost
+	if e := s.Engine; e != nil {
+		score = time.Duration(total)*runningCost + l.readTime(e)
 	}
 	switch {
 	case u.Domain == p.options.Domain:
 	case u.Region == p.options.Region:
-		score += otherDomain
+		score += otherDomainCost
 	default:
-		score += otherRegion
+		score += otherRegionCost
 	}
 	if l.avoided() {
-		score += avoidedPenalty
+		score += avoidedCost
 	}
-	return score + jitter*rand.Float64()
+	return score + rand.N(jitter)
 }
-
-// avoidedPenalty makes an upstream that just failed or refused the last to be chosen.
-const avoidedPenalty = 1000
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,12 +25,8 @@
 	lookInterval = 60 * time.Millisecond
 	// orderGrace is the time after an accepted order in which the engine may not report it yet.
 	orderGrace = 400 * time.Millisecond
-	// waves is the number of groups that take a new version one after the other.
-	waves = 3
-	// waveStep is the longest pause between two waves, as a part of the switch bound.
-	waveStep = 0.1
-	// loadTime is the part of the switch bound in which an engine finishes what it runs and takes new weights.
-	loadTime = 0.36
+	// loadTime is the part of the switch bound that is left for the last engine's load.
+	loadTime = 0.12
 	// lastChance is the part of the switch bound after which a version is loaded although a newer one is named
 	// but not held yet.
 	lastChance = 0.6
@@ -173,8 +170,8 @@
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
 }
 
-// turn reports whether this engine may leave service for the load of what was fetched. Engines go in waves, so
-// that enough of them serve meanwhile, and the last wave leaves time for the requests in progress.
+// turn reports whether this engine may take what was fetched. Engines go one after the other, evenly over the
+// time that the switch bound leaves, so that most of them serve meanwhile.
 func (s *Stager) turn(target directory.Target, held uint64, best *fetch) bool {
 	oldest, ok := target.After(held)
 	if !ok {
@@ -185,10 +182,8 @@
 		return false
 	}
 	rank, total := s.place("turn/" + strconv.FormatUint(best.version, 10))
-	wave := rank * waves / max(1, total)
-	last := oldest.Since.Add(bound - part(bound, loadTime))
-	step := min(part(bound, waveStep), last.Sub(best.heldAt)/(waves-1))
-	return time.Since(best.heldAt) >= time.Duration(wave)*max(0, step)
+	span := max(0, oldest.Since.Add(bound-part(bound, loadTime)).Sub(best.heldAt))
+	return time.Since(best.heldAt) >= span*time.Duration(rank)/time.Duration(max(1, total))
 }
 
 func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
@@ -209,7 +204,7 @@
 	}
 	s.orderedAt = time.Now()
 	s.fire(EventOrder)
-	err := s.options.Engine.Load(ctx, hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders})
+	err := s.options.Engine.Load(ctx, hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders, Cut: s.resumable()})
 	line := s.options.Log.Info()
 	if err != nil {
 		line = s.options.Log.Warn().Err(err)
@@ -222,6 +217,19 @@
 	}
 }
 
+// resumable reports whether every stream to the service may go on at another upstream.
+func (s *Stager) resumable() bool {
+	c := s.options.Directory.Current().Configuration
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		to := slices.ContainsFunc(r.Targets, func(t hub.Target) bool { return t.Service == s.options.Service })
+		if to && !r.Repeatable() {
+			return false
+		}
+	}
+	return true
+}
+
 // fire moves the state machine; an event that does not fit the state changes nothing.
 func (s *Stager) fire(event string) {
 	before := s.machine.Current()
