state/exchange, weights/transfer: join groups after a restart of all, deal duties anew

Cause: after a power loss each group of processes that had met through one seed knew only itself (1, 6, 8 or 9 of 22), dealt all chunks among few and drew 7.2 copies from the origin; weights were held 9 s after the start. Change: a random process of the list is asked every 0.7 s; a round does not wait for silent neighbours; duties are dealt when the participants have not changed for 0.25 s and are taken back when a layout gives them to others; stalled peers and duties are given up sooner for a switch.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,11 +30,14 @@
 const (
 	// exchangeInterval is the time between two exchanges with a neighbour while nothing changes.
 	exchangeInterval = time.Second
+	// seedInterval is the time between two exchanges with a random process of the list: after a restart of all,
+	// groups that know only each other must find the rest before they deal duties.
+	seedInterval = 700 * time.Millisecond
 	// forgetInterval is the time between two looks for members to forget, forgetAfter the age of these.
 	forgetInterval = 5 * time.Second
 	forgetAfter    = 30 * time.Second
 	// peerDialTimeout bounds the opening of a connection to another process or to the platform.
-	peerDialTimeout = time.Second
+	peerDialTimeout = 500 * time.Millisecond
 	// seedShare is the number of entry processes that are assumed for each seed until they are known.
 	seedShare = 2
 	// memoryPart is the part of the memory limit at which the garbage collector works harder.
@@ -99,7 +102,8 @@
 	n.presence = presence.New(n.catalog, record)
 	n.link = link.NewClient(link.DialFunc(n.dial))
 	n.exchange = exchange.NewClient(exchange.Options{
-		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, Seeds: s.Peers, MoreSeeds: n.listedPeers, Log: state,
+		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, Seeds: s.Peers, MoreSeeds: n.listedPeers,
+		SeedInterval: seedInterval, Log: state,
 	})
 	return n
 }
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -22,8 +22,12 @@
 	callTimeout = 2 * time.Second
 	// suspectAfter is the time for which a neighbour does not answer before it is suspected.
 	suspectAfter = 3 * time.Second
-	// seedInterval is the time between two exchanges with a seed, which join what a long cut has parted.
-	seedInterval = 10 * time.Second
+	// joinInterval is the longest time between two tries to reach a seed while no neighbour is known.
+	joinInterval = 100 * time.Millisecond
+	// defaultSeedInterval is the time between two exchanges with a seed where the options name none.
+	defaultSeedInterval = 10 * time.Second
+	// roundLimit is the longest time for which a round waits for its exchanges.
+	roundLimit = 300 * time.Millisecond
 )
 
 // Options are what a client works with.
@@ -35,6 +39,8 @@
 	Interval time.Duration
 	// Seeds are addresses that are asked at the start and now and then.
 	Seeds []string
+	// SeedInterval is the time between two exchanges with a seed, which join what a cut or a restart has parted.
+	SeedInterval time.Duration
 	// MoreSeeds returns further such addresses as they are known now; it may be nil.
 	MoreSeeds func() []string
 	Log       *log.Logger
@@ -47,7 +53,9 @@
 type Client struct {
 	options Options
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// busy are the addresses with which an exchange is under way.
+	busy     map[string]bool
 	peers    map[string]*peerState
 	seededAt time.Time
 	// chosen are the neighbours by the membership of chosenAt.
@@ -67,7 +75,10 @@
 
 // NewClient returns a client.
 func NewClient(o Options) *Client {
-	return &Client{options: o, peers: map[string]*peerState{}}
+	if o.SeedInterval == 0 {
+		o.SeedInterval = defaultSeedInterval
+	}
+	return &Client{options: o, busy: map[string]bool{}, peers: map[string]*peerState{}}
 }
 
 // Run exchanges until ctx ends.
@@ -81,7 +92,11 @@
 
 // pause waits for the interval, jittered so that processes don't move in step, or for a document to change.
 func (c *Client) pause(ctx context.Context, renewed <-chan struct{}) {
-	timer := time.NewTimer(c.options.Interval/2 + rand.N(c.options.Interval))
+	interval := c.options.Interval
+	if c.alone() {
+		interval = min(interval, joinInterval)
+	}
+	timer := time.NewTimer(interval/2 + rand.N(interval))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -90,21 +105,67 @@
 	}
 }
 
-// Round exchanges once with each neighbour, all at the same time.
+// alone reports whether no neighbour is known.
+func (c *Client) alone() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.chosen) == 0
+}
+
+// Round exchanges once with each neighbour and now and then with a seed, all at the same time. It waits for
+// the slow ones only a little: news must not stand still for a process that is down or cut off.
 func (c *Client) Round(ctx context.Context) {
-	var running sync.WaitGroup
 	neighbours, selfAddress := c.neighbours()
+	done := make(chan struct{}, len(neighbours)+1)
+	started := 0
 	for _, n := range neighbours {
-		running.Go(func() {
+		if !c.begin(n.Address) {
+			continue
+		}
+		started++
+		go func() {
+			defer c.end(n.Address, done)
 			if err := c.Exchange(ctx, n.Address, n.Id); err != nil {
 				c.suspect(ctx, n, err)
 			}
-		})
+		}()
+	}
+	if seed := c.seed(len(neighbours)); seed != "" && seed != selfAddress && c.begin(seed) {
+		started++
+		go func() {
+			defer c.end(seed, done)
+			if err := c.Exchange(ctx, seed, seed); err != nil && ctx.Err() == nil {
+				c.options.Log.Debug().Str("Seed", seed).Err(err).Msg("seed does not answer")
+			}
+		}()
 	}
-	if seed := c.seed(len(neighbours)); seed != "" && seed != selfAddress {
-		running.Go(func() { _ = c.Exchange(ctx, seed, seed) })
+	limit := time.NewTimer(roundLimit)
+	defer limit.Stop()
+	for range started {
+		select {
+		case <-done:
+		case <-limit.C:
+			return
+		}
 	}
-	running.Wait()
+}
+
+// begin marks an exchange with an address as being under way, and reports false if one was already.
+func (c *Client) begin(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy[address] {
+		return false
+	}
+	c.busy[address] = true
+	return true
+}
+
+func (c *Client) end(address string, done chan<- struct{}) {
+	c.mu.Lock()
+	delete(c.busy, address)
+	c.mu.Unlock()
+	done <- struct{}{}
 }
 
 // neighbours returns the neighbours and the own address, chosen anew only when the members have changed.
@@ -130,7 +191,7 @@
 func (c *Client) seed(neighbours int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if neighbours > 0 && time.Since(c.seededAt) < seedInterval {
+	if neighbours > 0 && time.Since(c.seededAt) < c.options.SeedInterval {
 		return ""
 	}
 	seeds := c.options.Seeds
--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -13,8 +13,18 @@
 	"github.com/oriolehub/oriolehub/internal/weights/transfer"
 )
 
-// stagedProbe is the number of staged chunks of another version after which the rest is not looked at.
-const stagedProbe = 3
+const (
+	// stagedProbe is the number of staged chunks of another version after which the rest is not looked at.
+	stagedProbe = 3
+	// patience is the time without anything to fetch after which others' duties are taken over, and stall the
+	// longest time between two pieces: a switch leaves little time for peers that froze or were cut off.
+	patience = 400 * time.Millisecond
+	stall    = 700 * time.Millisecond
+	// settleTime is the time without a change of the participants after which duties are dealt, settleLimit the
+	// longest wait for it.
+	settleTime  = 250 * time.Millisecond
+	settleLimit = 1200 * time.Millisecond
+)
 
 // fetch is the content of one version, on its way or held.
 type fetch struct {
@@ -104,6 +114,7 @@
 	f.replica = r
 	s.mu.Unlock()
 	s.takeStaged(ctx, model, r)
+	s.settle(ctx)
 	fetcher := transfer.NewFetcher(transfer.Options{
 		Self:                 s.options.Self,
 		Link:                 s.options.Link,
@@ -113,11 +124,23 @@
 		Topology:             topology.Swarm{},
 		OriginBytesPerSecond: s.options.Directory.Current().Origin().BytesPerSecond,
 		Participants:         s.participants,
+		Patience:             patience,
+		Stall:                stall,
 		Log:                  s.options.Log,
 	})
 	return fetcher.Complete(ctx, hub.Pin{Version: m.Version, Root: m.Root, Size: m.Size}, r)
 }
 
+// settle waits until the participants have found each other: who knows few of them takes on too many duties.
+func (s *Stager) settle(ctx context.Context) {
+	limit := time.Now().Add(settleLimit)
+	for time.Now().Before(limit) && s.unsettled() {
+		if hub.Sleep(ctx, lookInterval) != nil {
+			return
+		}
+	}
+}
+
 // takeStaged takes over what is staged beside the engine and has the right digests: it outlives this process.
 func (s *Stager) takeStaged(ctx context.Context, model string, r *replica.Replica) {
 	taken, foreign := 0, 0
--- a/internal/weights/plan/plan.go
+++ b/internal/weights/plan/plan.go
@@ -106,10 +106,12 @@
 	}
 }
 
-// AllowOrigin lets this process take chunks from the origin, in the given order.
-func (p *Plan) AllowOrigin(indexes []int) {
+// SetOrigin lets this process take chunks from the origin, in the given order, and no others any more: while the
+// first members find each other, each takes itself for the owner of most chunks.
+func (p *Plan) SetOrigin(indexes []int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.origin = p.origin[:0]
 	for _, i := range indexes {
 		if !p.chunks[i].held {
 			p.origin = append(p.origin, i)
--- a/internal/weights/plan/plan_test.go
+++ b/internal/weights/plan/plan_test.go
@@ -172,3 +172,18 @@
 		})
 	}
 }
+
+// Duties that another layout gives to somebody else are not carried out any more.
+func TestOriginDutiesAreTakenBack(t *testing.T) {
+	p := New(6, time.Second, 1)
+	p.SetOrigin([]int{0, 1, 2, 3, 4, 5})
+	first, ok := p.NextFromOrigin(time.Now())
+	assert.Assert(t, ok)
+	assert.Equal(t, first, 0)
+	p.SetOrigin([]int{4})
+	next, ok := p.NextFromOrigin(time.Now())
+	assert.Assert(t, ok)
+	assert.Equal(t, next, 4)
+	_, ok = p.NextFromOrigin(time.Now())
+	assert.Assert(t, !ok)
+}
--- a/internal/weights/transfer/client.go
+++ b/internal/weights/transfer/client.go
@@ -15,20 +15,17 @@
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
-// progressTimeout is the longest time between two pieces of a transfer.
-const progressTimeout = 2 * time.Second
-
-// errStalled reports a transfer that made no progress for progressTimeout.
+// errStalled reports a transfer that made no progress for the time allowed.
 var errStalled = errors.New("transfer stalled")
 
 // fetchChunk reads one chunk from a peer into buf, which holds the first offset bytes already.
 // It returns the bytes that buf then holds, also with an error, so that another sender can go on from there,
 // and what the peer told with the last piece.
-func fetchChunk(ctx context.Context, conn drpc.Conn, pacer *pace.Pacer, request *message.FetchRequest, buf []byte) (int, *message.Holding, error) {
+func fetchChunk(ctx context.Context, stall time.Duration, conn drpc.Conn, pacer *pace.Pacer, request *message.FetchRequest, buf []byte) (int, *message.Holding, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	filled := int(request.GetOffset())
-	watchdog := time.AfterFunc(progressTimeout, func() { cancel(errStalled) })
+	watchdog := time.AfterFunc(stall, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	stream, err := message.NewDRPCWeightsClient(conn).Fetch(ctx, request)
 	if err != nil {
@@ -49,7 +46,7 @@
 			return filled, nil, transferError(ctx, err)
 		}
 		holding = piece.GetHolding()
-		watchdog.Reset(progressTimeout)
+		watchdog.Reset(stall)
 	}
 	return filled, holding, nil
 }
@@ -66,10 +63,10 @@
 }
 
 // fetchRange reads one chunk from a weight source into buf from filled on and returns the bytes then held.
-func fetchRange(ctx context.Context, source hub.WeightSource, pacer *pace.Pacer, version string, offset int64, buf []byte, filled int) (int, error) {
+func fetchRange(ctx context.Context, stall time.Duration, source hub.WeightSource, pacer *pace.Pacer, version string, offset int64, buf []byte, filled int) (int, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(progressTimeout, func() { cancel(errStalled) })
+	watchdog := time.AfterFunc(stall, func() { cancel(errStalled) })
 	defer watchdog.Stop()
 	body, err := source.Read(ctx, version, offset+int64(filled), int64(len(buf)-filled))
 	if err != nil {
@@ -83,7 +80,7 @@
 			if err := pacer.Wait(ctx, n); err != nil {
 				return filled, transferError(ctx, err)
 			}
-			watchdog.Reset(progressTimeout)
+			watchdog.Reset(stall)
 		}
 		if err != nil && filled < len(buf) {
 			return filled, transferError(ctx, err)
@@ -93,8 +90,8 @@
 }
 
 // readManifest asks a process for a manifest.
-func readManifest(ctx context.Context, client *link.Client, address, digest string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, progressTimeout)
+func readManifest(ctx context.Context, stall time.Duration, client *link.Client, address, digest string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, stall)
 	defer cancel()
 	peer := message.NewDRPCWeightsClient(client.Pooled(ctx, address))
 	reply, err := peer.ReadManifest(ctx, &message.ManifestRequest{Digest: digest})
--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +17,11 @@
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
 
+const (
+	defaultPatience = 1500 * time.Millisecond
+	defaultStall    = 2 * time.Second
+)
+
 // manifestTries bounds the peers asked for a manifest before the origin is.
 const manifestTries = 4
 
@@ -36,6 +42,10 @@
 	Participants func(root string) []hub.Member
 	// Peers returns the addresses that may hold a manifest.
 	Peers func() []string
+	// Patience is the time without anything to fetch after which the next rank takes over a duty, 0 for the default.
+	Patience time.Duration
+	// Stall is the longest time between two pieces of a transfer, 0 for the default.
+	Stall time.Duration
 	Log   *log.Logger
 }
 
@@ -46,6 +56,8 @@
 
 // NewFetcher returns a fetcher.
 func NewFetcher(options Options) *Fetcher {
+	options.Patience = cmp.Or(options.Patience, defaultPatience)
+	options.Stall = cmp.Or(options.Stall, defaultStall)
 	return &Fetcher{options: options}
 }
 
@@ -106,12 +118,12 @@
 func (f *Fetcher) askManifest(ctx context.Context, pin hub.Pin, attempt int) ([]byte, error) {
 	peers := f.options.Peers()
 	if attempt%(manifestTries+1) < manifestTries && len(peers) > 0 {
-		return readManifest(ctx, f.options.Link, peers[rand.IntN(len(peers))], pin.Manifest)
+		return readManifest(ctx, f.options.Stall, f.options.Link, peers[rand.IntN(len(peers))], pin.Manifest)
 	}
 	if len(f.options.Sources) == 0 {
 		return nil, fmt.Errorf("no weight source: %w", hub.ErrNotFound)
 	}
-	ctx, cancel := context.WithTimeout(ctx, progressTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.options.Stall)
 	defer cancel()
 	return f.options.Sources[attempt%len(f.options.Sources)].Manifest(ctx, pin.Version)
 }
--- a/internal/weights/transfer/origin.go
+++ b/internal/weights/transfer/origin.go
@@ -87,7 +87,7 @@
 	err := hub.ErrNotFound
 	filled := part.filled
 	for _, source := range s.fetcher.options.Sources {
-		filled, err = fetchRange(ctx, source, s.fetcher.options.Pacer, s.pin.Version, s.replica.Manifest.ChunkOffset(index), part.buf, filled)
+		filled, err = fetchRange(ctx, s.fetcher.options.Stall, source, s.fetcher.options.Pacer, s.pin.Version, s.replica.Manifest.ChunkOffset(index), part.buf, filled)
 		if err == nil || ctx.Err() != nil {
 			return filled, err
 		}
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -96,7 +96,7 @@
 
 // follow asks what has arrived at the neighbour.
 func (p *peer) follow(ctx context.Context) error {
-	ctx, cancel := context.WithTimeoutCause(ctx, followWait+progressTimeout, errStalled)
+	ctx, cancel := context.WithTimeoutCause(ctx, followWait+p.session.fetcher.options.Stall, errStalled)
 	defer cancel()
 	request := &message.FollowRequest{Root: p.session.pin.Root, Told: p.told, WaitMs: uint32(followWait.Milliseconds())}
 	holding, err := message.NewDRPCWeightsClient(p.conn).Follow(ctx, request)
@@ -126,7 +126,7 @@
 	defer cancel()
 	resumed := part.filled > 0
 	request := &message.FetchRequest{Root: s.pin.Root, Index: uint32(index), Offset: uint32(part.filled), Told: p.told}
-	filled, holding, err := fetchChunk(chunkCtx, p.conn, s.fetcher.options.Pacer, request, part.buf)
+	filled, holding, err := fetchChunk(chunkCtx, s.fetcher.options.Stall, p.conn, s.fetcher.options.Pacer, request, part.buf)
 	if err == nil {
 		p.take(holding)
 		err = s.finish(index, part.buf)
--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -23,8 +23,6 @@
 	refreshInterval = 500 * time.Millisecond
 	// endgameAge is the age from which a fetch may be doubled.
 	endgameAge = time.Second
-	// patience is the time without anything to fetch after which the next rank takes over a duty.
-	patience = 1500 * time.Millisecond
 	// setAside is the time for which a peer that stalled or sent corrupt chunks is not asked.
 	setAside = 15 * time.Second
 )
@@ -122,18 +120,24 @@
 	if !slices.Equal(ids, s.members) {
 		s.members = ids
 		s.layout = o.Topology.Layout(s.pin.Root, o.Self, participants, len(s.replica.Manifest.Chunks))
-		s.allow(s.layout, 0)
+		s.allow()
 	}
 	s.follow(ctx, running, s.layout, addresses)
 }
 
-// allow takes on the duties of one rank.
-func (s *session) allow(layout hub.Layout, rank int) {
-	if rank < len(layout.Origin) {
-		s.plan.AllowOrigin(layout.Origin[rank])
+// allow takes on the duties of the layout up to the current rank, and beyond the last rank every missing chunk.
+func (s *session) allow() {
+	if s.rank > plan.MaxRank {
+		s.allowMissing()
+		return
+	}
+	var origin []int
+	for rank := 0; rank <= s.rank && rank < len(s.layout.Origin); rank++ {
+		origin = append(origin, s.layout.Origin[rank]...)
 	}
-	if rank < len(layout.Crossing) {
-		s.plan.AllowCrossing(layout.Crossing[rank])
+	s.plan.SetOrigin(origin)
+	for rank := 0; rank <= s.rank && rank < len(s.layout.Crossing); rank++ {
+		s.plan.AllowCrossing(s.layout.Crossing[rank])
 	}
 }
 
@@ -195,16 +199,13 @@
 		s.starved = now
 		return
 	}
-	if now.Sub(s.starved) < patience {
+	if now.Sub(s.starved) < s.fetcher.options.Patience {
 		return
 	}
 	s.starved = now
 	s.rank++
 	o := &s.fetcher.options
-	s.allow(s.layout, s.rank)
-	if s.rank > plan.MaxRank {
-		s.allowMissing()
-	}
+	s.allow()
 	o.Log.Debug().Str("Version", s.pin.Version).Int("Rank", s.rank).Int("Held", held).Msg("took over duties")
 }
 
@@ -217,7 +218,7 @@
 		}
 	}
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
-	s.plan.AllowOrigin(missing)
+	s.plan.SetOrigin(missing)
 	s.plan.AllowCrossing(missing)
 }
 
