state/directory: a version found at the start of a process is due soon

Change: what is named at the start counts as named so long ago that it is due when the process is held to its bounds.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -97,7 +97,10 @@
 	}
 	state := j.Logger(journal.State)
 	n.catalog = catalog.New(n.incarnation)
-	n.directory = directory.New(directory.Options{Catalog: n.catalog, Decoder: p.Decoder, Regions: regionsOf(&s), Log: state})
+	n.directory = directory.New(directory.Options{
+		Catalog: n.catalog, Decoder: p.Decoder, Regions: regionsOf(&s),
+		NamedBefore: max(0, s.Bounds.Switch.Std()-s.Bounds.StartGrace.Std()), Log: state,
+	})
 	n.mirror = mirror.New(mirror.Options{Source: p.Store(s.Store, n.dial), Decoder: p.Decoder, Catalog: n.catalog, Log: state})
 	n.presence = presence.New(n.catalog, record)
 	n.link = link.NewClient(link.DialFunc(n.dial))
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -48,6 +48,8 @@
 	Stop Duration
 	// Switch is the time within which a named version replaces older ones.
 	Switch Duration
+	// StartGrace is the time after its start from which a process is held to the bounds.
+	StartGrace Duration
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeats to a service by all entry processes together.
 	RepeatRatio  float64
 	RepeatSlack  float64
@@ -62,6 +64,7 @@
 		Bounds: NodeBounds{
 			Stop:         Duration(8 * time.Second),
 			Switch:       Duration(8 * time.Second),
+			StartGrace:   Duration(3 * time.Second),
 			RepeatRatio:  0.2,
 			RepeatSlack:  20,
 			RepeatWindow: Duration(10 * time.Second),
@@ -105,6 +108,7 @@
 	b := &n.Bounds
 	wantPositive(d, "Bounds.Stop", b.Stop)
 	wantPositive(d, "Bounds.Switch", b.Switch)
+	d.want(b.StartGrace >= 0, "Bounds.StartGrace", "want 0s or more")
 	wantPositive(d, "Bounds.RepeatWindow", b.RepeatWindow)
 	d.want(b.RepeatRatio >= 0, "Bounds.RepeatRatio", "want 0 or more")
 	d.want(b.RepeatSlack >= 0, "Bounds.RepeatSlack", "want 0 or more")
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -22,7 +22,10 @@
 	Decoder hub.StateDecoder
 	// Regions maps failure domains to regions.
 	Regions map[string]string
-	Log     *log.Logger
+	// NamedBefore is how long ago a version counts as named that was there when this process started: nobody
+	// tells when that was.
+	NamedBefore time.Duration
+	Log         *log.Logger
 }
 
 // Directory keeps the newest snapshot.
@@ -39,6 +42,8 @@
 	targets   map[string]Target
 	evacuated map[string]bool
 	bad       map[string]uint64
+	// directed is true once the operator's directives were read.
+	directed bool
 }
 
 // New returns a directory without knowledge.
@@ -151,10 +156,15 @@
 			targets[t.Model] = known
 			continue
 		}
-		targets[t.Model] = known.with(t.Version, time.Now())
+		since := time.Now()
+		if !d.directed {
+			since = since.Add(-d.options.NamedBefore)
+		}
+		targets[t.Model] = known.with(t.Version, since)
 		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", doc.Revision).Msg("version named")
 	}
 	d.targets = targets
+	d.directed = d.directed || doc.Revision != 0
 }
 
 func (d *Directory) logEvacuations(now map[string]bool, revision uint64) {
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -54,6 +54,8 @@
 	return nil
 }
 
+const namedBefore = 5 * time.Second
+
 type fixture struct {
 	t         *testing.T
 	catalog   *catalog.Catalog
@@ -63,7 +65,7 @@
 func withTestDirectory(t *testing.T) *fixture {
 	c := catalog.New(1)
 	d := directory.New(directory.Options{
-		Catalog: c, Decoder: decoder{}, Regions: map[string]string{"a": "north"}, Log: journal.Discard().Logger(journal.State),
+		Catalog: c, Decoder: decoder{}, Regions: map[string]string{"a": "north"}, NamedBefore: namedBefore, Log: journal.Discard().Logger(journal.State),
 	})
 	return &fixture{t: t, catalog: c, directory: d}
 }
@@ -141,6 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := withTestDirectory(t)
 		f.configure(1, 1)
+		f.put(mirror.DocumentDirectives, 1, []mirror.Entry{})
 		f.target(2, 2)
 		time.Sleep(2 * time.Second)
 		f.target(3, 3)
@@ -157,6 +160,18 @@
 	})
 }
 
+// A process that starts finds a version named and can't know since when: it must not give it the whole time anew.
+func TestVersionFoundAtTheStartIsDueSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestDirectory(t)
+		f.configure(1, 1)
+		f.target(2, 2)
+		target := f.directory.Current().Service("engine").Target
+		assert.Equal(t, target.Due(time.Now(), 8*time.Second), uint64(0))
+		assert.Equal(t, target.Due(time.Now().Add(3*time.Second), 8*time.Second), uint64(2))
+	})
+}
+
 func TestTargetNeverGoesBack(t *testing.T) {
 	f := withTestDirectory(t)
 	f.configure(1, 1)
