weights/transfer: ask the origin for no more the longer it is down

Change: a process asks for its own duties and those of one rank at a time, then for two chunks; one fetch at a time from the origin on the platform.

--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -16,6 +16,8 @@
 const (
 	// stagedProbe is the number of staged chunks of another version after which the rest is not looked at.
 	stagedProbe = 3
+	// originFetches keeps the connections of all side processes within what the origin accepts.
+	originFetches = 1
 	// patience is the time without anything to fetch after which others' duties are taken over, and stall the
 	// longest time between two pieces: a switch leaves little time for peers that froze or were cut off.
 	patience = 400 * time.Millisecond
@@ -124,6 +126,7 @@
 		Topology:             topology.Swarm{},
 		OriginBytesPerSecond: s.options.Directory.Current().Origin().BytesPerSecond,
 		Participants:         s.participants,
+		OriginFetches:        originFetches,
 		Patience:             patience,
 		Stall:                stall,
 		Log:                  s.options.Log,
--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	defaultOriginFetches = 2
+
 	defaultPatience = 1500 * time.Millisecond
 	defaultStall    = 2 * time.Second
 )
@@ -42,6 +44,8 @@
 	Participants func(root string) []hub.Member
 	// Peers returns the addresses that may hold a manifest.
 	Peers func() []string
+	// OriginFetches bounds the chunks that are fetched from the sources at once, 0 for the default.
+	OriginFetches int
 	// Patience is the time without anything to fetch after which the next rank takes over a duty, 0 for the default.
 	Patience time.Duration
 	// Stall is the longest time between two pieces of a transfer, 0 for the default.
@@ -56,6 +60,7 @@
 
 // NewFetcher returns a fetcher.
 func NewFetcher(options Options) *Fetcher {
+	options.OriginFetches = cmp.Or(options.OriginFetches, defaultOriginFetches)
 	options.Patience = cmp.Or(options.Patience, defaultPatience)
 	options.Stall = cmp.Or(options.Stall, defaultStall)
 	return &Fetcher{options: options}
--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -17,8 +17,8 @@
 const (
 	// downloadSlots bounds the chunks that are fetched from peers at once.
 	downloadSlots = 8
-	// originFetches bounds the chunks that are fetched from the sources at once.
-	originFetches = 2
+	// lastResortChunks bounds the chunks that are tried at the origin when all ranks have had their turn.
+	lastResortChunks = 2
 	// refreshInterval is the time between two looks at the participants.
 	refreshInterval = 500 * time.Millisecond
 	// endgameAge is the age from which a fetch may be doubled.
@@ -87,7 +87,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	for range originFetches {
+	for range s.fetcher.options.OriginFetches {
 		running.Go(func() { s.originLoop(ctx) })
 	}
 	ticker := time.NewTicker(refreshInterval)
@@ -125,15 +125,21 @@
 	s.follow(ctx, running, s.layout, addresses)
 }
 
-// allow takes on the duties of the layout up to the current rank, and beyond the last rank every missing chunk.
+// allow takes on the duties of the layout: the own ones, and those of the current rank where others have not
+// carried theirs out. Beyond the last rank a few missing chunks are tried. What the origin is asked for never
+// grows with the time that it is down, or all would ask for everything when it is back.
 func (s *session) allow() {
-	if s.rank > plan.MaxRank {
-		s.allowMissing()
-		return
-	}
 	var origin []int
-	for rank := 0; rank <= s.rank && rank < len(s.layout.Origin); rank++ {
-		origin = append(origin, s.layout.Origin[rank]...)
+	if len(s.layout.Origin) > 0 {
+		origin = append(origin, s.layout.Origin[0]...)
+	}
+	switch {
+	case s.rank > plan.MaxRank:
+		missing := s.missing()
+		origin = append(origin, missing[:min(len(missing), lastResortChunks)]...)
+		s.plan.AllowCrossing(missing)
+	case s.rank > 0 && s.rank < len(s.layout.Origin):
+		origin = append(origin, s.layout.Origin[s.rank]...)
 	}
 	s.plan.SetOrigin(origin)
 	for rank := 0; rank <= s.rank && rank < len(s.layout.Crossing); rank++ {
@@ -209,8 +215,8 @@
 	o.Log.Debug().Str("Version", s.pin.Version).Int("Rank", s.rank).Int("Held", held).Msg("took over duties")
 }
 
-// allowMissing lets this process take every missing chunk from anywhere.
-func (s *session) allowMissing() {
+// missing returns the chunks that are not held, in random order.
+func (s *session) missing() []int {
 	var missing []int
 	for i := range s.replica.Manifest.Chunks {
 		if !s.plan.IsHeld(i) {
@@ -218,8 +224,7 @@
 		}
 	}
 	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
-	s.plan.SetOrigin(missing)
-	s.plan.AllowCrossing(missing)
+	return missing
 }
 
 // begin returns the buffer of a chunk with what an earlier transfer left in it.
