route/placement: send a prompt only where few others wait to be read

Cause: under overload engines held backlogs of unread prompts, which delay first events and lengthen the pauses of all streams there. Change: an engine whose unread prompts take over 0.2 of the objective has no room; the request waits here.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -20,6 +20,9 @@
 	// patienceParts is the part of the objective for which a request may wait for room, as a divisor.
 	patienceParts = 2
 	minPatience   = 60 * time.Millisecond
+	// backlogPart is the part of the objective for which a prompt may wait behind others at an engine; what
+	// waits there also lengthens the pauses of the streams in progress.
+	backlogPart = 0.2
 	// maxSent bounds the sendings of one request, refused ones included.
 	maxSent = 4
 	// slowFactor is how many times its objective an answer that may be repeated may take before another
@@ -114,7 +117,7 @@
 }
 
 func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
-	need := placement.Need{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens}
+	need := placement.Need{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, Backlog: time.Duration(backlogPart * float64(x.route.Objective))}
 	if x.account != nil {
 		need.Account = x.account.Name
 		need.Regions = append(need.Regions, x.account.Regions)
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -75,6 +75,8 @@
 	Priority int
 	// Regions are those that the route and the account allow; an empty list allows all.
 	Regions [][]string
+	// Backlog is the longest time for which the prompt may wait behind others at an upstream, 0 for any.
+	Backlog time.Duration
 	// PromptTokens is the length of the prompt, 0 where it is not known.
 	PromptTokens int
 	// Tried are the upstreams that are not to be chosen again.
@@ -185,7 +187,7 @@
 		}
 		candidates++
 		total := l.total()
-		if total >= p.limit(service, u) || l.full() {
+		if total >= p.limit(service, u) || l.full() || p.behind(service, l, n) {
 			continue
 		}
 		if score := p.score(service, u, l, total); best < 0 || score < bestScore {
@@ -270,6 +272,11 @@
 	return held != 0 && held >= oldest && !l.loading()
 }
 
+// behind reports whether the prompts that an upstream has yet to read would hold the request up too long.
+func (p *Placement) behind(s *directory.Service, l *Load, n *Need) bool {
+	return s.Engine != nil && n.Backlog > 0 && l.readTime(s.Engine) > n.Backlog
+}
+
 // limit returns the number of requests that an upstream is given at the same time.
 func (p *Placement) limit(s *directory.Service, u *directory.Upstream) int {
 	if s.Engine != nil {
