route/forward: call callers back late where nothing serves; wait a quarter of the objective

Cause: with no upstream serving, callers came back after 0.25 s to be refused again; under overload all waited half their objective and most answers came late.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -18,7 +18,7 @@
 
 const (
 	// patienceParts is the part of the objective for which a request may wait for room, as a divisor.
-	patienceParts = 2
+	patienceParts = 4
 	minPatience   = 60 * time.Millisecond
 	// backlogPart is the part of the objective for which a prompt may wait behind others at an engine; what
 	// waits there also lengthens the pauses of the streams in progress.
@@ -117,7 +117,7 @@
 }
 
 func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
-	need := placement.Need{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, Backlog: time.Duration(backlogPart * float64(x.route.Objective))}
+	need := placement.Need{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, Backlog: part(x.route.Objective, backlogPart)}
 	if x.account != nil {
 		need.Account = x.account.Name
 		need.Regions = append(need.Regions, x.account.Regions)
@@ -326,7 +326,7 @@
 	case x.kept != nil:
 		x.pass(x.kept)
 	case x.runs == 0:
-		x.refuse(reasonOf(ctx, err), busyRetry)
+		x.refuse(reasonOf(ctx, err), x.retryAfter(err))
 	case ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, reasonOf(ctx, err))
 	default:
@@ -334,6 +334,16 @@
 	}
 }
 
+// retryAfter returns when room is likely: soon where upstreams are full, late where none serves.
+func (x *exchange) retryAfter(err error) time.Duration {
+	if errors.Is(err, placement.ErrNoUpstream) {
+		return part(max(busyRetry, time.Until(x.deadline)), emptyRetryPart)
+	}
+	return busyRetry
+}
+
+func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
 func reasonOf(ctx context.Context, err error) string {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause.Error()
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -27,6 +27,9 @@
 	unknownStateRetry = 300 * time.Millisecond
 	// busyRetry is when a caller may come back after no upstream had room.
 	busyRetry = 250 * time.Millisecond
+	// emptyRetryPart is the part of its time left after which a caller may come back when no upstream serves at
+	// all; callers wait up to a third of it.
+	emptyRetryPart = 0.32
 )
 
 // Options are what a handler works with.
