upstream/stager: spread an older version's loads over what is left; resumed streams go first

Change: they are spread over the time left from then on. A stream that goes on elsewhere is placed and admitted before requests that have not begun.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -25,6 +25,10 @@
 	backlogPart = 0.2
 	// maxSent bounds the sendings of one request, refused ones included.
 	maxSent = 4
+	// resumedPriority ranks a stream that goes on before every request that has not begun, here and, as
+	// firstPriority, at the upstream: its caller waits in the middle of an answer.
+	resumedPriority = -1
+	firstPriority   = 0
 	// slowFactor is how many times its objective an answer that may be repeated may take before another
 	// upstream is asked.
 	slowFactor = 3
@@ -125,6 +129,9 @@
 			need.Priority = x.account.Priority
 		}
 	}
+	if x.relay != nil {
+		need.Priority, need.Backlog = resumedPriority, 0
+	}
 	choice, err := x.handler.options.Placement.Acquire(ctx, &need, x.patience())
 	if err != nil {
 		return choice, err
@@ -208,7 +215,7 @@
 		a.Account = x.account.Name
 	}
 	if x.relay != nil {
-		a.LastEvent = x.relay.lastId
+		a.LastEvent, a.Priority = x.relay.lastId, firstPriority
 	}
 	return &channel.Call{
 		Method:  x.r.Method,
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -197,12 +197,20 @@
 		return true
 	}
 	bound := s.options.SwitchBound
-	if best.version < target.Version && time.Since(oldest.Since) < part(bound, lastChance) {
-		return false
+	begin := best.heldAt
+	if best.version < target.Version {
+		begin = latest(begin, oldest.Since.Add(part(bound, lastChance)))
 	}
 	rank, total := s.place("turn/" + strconv.FormatUint(best.version, 10))
-	span := max(0, oldest.Since.Add(bound-part(bound, loadTime)).Sub(best.heldAt))
-	return time.Since(best.heldAt) >= span*time.Duration(rank)/time.Duration(max(1, total))
+	span := max(0, oldest.Since.Add(bound-part(bound, loadTime)).Sub(begin))
+	return time.Since(begin) >= span*time.Duration(rank)/time.Duration(max(1, total))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
