cli/commands, process/node: reload settings on SIGHUP and when the file changes

Change: settings are read anew on the signal and when the text differs; faults leave the last ones in force; bounds and peers apply at once, other keys are named as taking effect at the next start.

--- a/internal/cli/commands/platform.go
+++ b/internal/cli/commands/platform.go
@@ -16,15 +16,22 @@
 // settingsVariable names the environment variable that holds the path of the settings file on the platform.
 const settingsVariable = "ORIOLEHUB_CONFIG"
 
+// reloader is a process on the platform, which takes changed settings.
+type reloader interface {
+	// Reload puts settings in force and returns the keys that take effect at the next start only.
+	Reload(s settings.Node) []string
+}
+
 // PlatformEntry returns the command that runs an entry process on the users' platform.
 func PlatformEntry() *table.Command {
 	return program[settings.Node]{
-		name: "platform entry",
-		file: platformFile("entry.yaml"),
-		help: "run an entry process on the users' platform",
-		load: func(file string) (settings.Node, error) { return settings.LoadNode(file, false) },
-		log:  func(s *settings.Node) settings.Log { return s.Log },
-		stop: func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
+		name:   "platform entry",
+		file:   platformFile("entry.yaml"),
+		help:   "run an entry process on the users' platform",
+		load:   func(file string) (settings.Node, error) { return settings.LoadNode(file, false) },
+		logs:   func(s *settings.Node) settings.Log { return s.Log },
+		stop:   func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
+		reload: func(d daemon, s settings.Node) []string { return d.(reloader).Reload(s) },
 		start: func(s settings.Node, j *journal.Journal) (daemon, addresses, error) {
 			p, err := node.StartEntry(s, j, adapter())
 			if err != nil {
@@ -38,12 +45,13 @@
 // PlatformSide returns the command that runs a side process on the users' platform.
 func PlatformSide() *table.Command {
 	return program[settings.Node]{
-		name: "platform side",
-		file: platformFile("side.yaml"),
-		help: "run the side process of a model engine on the users' platform",
-		load: func(file string) (settings.Node, error) { return settings.LoadNode(file, true) },
-		log:  func(s *settings.Node) settings.Log { return s.Log },
-		stop: func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
+		name:   "platform side",
+		file:   platformFile("side.yaml"),
+		help:   "run the side process of a model engine on the users' platform",
+		load:   func(file string) (settings.Node, error) { return settings.LoadNode(file, true) },
+		logs:   func(s *settings.Node) settings.Log { return s.Log },
+		stop:   func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
+		reload: func(d daemon, s settings.Node) []string { return d.(reloader).Reload(s) },
 		start: func(s settings.Node, j *journal.Journal) (daemon, addresses, error) {
 			p, err := node.StartSide(s, j, adapter())
 			if err != nil {
--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -1,12 +1,15 @@
 package commands
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/oriolehub/oriolehub/internal/cli/table"
 	"github.com/oriolehub/oriolehub/internal/process/entry"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
@@ -35,8 +38,11 @@
 	file string
 	help string
 	load func(file string) (S, error)
-	log  func(s *S) settings.Log
+	logs func(s *S) settings.Log
 	stop func(s *S) time.Duration
+	// reload puts changed settings in force and returns the keys that take effect at the next start only; it
+	// is nil where every change does.
+	reload func(d daemon, s S) []string
 	// start runs the process and returns its addresses.
 	start func(s S, j *journal.Journal) (daemon, addresses, error)
 }
@@ -58,7 +64,7 @@
 			if err != nil {
 				return invalid(err)
 			}
-			j, err := openJournal(p.log(&s), env)
+			j, err := openJournal(p.logs(&s), env)
 			if err != nil {
 				return err
 			}
@@ -69,20 +75,68 @@
 			}
 			l := j.Logger(journal.Process)
 			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
+			watching, stopWatch := context.WithCancel(ctx)
+			go p.watch(watching, file, d, l)
 			untilSignal(ctx, p.stop(&s), d.Stop)
+			stopWatch()
 			l.Info().Msg("stopped")
 			return nil
 		},
 	}
 }
 
+// settingsInterval is the time between two looks for settings that changed without a signal.
+const settingsInterval = 2 * time.Second
+
+// watch puts the settings in force anew on SIGHUP and when the file has changed. Settings with a fault change nothing.
+func (p program[S]) watch(ctx context.Context, file string, d daemon, l *log.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	known, _ := os.ReadFile(file)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			asked = true
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			l.Error().Str("Settings", file).Err(err).Msg("settings not read, the last ones stay in force")
+			continue
+		}
+		if !asked && bytes.Equal(text, known) {
+			continue
+		}
+		known = text
+		p.apply(file, d, l)
+	}
+}
+
+func (p program[S]) apply(file string, d daemon, l *log.Logger) {
+	s, err := p.load(file)
+	switch {
+	case err != nil:
+		l.Error().Str("Settings", file).Err(err).Msg("settings have faults, the last ones stay in force")
+	case p.reload == nil:
+		l.Info().Str("Settings", file).Msg("settings read, changes take effect at the next start")
+	default:
+		l.Info().Str("Settings", file).Strs("AtNextStart", p.reload(d, s)).Msg("settings reloaded")
+	}
+}
+
 // Entry returns the command that runs an entry process.
 func Entry() *table.Command {
 	return program[settings.Entry]{
 		name: "entry",
 		help: "run an entry process, which answers callers",
 		load: settings.LoadEntry,
-		log:  func(s *settings.Entry) settings.Log { return s.Log },
+		logs: func(s *settings.Entry) settings.Log { return s.Log },
 		stop: func(s *settings.Entry) time.Duration { return s.Requests.StopTimeout.Std() },
 		start: func(s settings.Entry, j *journal.Journal) (daemon, addresses, error) {
 			p, err := entry.Start(s, j, entry.Extras{})
@@ -100,7 +154,7 @@
 		name: "side",
 		help: "run the side process of an upstream",
 		load: settings.LoadSide,
-		log:  func(s *settings.Side) settings.Log { return s.Log },
+		logs: func(s *settings.Side) settings.Log { return s.Log },
 		stop: func(s *settings.Side) time.Duration { return s.StopTimeout.Std() },
 		start: func(s settings.Side, j *journal.Journal) (daemon, addresses, error) {
 			p, err := side.Start(s, j, side.Extras{})
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -54,7 +54,7 @@
 		Directory:   e.directory,
 		Domain:      s.Domain,
 		Region:      s.Region,
-		SwitchBound: s.Bounds.Switch.Std(),
+		SwitchBound: e.switchBound,
 		Entries:     e.sharers,
 	})
 	if err := e.listen(nil, e.record, e.serving); err != nil {
@@ -109,14 +109,10 @@
 		Directory: e.directory,
 		Placement: e.placement,
 		Pool:      e.pool,
-		Repeats: allowance.NewRepeats(allowance.Bounds{
-			Ratio:  s.Bounds.RepeatRatio,
-			Slack:  s.Bounds.RepeatSlack,
-			Window: s.Bounds.RepeatWindow.Std(),
-		}, e.sharers),
-		Format:  e.platform.Format,
-		Log:     e.journal.Logger(journal.Routing),
-		Metrics: e.metrics,
+		Repeats:   allowance.NewRepeats(s.Bounds.RepeatWindow.Std(), e.repeatBounds, e.sharers),
+		Format:    e.platform.Format,
+		Log:       e.journal.Logger(journal.Routing),
+		Metrics:   e.metrics,
 	})
 	e.callers = &http.Server{
 		Handler:           handler,
@@ -131,6 +127,12 @@
 	return nil
 }
 
+// repeatBounds returns the bounds of repeats that are in force.
+func (e *Entry) repeatBounds() allowance.Bounds {
+	b := e.bounds.Load()
+	return allowance.Bounds{Ratio: b.RepeatRatio, Slack: b.RepeatSlack}
+}
+
 func noStore(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Cache-Control", "no-store")
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -57,7 +57,11 @@
 
 // node is what both roles share.
 type node struct {
+	// settings are those of the start.
 	settings settings.Node
+	// bounds and peers may change while the process runs.
+	bounds   atomic.Pointer[settings.NodeBounds]
+	peers    atomic.Pointer[[]string]
 	platform Platform
 	journal  *journal.Journal
 	role     string
@@ -95,6 +99,7 @@
 		dial:        socket.Dialer(peerDialTimeout),
 		metrics:     metrics.NewSet(),
 	}
+	n.Reload(s)
 	state := j.Logger(journal.State)
 	n.catalog = catalog.New(n.incarnation)
 	n.directory = directory.New(directory.Options{
@@ -105,7 +110,7 @@
 	n.presence = presence.New(n.catalog, record)
 	n.link = link.NewClient(link.DialFunc(n.dial))
 	n.exchange = exchange.NewClient(exchange.Options{
-		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, Seeds: s.Peers, MoreSeeds: n.listedPeers,
+		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, MoreSeeds: n.knownPeers,
 		SeedInterval: seedInterval, Log: state,
 	})
 	return n
@@ -192,6 +197,22 @@
 	}
 }
 
+// Reload puts the bounds and the peers of changed settings in force and returns the other keys that differ, which
+// take effect at the next start.
+func (n *node) Reload(s settings.Node) []string {
+	n.bounds.Store(&s.Bounds)
+	n.peers.Store(&s.Peers)
+	same := n.settings
+	same.Bounds, same.Peers = s.Bounds, s.Peers
+	return settings.Differing(same, s)
+}
+
+// switchBound returns the time within which a named version replaces older ones.
+func (n *node) switchBound() time.Duration { return n.bounds.Load().Switch.Std() }
+
+// knownPeers returns the control addresses that may be asked for news: those of the settings and of the list.
+func (n *node) knownPeers() []string { return append(n.listedPeers(), *n.peers.Load()...) }
+
 // listedPeers returns the control addresses of the side processes beside the listed engines: they listen at the
 // VM's address and the port that is the same on all VMs.
 func (n *node) listedPeers() []string {
@@ -234,7 +255,7 @@
 			known++
 		}
 	}
-	return max(known, seedShare*len(n.settings.Peers))
+	return max(known, seedShare*len(*n.peers.Load()))
 }
 
 // reportAddresses returns where the entry processes receive reports.
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -50,7 +50,7 @@
 		Pacer:     pace.New(rate),
 		NewSource: func(o *hub.Origin, m *hub.EngineModel) hub.WeightSource { return p.Source(o, m, e.dial) },
 
-		SwitchBound: s.Bounds.Switch.Std(),
+		SwitchBound: e.switchBound,
 		Reported:    e.report,
 		Log:         j.Logger(journal.Placement),
 	})
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
 )
 
@@ -36,6 +37,18 @@
 	Log             Log
 }
 
+// Differing returns the top-level keys in which two settings differ.
+func Differing(a, b Node) []string {
+	var out []string
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range va.NumField() {
+		if !reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
+			out = append(out, va.Type().Field(i).Name)
+		}
+	}
+	return out
+}
+
 // DomainRegion places a failure domain.
 type DomainRegion struct {
 	Domain string
--- a/internal/route/allowance/repeats.go
+++ b/internal/route/allowance/repeats.go
@@ -18,13 +18,13 @@
 	Ratio float64
 	// Slack is the number of repeats beyond those.
 	Slack float64
-	// Window is the length of the sliding window.
-	Window time.Duration
 }
 
 // Repeats counts the requests and the repeats for each service.
 type Repeats struct {
-	bounds Bounds
+	// span is the length of the sliding window.
+	span   time.Duration
+	bounds func() Bounds
 	// entries returns the number of live entry processes.
 	entries func() int
 	// started is the zero of the steps, read from the monotonic clock.
@@ -41,16 +41,16 @@
 	repeats  [windowSteps]int
 }
 
-// NewRepeats returns a counter; entries returns the number of live entry processes.
-func NewRepeats(b Bounds, entries func() int) *Repeats {
-	return &Repeats{bounds: b, entries: entries, started: time.Now(), services: map[string]*window{}}
+// NewRepeats returns a counter; bounds returns what is allowed now, entries the number of live entry processes.
+func NewRepeats(span time.Duration, bounds func() Bounds, entries func() int) *Repeats {
+	return &Repeats{span: span, bounds: bounds, entries: entries, started: time.Now(), services: map[string]*window{}}
 }
 
 // Request counts a caller's request for a service.
 func (r *Repeats) Request(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w := r.window(service)
+	w := r.counts(service)
 	w.requests[w.step%windowSteps]++
 }
 
@@ -58,13 +58,14 @@
 func (r *Repeats) Take(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w := r.window(service)
+	w := r.counts(service)
 	requests, repeats := 0, 0
 	for i := range windowSteps {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := safety * (r.bounds.Ratio*float64(requests) + r.bounds.Slack/float64(max(1, r.entries())))
+	b := r.bounds()
+	allowed := safety * (b.Ratio*float64(requests) + b.Slack/float64(max(1, r.entries())))
 	if float64(repeats+1) > allowed {
 		return false
 	}
@@ -72,14 +73,14 @@
 	return true
 }
 
-// window returns the counts of a service with the steps that have passed set to zero.
-func (r *Repeats) window(service string) *window {
+// counts returns the counts of a service with the steps that have passed set to zero.
+func (r *Repeats) counts(service string) *window {
 	w := r.services[service]
 	if w == nil {
 		w = &window{}
 		r.services[service] = w
 	}
-	now := int64(time.Since(r.started) / (r.bounds.Window / windowSteps))
+	now := int64(time.Since(r.started) / (r.span / windowSteps))
 	for passed := min(now-w.step, windowSteps); passed > 0; passed-- {
 		at := (now - passed + 1) % windowSteps
 		w.requests[at], w.repeats[at] = 0, 0
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -160,12 +160,12 @@
 	log := journal.Discard().Logger(journal.Routing)
 	f := &fixture{t: t, catalog: catalog.New(1), revision: 10}
 	f.directory = directory.New(directory.Options{Catalog: f.catalog, Decoder: platform.Decoder{}, Regions: map[string]string{"a": "north", "b": "south"}, Log: log})
-	f.placement = placement.New(placement.Options{Directory: f.directory, Domain: "a", Region: "north", SwitchBound: time.Hour, Entries: func() int { return 1 }})
+	f.placement = placement.New(placement.Options{Directory: f.directory, Domain: "a", Region: "north", SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 }})
 	handler := forward.New(forward.Options{
 		Directory: f.directory,
 		Placement: f.placement,
 		Pool:      channel.NewPool(socket.Dialer(testTimeout)),
-		Repeats:   allowance.NewRepeats(allowance.Bounds{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 }),
+		Repeats:   allowance.NewRepeats(10*time.Second, func() allowance.Bounds { return allowance.Bounds{Ratio: 0.2, Slack: 10} }, func() int { return 1 }),
 		Format:    platform.CallFormat{},
 		Log:       log,
 		Metrics:   metrics.NewSet(),
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -45,7 +45,7 @@
 	Domain    string
 	Region    string
 	// SwitchBound is the time within which a named version replaces older ones everywhere.
-	SwitchBound time.Duration
+	SwitchBound func() time.Duration
 	// Entries returns the number of live entry processes.
 	Entries func() int
 }
@@ -222,7 +222,7 @@
 	if s.Engine == nil || !ok {
 		return time.Time{}
 	}
-	return next.Since.Add(p.options.SwitchBound - startMargin)
+	return next.Since.Add(p.options.SwitchBound() - startMargin)
 }
 
 // Begun tells that the answer has begun, so that the prompt is read.
@@ -251,7 +251,7 @@
 	if s.Engine == nil {
 		return 0
 	}
-	return s.Target.Due(now, p.options.SwitchBound-switchMargin)
+	return s.Target.Due(now, p.options.SwitchBound()-switchMargin)
 }
 
 // usable reports whether a request may be sent to an upstream by all that is known here.
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -49,7 +49,7 @@
 	// NewSource opens the origin of a model's weights.
 	NewSource func(o *hub.Origin, e *hub.EngineModel) hub.WeightSource
 	// SwitchBound is the time within which a named version replaces older ones.
-	SwitchBound time.Duration
+	SwitchBound func() time.Duration
 	// Reported is given each report of the engine.
 	Reported func(hub.UpstreamReport)
 	Log      *log.Logger
@@ -196,7 +196,7 @@
 	if !ok {
 		return true
 	}
-	bound := s.options.SwitchBound
+	bound := s.options.SwitchBound()
 	begin := best.heldAt
 	if best.version < target.Version {
 		begin = latest(begin, oldest.Since.Add(part(bound, lastChance)))
