--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -25,6 +25,7 @@
 
 // Load is what this process knows of the load of one lifetime of an upstream.
 type Load struct {
+	created time.Time
 	running atomic.Int64
 	// unread is the number of prompt tokens sent from here whose answers have not begun, waiting that of the requests.
 	unread  atomic.Int64
@@ -33,7 +34,7 @@
 	others        atomic.Int64
 	othersWaiting atomic.Int64
 	report        atomic.Pointer[timedReport]
-	// avoidUntil is on the monotonic clock, in nanoseconds since start.
+	// avoidUntil is in nanoseconds since created.
 	avoidUntil atomic.Int64
 	failures   atomic.Int64
 	// fullUntil is the end of the pause after a refusal, on the same clock.
@@ -48,9 +49,10 @@
 	at time.Time
 }
 
-var start = time.Now()
+func newLoad() *Load { return &Load{created: time.Now()} }
 
-func monotonic() int64 { return int64(time.Since(start)) }
+// now returns the time since the record was made, in nanoseconds on the monotonic clock.
+func (l *Load) now() int64 { return int64(time.Since(l.created)) }
 
 // Report takes in what the upstream said of itself.
 func (l *Load) Report(r hub.UpstreamReport) {
@@ -93,17 +95,17 @@
 func (l *Load) Failed() {
 	n := l.failures.Add(1)
 	pause := time.Duration(float64(failurePause) * math.Exp2(float64(min(n-1, 8))))
-	l.avoidUntil.Store(monotonic() + int64(min(pause, maxFailurePause)))
+	l.avoidUntil.Store(l.now() + int64(min(pause, maxFailurePause)))
 }
 
 // Refused keeps the upstream from being chosen for a moment: it has no place or takes new weights.
-func (l *Load) Refused() { l.fullUntil.Store(monotonic() + int64(fullPause)) }
+func (l *Load) Refused() { l.fullUntil.Store(l.now() + int64(fullPause)) }
 
 // full reports whether the upstream refused a moment ago.
-func (l *Load) full() bool { return monotonic() < l.fullUntil.Load() }
+func (l *Load) full() bool { return l.now() < l.fullUntil.Load() }
 
 // Gone keeps the upstream from being chosen until a later report shows that this lifetime serves after all.
-func (l *Load) Gone() { l.goneAt.Store(monotonic()) }
+func (l *Load) Gone() { l.goneAt.Store(l.now()) }
 
 // gone reports whether nothing has been heard of the upstream since its address answered for another lifetime.
 func (l *Load) gone() bool {
@@ -112,7 +114,7 @@
 		return false
 	}
 	r := l.report.Load()
-	return r == nil || int64(r.at.Sub(start)) <= at
+	return r == nil || int64(r.at.Sub(l.created)) <= at
 }
 
 // silent reports whether the side process of the upstream told of it once and no longer does.
@@ -121,7 +123,7 @@
 // Succeeded forgets the failures.
 func (l *Load) Succeeded() { l.failures.Store(0) }
 
-func (l *Load) avoided() bool { return monotonic() < l.avoidUntil.Load() || l.silent() }
+func (l *Load) avoided() bool { return l.now() < l.avoidUntil.Load() || l.silent() }
 
 // held returns the version that the upstream answers from, by the newest source.
 func (l *Load) held(u *directory.Upstream) uint64 {
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -130,7 +130,7 @@
 		for _, u := range service.Upstreams {
 			l := known[u.Key()]
 			if l == nil {
-				l = &Load{}
+				l = newLoad()
 			}
 			next[u.Key()] = l
 		}
--- /dev/null
+++ b/internal/state/mirror/mirror_test.go
@@ -0,0 +1,193 @@
+package mirror_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/mirror"
+	"github.com/oriolehub/oriolehub/platform"
+)
+
+// source is a store whose faults a test sets.
+type source struct {
+	mu       sync.Mutex
+	items    map[string]hub.Item
+	revision uint64
+	// deaf makes watches miss every change, lost drops their history, down makes every call fail.
+	deaf, lost, down bool
+	lists            int
+}
+
+func newSource() *source { return &source{items: map[string]hub.Item{}, revision: 1} }
+
+func (s *source) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = hub.Item{Key: key, Value: []byte(value), Revision: s.revision}
+}
+
+func (s *source) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = hub.Item{Key: key, Revision: s.revision, Deleted: true}
+}
+
+func (s *source) set(f func(s *source)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *source) List(_ context.Context, prefix string) (hub.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return hub.Listing{}, hub.ErrUnavailable
+	}
+	s.lists++
+	l := hub.Listing{Revision: s.revision}
+	for key, i := range s.items {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix && !i.Deleted {
+			l.Items = append(l.Items, i)
+		}
+	}
+	return l, nil
+}
+
+func (s *source) Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (hub.Listing, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		l, err := s.changes(prefix, after)
+		if err != nil || len(l.Items) > 0 || !time.Now().Before(deadline) {
+			return l, err
+		}
+		if err := hub.Sleep(ctx, 10*time.Millisecond); err != nil {
+			return l, err
+		}
+	}
+}
+
+func (s *source) changes(prefix string, after uint64) (hub.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return hub.Listing{}, hub.ErrUnavailable
+	case s.lost:
+		s.lost = false
+		return hub.Listing{}, fmt.Errorf("follow: %w", hub.ErrHistoryLost)
+	case s.deaf:
+		return hub.Listing{Revision: s.revision}, nil
+	}
+	l := hub.Listing{Revision: s.revision}
+	for key, i := range s.items {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix && i.Revision > after {
+			l.Items = append(l.Items, i)
+		}
+	}
+	return l, nil
+}
+
+func withTestMirror(s *source, c *catalog.Catalog) (stop func()) {
+	m := mirror.New(mirror.Options{Source: s, Decoder: platform.Decoder{}, Catalog: c, Log: journal.Discard().Logger(journal.State)})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); m.Run(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+func keysOf(t *testing.T, c *catalog.Catalog, document string) []string {
+	t.Helper()
+	entries, err := mirror.Decode(c.Document(document).Value)
+	assert.NilError(t, err)
+	keys := []string{}
+	for _, e := range entries {
+		keys = append(keys, e.Key)
+	}
+	return keys
+}
+
+func TestChangesAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		s.put("op/config", "one")
+		s.put("servers/a", "x")
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		assert.Equal(t, string(c.Document(mirror.DocumentConfiguration).Value), "one")
+		s.put("op/config", "two")
+		s.put("servers/b", "y")
+		s.remove("servers/a")
+		s.put("op/evacuate/z", "{}")
+		time.Sleep(time.Second)
+		assert.Equal(t, string(c.Document(mirror.DocumentConfiguration).Value), "two")
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{"servers/b"})
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentDirectives), []string{"op/evacuate/z"})
+	})
+}
+
+// A key that was removed while the history was dropped is found missing by a full read.
+func TestLostHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		s.put("servers/a", "x")
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		s.set(func(s *source) { delete(s.items, "servers/a"); s.revision++; s.lost = true })
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{})
+	})
+}
+
+// A watch that has gone deaf is made up for by the full read that is due now and then.
+func TestDeafWatchIsMadeUpFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		s.set(func(s *source) { s.deaf = true })
+		s.put("servers/a", "x")
+		time.Sleep(15 * time.Second)
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{"servers/a"})
+	})
+}
+
+// A process that the store turns away goes on from the copy of one that it serves, and never back.
+func TestNewerCopyOfAPeerIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		s.put("servers/a", "x")
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		s.set(func(s *source) { s.deaf = true })
+		c.PutDocument(hub.Document{Name: mirror.DocumentUpstreams, Revision: 50, Value: []byte(`[{"Key":"servers/b","Value":"eA==","Revision":50}]`)})
+		time.Sleep(20 * time.Second)
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{"servers/b"})
+		assert.Equal(t, c.Document(mirror.DocumentUpstreams).Revision, uint64(50))
+	})
+}
+
+func TestOutageEndsWithAFullRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		s.put("servers/a", "x")
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		s.set(func(s *source) { s.down = true })
+		time.Sleep(5 * time.Second)
+		s.set(func(s *source) { delete(s.items, "servers/a"); s.revision++; s.down = false })
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{})
+	})
+}
