--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -23,11 +22,10 @@
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/forward"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
+	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
-	"github.com/oriolehub/oriolehub/internal/state/mirror"
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
-	"github.com/oriolehub/oriolehub/platform"
 )
 
 const testTimeout = 20 * time.Second
@@ -92,10 +90,10 @@
 	return u.arrivals[i]
 }
 
-func id(r *http.Request) string { return r.Header.Get("X-Oriolehub-Attempt-Id") }
+func id(r *http.Request) string { return r.Header.Get(desired.HeaderRequestId) }
 
 func head(r *http.Request, status int, more string) string {
-	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Oriolehub-Attempt-Id: %s\r\nX-Oriolehub-Server-Signature: s\r\n%s", status, id(r), more)
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nSignature: s\r\n%s", status, id(r), more)
 }
 
 func answer(status int, body string) script {
@@ -107,7 +105,7 @@
 
 // full refuses as upstreams do that have no place.
 func full(r *http.Request, c net.Conn) bool {
-	_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nX-Oriolehub-Attempt-Id: "+id(r)+"\r\nX-Oriolehub-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nRequest-Id: "+id(r)+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	return true
 }
 
@@ -146,64 +144,78 @@
 
 // fixture is an entry process's path of a request before scripted upstreams.
 type fixture struct {
-	t         *testing.T
 	server    *httptest.Server
-	catalog   *catalog.Catalog
+	publisher desired.Publisher
 	directory *directory.Directory
 	placement *placement.Placement
-	revision  uint64
 }
 
-// withTestEntry serves the routes once, many, stream and bound on host h.test.
+// withTestEntry serves the routes once, many, slow, stream and bound on host h.test.
 func withTestEntry(t *testing.T, upstreams ...*upstream) *fixture {
 	t.Helper()
 	log := journal.Discard().Logger(journal.Routing)
-	f := &fixture{t: t, catalog: catalog.New(1), revision: 10}
-	f.directory = directory.New(directory.Options{Catalog: f.catalog, Decoder: platform.Decoder{}, Regions: map[string]string{"a": "north", "b": "south"}, Log: log})
-	f.placement = placement.New(placement.Options{Directory: f.directory, Domain: "a", Region: "north", SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 }})
+	c := catalog.New(1)
+	f := &fixture{publisher: desired.Publisher{Catalog: c}}
+	f.directory = directory.New(directory.Options{Catalog: c, Decoder: desired.Decoder{}, Regions: map[string]string{"a": "north", "b": "south"}, Log: log})
+	f.placement = placement.New(placement.Options{
+		Directory: f.directory, Domain: "a", Region: "north",
+		SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 },
+	})
 	handler := forward.New(forward.Options{
 		Directory: f.directory,
 		Placement: f.placement,
 		Pool:      channel.NewPool(socket.Dialer(testTimeout)),
 		Repeats:   allowance.NewRepeats(10*time.Second, func() allowance.Bounds { return allowance.Bounds{Ratio: 0.2, Slack: 10} }, func() int { return 1 }),
-		Format:    platform.CallFormat{},
+		Format:    desired.CallFormat{},
 		Log:       log,
 		Metrics:   metrics.NewSet(),
 	})
 	f.server = httptest.NewServer(handler)
 	t.Cleanup(f.server.Close)
-	f.configure(5, testRoutes, `[{"name":"acme","api_keys":["k1"],"allowed_regions":[]}]`)
-	f.list(upstreams, "ready")
+	f.configure("k1")
+	f.list(upstreams, false)
 	return f
 }
 
-const testRoutes = `[
- {"name":"once","host":"h.test","path_prefix":"/once/","route_kind":"non_idempotent","timeout_ms":1500,"goal_ms":1000,"service":"s","max_attempts":1},
- {"name":"many","host":"h.test","path_prefix":"/many/","route_kind":"idempotent","timeout_ms":5000,"goal_ms":5000,"service":"s","max_attempts":2},
- {"name":"slow","host":"h.test","path_prefix":"/slow/","route_kind":"idempotent","timeout_ms":8000,"goal_ms":50,"service":"s","max_attempts":2},
- {"name":"stream","host":"h.test","path_prefix":"/stream/","route_kind":"streaming","timeout_ms":8000,"goal_ms":5000,"gap_target_ms":300,"service":"s","max_attempts":2,"resumable":true},
- {"name":"bound","host":"h.test","path_prefix":"/bound/","route_kind":"idempotent","timeout_ms":1000,"goal_ms":100,"service":"s","max_attempts":2,"allowed_regions":["south"]}]`
-
-func (f *fixture) configure(version int, routes, accounts string) {
-	f.t.Helper()
-	f.revision++
-	value := fmt.Sprintf(`{"version":%d,"routes":%s,"services":[{"name":"s"}],"limits":{"max_body_bytes":1000},"tenants":%s}`, version, routes, accounts)
-	f.catalog.PutDocument(hub.Document{Name: mirror.DocumentConfiguration, Revision: f.revision, Value: []byte(value)})
-	f.directory.Rebuild()
-	f.placement.Refresh()
+// configure publishes the routes and an account with one key.
+func (f *fixture) configure(key string) {
+	route := func(name string, kind hub.RouteKind, attempts int, timeout, objective time.Duration) hub.Route {
+		return hub.Route{
+			Name: name, Host: "h.test", PathPrefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts,
+			Timeout: timeout, Objective: objective, Targets: []hub.Target{{Service: "s", Weight: 1}},
+		}
+	}
+	stream := route("stream", hub.Stream, 2, 8*time.Second, 5*time.Second)
+	stream.Resumable, stream.MaxPause = true, 300*time.Millisecond
+	bound := route("bound", hub.Idempotent, 2, time.Second, 100*time.Millisecond)
+	bound.Regions = []string{"south"}
+	f.publisher.Configure(hub.Configuration{
+		Version: 1,
+		Routes: []hub.Route{
+			route("once", hub.AtMostOnce, 1, 1500*time.Millisecond, time.Second),
+			route("many", hub.Idempotent, 2, 5*time.Second, 5*time.Second),
+			route("slow", hub.Idempotent, 2, 8*time.Second, 50*time.Millisecond),
+			stream, bound,
+		},
+		Services: []hub.Service{{Name: "s"}},
+		Accounts: []hub.Account{{Name: "acme", Keys: []string{key}}},
+		Limits:   hub.RequestLimits{MaxBodyBytes: 1000},
+	})
+	f.refresh()
 }
 
-func (f *fixture) list(upstreams []*upstream, state string) {
-	f.t.Helper()
-	f.revision++
-	var entries []mirror.Entry
+func (f *fixture) list(upstreams []*upstream, leaving bool) {
+	var instances []hub.Instance
 	for i, u := range upstreams {
-		value := fmt.Sprintf(`{"service":"s","address":%q,"zone":"a","slots":4,"state":%q,"born":%d}`, u.address, state, i+1)
-		entries = append(entries, mirror.Entry{Key: fmt.Sprintf("servers/i%d", i), Value: []byte(value), Revision: f.revision})
+		instances = append(instances, hub.Instance{
+			Id: fmt.Sprintf("i%d", i), Service: "s", Address: u.address, Domain: "a", Slots: 4, Leaving: leaving, Born: int64(i + 1),
+		})
 	}
-	data, err := json.Marshal(entries)
-	assert.NilError(f.t, err)
-	f.catalog.PutDocument(hub.Document{Name: mirror.DocumentUpstreams, Revision: f.revision, Value: data})
+	f.publisher.List(instances...)
+	f.refresh()
+}
+
+func (f *fixture) refresh() {
 	f.directory.Rebuild()
 	f.placement.Refresh()
 }
@@ -215,12 +227,12 @@
 	err    error
 }
 
-func (f *fixture) call(ctx context.Context, method, path string, header http.Header) reply {
-	f.t.Helper()
+func (f *fixture) call(ctx context.Context, t *testing.T, method, path string, header http.Header) reply {
+	t.Helper()
 	r, err := http.NewRequestWithContext(ctx, method, f.server.URL+path, strings.NewReader("body"))
-	assert.NilError(f.t, err)
+	assert.NilError(t, err)
 	r.Host = "h.test"
-	r.Header = http.Header{"Authorization": {"Bearer k1"}, "X-Oriolehub-Attempt-Id": {"req-1"}}
+	r.Header = http.Header{desired.HeaderKey: {"k1"}, desired.HeaderRequestId: {"req-1"}}
 	for name, values := range header {
 		r.Header[name] = values
 	}
@@ -233,32 +245,32 @@
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
 }
 
-func (f *fixture) post(path string) reply {
-	f.t.Helper()
+func (f *fixture) post(t *testing.T, path string) reply {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	return f.call(ctx, http.MethodPost, path, nil)
+	return f.call(ctx, t, http.MethodPost, path, nil)
 }
 
 func TestRequestReachesAnUpstreamUnchanged(t *testing.T) {
 	u := withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, u)
-	got := f.call(context.Background(), http.MethodPost, "/once/a%2Fb?x=1&y=%20", http.Header{
-		"X-Oriolehub-Tenant-Id": {"forged"}, "X-Oriolehub-Deadline-Ms": {"900"}, "X-Other": {"kept"},
+	got := f.call(context.Background(), t, http.MethodPost, "/once/a%2Fb?x=1&y=%20", http.Header{
+		desired.HeaderAccount: {"forged"}, desired.HeaderRemaining: {"900"}, "X-Other": {"kept"},
 	})
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, 200)
 	assert.Equal(t, got.body, "done")
-	assert.Equal(t, got.header.Get("X-Oriolehub-Server-Signature"), "s")
+	assert.Equal(t, got.header.Get(desired.HeaderSignature), "s")
 	r := u.arrival(0)
 	assert.Equal(t, r.RequestURI, "/once/a%2Fb?x=1&y=%20")
 	assert.Equal(t, r.Host, "h.test")
-	assert.Equal(t, r.Header.Get("Authorization"), "")
-	assert.Equal(t, r.Header.Get("X-Oriolehub-Tenant-Id"), "acme")
-	assert.Equal(t, r.Header.Get("X-Oriolehub-Expected-Instance"), "i0")
+	assert.Equal(t, r.Header.Get(desired.HeaderKey), "")
+	assert.Equal(t, r.Header.Get(desired.HeaderAccount), "acme")
+	assert.Equal(t, r.Header.Get(desired.HeaderInstance), "i0")
 	assert.Equal(t, r.Header.Get("X-Other"), "kept")
 	var left int
-	_, err := fmt.Sscan(r.Header.Get("X-Oriolehub-Deadline-Ms"), &left)
+	_, err := fmt.Sscan(r.Header.Get(desired.HeaderRemaining), &left)
 	assert.NilError(t, err)
 	assert.Assert(t, left > 0 && left <= 900, left)
 }
@@ -266,11 +278,11 @@
 func TestWhatIsNotAllowedIsDenied(t *testing.T) {
 	u := withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, u)
-	assert.Equal(t, f.post("/none/").status, 404)
-	got := f.call(context.Background(), http.MethodPost, "/once/", http.Header{"Authorization": {"Bearer other"}})
+	assert.Equal(t, f.post(t, "/none/").status, 404)
+	got := f.call(context.Background(), t, http.MethodPost, "/once/", http.Header{desired.HeaderKey: {"other"}})
 	assert.Equal(t, got.status, 401)
-	f.configure(6, testRoutes, `[{"name":"acme","api_keys":["k2"],"allowed_regions":[]}]`)
-	assert.Equal(t, f.post("/once/").status, 401)
+	f.configure("k2")
+	assert.Equal(t, f.post(t, "/once/").status, 401)
 	assert.Equal(t, u.count(), 0)
 }
 
@@ -278,9 +290,9 @@
 func TestLostAnswerOfOnceIsUnknown(t *testing.T) {
 	a, b := withTestUpstream(t, drop), withTestUpstream(t, drop)
 	f := withTestEntry(t, a, b)
-	got := f.post("/once/")
+	got := f.post(t, "/once/")
 	assert.Equal(t, got.status, 502)
-	assert.Equal(t, got.header.Get("X-Oriolehub-Server-Signature"), "")
+	assert.Equal(t, got.header.Get(desired.HeaderSignature), "")
 	assert.Equal(t, a.count()+b.count(), 1)
 }
 
@@ -289,7 +301,7 @@
 	a, b := withTestUpstream(t, full), withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, a, b)
 	for range 6 {
-		got := f.post("/once/")
+		got := f.post(t, "/once/")
 		assert.Equal(t, got.status, 200, got.body)
 	}
 }
@@ -297,7 +309,7 @@
 func TestRefusedByAllIsNotRun(t *testing.T) {
 	a, b := withTestUpstream(t, full), withTestUpstream(t, full)
 	f := withTestEntry(t, a, b)
-	got := f.post("/once/")
+	got := f.post(t, "/once/")
 	assert.Equal(t, got.status, 503)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 }
@@ -306,7 +318,7 @@
 	a, b := withTestUpstream(t, drop), withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, a, b)
 	for range 4 {
-		assert.Equal(t, f.post("/many/").status, 200)
+		assert.Equal(t, f.post(t, "/many/").status, 200)
 	}
 }
 
@@ -314,41 +326,41 @@
 func TestFailureIsPassedOnWithItsSignature(t *testing.T) {
 	a, b := withTestUpstream(t, answer(500, "bad")), withTestUpstream(t, answer(500, "bad"))
 	f := withTestEntry(t, a, b)
-	got := f.post("/many/")
+	got := f.post(t, "/many/")
 	assert.Equal(t, got.status, 500)
 	assert.Equal(t, got.body, "bad")
-	assert.Equal(t, got.header.Get("X-Oriolehub-Server-Signature"), "s")
+	assert.Equal(t, got.header.Get(desired.HeaderSignature), "s")
 	assert.Equal(t, a.count()+b.count(), 2)
 }
 
 func TestSuccessWithoutSignatureIsNotPassedOn(t *testing.T) {
 	forged := func(r *http.Request, c net.Conn) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nX-Oriolehub-Attempt-Id: "+id(r)+"\r\nContent-Length: 2\r\n\r\nno")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nRequest-Id: "+id(r)+"\r\nContent-Length: 2\r\n\r\nno")
 		return true
 	}
 	f := withTestEntry(t, withTestUpstream(t, forged))
-	assert.Equal(t, f.post("/once/").status, 502)
+	assert.Equal(t, f.post(t, "/once/").status, 502)
 }
 
 func TestLeavingUpstreamsGetNothing(t *testing.T) {
 	u := withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, u)
-	f.list([]*upstream{u}, "draining")
-	assert.Equal(t, f.post("/many/").status, 503)
+	f.list([]*upstream{u}, true)
+	assert.Equal(t, f.post(t, "/many/").status, 503)
 	assert.Equal(t, u.count(), 0)
 }
 
 func TestHomesBind(t *testing.T) {
 	u := withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, u)
-	assert.Equal(t, f.post("/bound/").status, 503)
+	assert.Equal(t, f.post(t, "/bound/").status, 503)
 	assert.Equal(t, u.count(), 0)
 }
 
 func TestRouteTimeoutIsAnsweredInTime(t *testing.T) {
 	u := withTestUpstream(t, func(*http.Request, net.Conn) bool { time.Sleep(testTimeout); return false })
 	f := withTestEntry(t, u)
-	got := f.post("/once/")
+	got := f.post(t, "/once/")
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, 504)
 }
@@ -358,7 +370,7 @@
 	a, b := withTestUpstream(t, hang), withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, a, b)
 	for range 4 {
-		assert.Equal(t, f.post("/slow/").status, 200)
+		assert.Equal(t, f.post(t, "/slow/").status, 200)
 	}
 }
 
@@ -367,12 +379,12 @@
 	whole := withTestUpstream(t, events(6, true))
 	f := withTestEntry(t, a, whole)
 	for range 4 {
-		got := f.post("/stream/")
+		got := f.post(t, "/stream/")
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.body, wholeStream(6))
 	}
-	f.list([]*upstream{a, b}, "ready")
-	got := f.post("/stream/")
+	f.list([]*upstream{a, b}, false)
+	got := f.post(t, "/stream/")
 	assert.Assert(t, got.err != nil, "a stream that is not whole must not look whole: %q", got.body)
 	assert.Equal(t, got.body, wholeStream(3))
 }
@@ -387,7 +399,7 @@
 	f := withTestEntry(t, u)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { <-arrived; cancel() }()
-	got := f.call(ctx, http.MethodPost, "/once/", nil)
+	got := f.call(ctx, t, http.MethodPost, "/once/", nil)
 	assert.Assert(t, got.err != nil)
 	select {
 	case <-u.ended:
@@ -402,7 +414,7 @@
 	r, err := http.NewRequest(http.MethodPost, f.server.URL+"/many/", strings.NewReader(strings.Repeat("x", 2000)))
 	assert.NilError(t, err)
 	r.Host = "h.test"
-	r.Header.Set("Authorization", "Bearer k1")
+	r.Header.Set(desired.HeaderKey, "k1")
 	resp, err := http.DefaultClient.Do(r)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
@@ -412,13 +424,13 @@
 // An address that answers for another lifetime is left alone until that lifetime is heard of again.
 func TestWrongInstanceIsAskedOnce(t *testing.T) {
 	other := withTestUpstream(t, func(r *http.Request, c net.Conn) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nX-Oriolehub-Attempt-Id: "+id(r)+"\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nRequest-Id: "+id(r)+"\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
 	good := withTestUpstream(t, answer(200, "done"))
 	f := withTestEntry(t, other, good)
 	for range 20 {
-		assert.Equal(t, f.post("/once/").status, 200)
+		assert.Equal(t, f.post(t, "/once/").status, 200)
 	}
 	assert.Assert(t, other.count() <= 1, "%d requests reached the wrong instance", other.count())
 }
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -14,64 +13,62 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
+	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
-	"github.com/oriolehub/oriolehub/internal/state/mirror"
-	"github.com/oriolehub/oriolehub/platform"
 )
 
 const switchBound = 8 * time.Second
 
 // fixture is a placement before the engines of one service.
 type fixture struct {
-	catalog   *catalog.Catalog
+	publisher desired.Publisher
 	directory *directory.Directory
 	placement *placement.Placement
-	revision  uint64
 }
 
 func withTestPlacement(t testing.TB) *fixture {
-	f := &fixture{catalog: catalog.New(1), revision: 10}
+	t.Helper()
+	c := catalog.New(1)
+	f := &fixture{publisher: desired.Publisher{Catalog: c}}
 	f.directory = directory.New(directory.Options{
-		Catalog: f.catalog, Decoder: platform.Decoder{}, Regions: map[string]string{"a": "north", "b": "south"},
+		Catalog: c, Decoder: desired.Decoder{}, Regions: map[string]string{"a": "north", "b": "south"},
 		Log: journal.Discard().Logger(journal.State),
 	})
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return 1 },
 	})
-	f.put(mirror.DocumentConfiguration, []byte(`{"version":1,"services":[{"name":"s","cold_per_s":10,"engine":{"slots":4,
-		"read_per_s":10000,"usual":{"prompt":1000,"answer":100},"models":[{"name":"m"}],"layers":2,"chunks":2}}]}`))
-	f.put(mirror.DocumentDirectives, []byte("[]"))
+	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, UsualAnswer: 100, Layers: 2, Chunks: 2}
+	f.publisher.Configure(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
+	f.directives(hub.Directives{})
 	return f
 }
 
-func (f *fixture) put(name string, value []byte) {
-	f.revision++
-	f.catalog.PutDocument(hub.Document{Name: name, Revision: f.revision, Value: value})
-	f.directory.Rebuild()
-	f.placement.Refresh()
-}
-
-// engines lists n engines that hold version 1, in the failure domains a and b in turn; more is added to each entry.
-func (f *fixture) engines(n int, more string) {
-	var entries []mirror.Entry
+// engines lists n engines that hold version 1, in the failure domains a and b in turn.
+func (f *fixture) engines(n int, cold time.Duration) {
+	var instances []hub.Instance
 	for i := range n {
-		value := fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"slots":4,"state":"ready","born":1,
-			"models":[{"name":"m","version":1}],"layers":{"from":0,"target":2,"version":1}%s}`, address(i), string("ab"[i%2]), more)
-		entries = append(entries, mirror.Entry{Key: fmt.Sprintf("servers/i%03d", i), Value: []byte(value), Revision: f.revision})
+		instances = append(instances, hub.Instance{
+			Id: fmt.Sprintf("i%03d", i), Service: "s", Address: address(i), Domain: string("ab"[i%2]), Slots: 4, Born: 1, Cold: cold, Version: 1, Layers: 2,
+		})
 	}
-	data, _ := json.Marshal(entries)
-	f.put(mirror.DocumentUpstreams, data)
+	f.publisher.List(instances...)
+	f.refresh()
 }
 
-func address(i int) string { return fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1) }
+func (f *fixture) directives(d hub.Directives) {
+	f.publisher.Direct(d)
+	f.refresh()
+}
 
-func (f *fixture) directives(values ...mirror.Entry) {
-	data, _ := json.Marshal(values)
-	f.put(mirror.DocumentDirectives, data)
+func (f *fixture) refresh() {
+	f.directory.Rebuild()
+	f.placement.Refresh()
 }
 
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1) }
+
 func need() *placement.Need { return &placement.Need{Service: "s", PromptTokens: 1000} }
 
 func (f *fixture) choose(t *testing.T, n *placement.Need) placement.Choice {
@@ -84,7 +81,7 @@
 // An engine that has just come back with nothing running must not draw all prompts at once.
 func TestUnreadPromptsCountMoreThanRunningRequests(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(2, "")
+	f.engines(2, 0)
 	for i := range 2 {
 		f.placement.Report(address(i), hub.UpstreamReport{Held: 1, Born: 1, Running: 3 * i})
 	}
@@ -98,7 +95,7 @@
 
 func TestBacklogIsNoRoom(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(1, "")
+	f.engines(1, 0)
 	n := need()
 	n.Backlog = 50 * time.Millisecond
 	first := f.choose(t, n)
@@ -112,7 +109,7 @@
 
 func TestSlotsBound(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(1, "")
+	f.engines(1, 0)
 	for range 4 {
 		c := f.choose(t, need())
 		c.Begun()
@@ -124,19 +121,19 @@
 
 func TestEvacuatedDomainsAndHomesBind(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(2, "")
+	f.engines(2, 0)
 	n := need()
 	n.Regions = [][]string{{"south", "north"}, {"south"}}
 	c := f.choose(t, n)
 	assert.Equal(t, c.Upstream.Domain, "b")
-	f.directives(mirror.Entry{Key: "op/evacuate/b", Value: []byte("{}")})
+	f.directives(hub.Directives{Evacuated: []string{"b"}})
 	_, ok := f.placement.Choose(n)
 	assert.Assert(t, !ok)
 }
 
 func TestLoadingEnginesGetNothing(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(1, "")
+	f.engines(1, 0)
 	f.placement.Report(address(0), hub.UpstreamReport{Held: 1, Busy: true, Born: 1})
 	_, ok := f.placement.Choose(need())
 	assert.Assert(t, !ok)
@@ -149,8 +146,8 @@
 func TestOlderVersionsStopInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := withTestPlacement(t)
-		f.engines(1, "")
-		f.directives(mirror.Entry{Key: "op/version/m", Value: []byte(`{"model":"m","version":2}`)})
+		f.engines(1, 0)
+		f.directives(hub.Directives{Targets: []hub.ModelTarget{{Model: "m", Version: 2}}})
 		named := time.Now()
 		c := f.choose(t, need())
 		assert.Assert(t, c.StartBy.After(named) && c.StartBy.Before(named.Add(switchBound)))
@@ -167,7 +164,7 @@
 func TestColdEnginesAreSpared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := withTestPlacement(t)
-		f.engines(1, `,"cold_left_ms":3000`)
+		f.engines(1, 3*time.Second)
 		sent := 0
 		for range 100 {
 			if c, ok := f.placement.Choose(need()); ok {
@@ -187,14 +184,14 @@
 
 func TestReportOfAnotherLifetimeIsNotTaken(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(1, "")
+	f.engines(1, 0)
 	f.placement.Report(address(0), hub.UpstreamReport{Held: 0, Born: 99})
 	f.choose(t, need())
 }
 
 func TestWaitingEndsWhenAPlaceIsFree(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(1, "")
+	f.engines(1, 0)
 	var taken []placement.Choice
 	for range 4 {
 		c := f.choose(t, need())
@@ -209,7 +206,7 @@
 
 func TestNothingToWaitForIsTold(t *testing.T) {
 	f := withTestPlacement(t)
-	f.engines(0, "")
+	f.engines(0, 0)
 	_, err := f.placement.Acquire(context.Background(), need(), time.Millisecond)
 	assert.Assert(t, errors.Is(err, placement.ErrNoUpstream), "%v", err)
 }
@@ -218,7 +215,7 @@
 	for _, n := range []int{16, 1000, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := withTestPlacement(b)
-			f.engines(n, "")
+			f.engines(n, 0)
 			b.ReportAllocs()
 			for b.Loop() {
 				if c, ok := f.placement.Choose(need()); ok {
--- /dev/null
+++ b/internal/standin/desired/doc.go
@@ -0,0 +1,3 @@
+// Package desired stands in for a platform's formats in tests: it stores the product's types as they are and
+// names the heads of calls after what they hold.
+package desired
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,48 +10,12 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
 
-// decoder reads values that are the product's types as JSON.
-type decoder struct{}
-
-var errBad = errors.New("bad value")
-
-func (decoder) Prefixes() (string, string)      { return "up/", "op/" }
-func (decoder) IsConfiguration(key string) bool { return key == "op/configuration" }
-
-func (decoder) Configuration(value []byte) (*hub.Configuration, error) {
-	var c hub.Configuration
-	if err := json.Unmarshal(value, &c); err != nil {
-		return nil, errBad
-	}
-	return &c, nil
-}
-
-func (decoder) Instance(_ string, value []byte) (hub.Instance, error) {
-	var i hub.Instance
-	if err := json.Unmarshal(value, &i); err != nil {
-		return i, errBad
-	}
-	return i, nil
-}
-
-func (decoder) Directive(key string, value []byte, d *hub.Directives) error {
-	if domain, ok := strings.CutPrefix(key, "op/out/"); ok {
-		d.Evacuated = append(d.Evacuated, domain)
-		return nil
-	}
-	var t hub.ModelTarget
-	if err := json.Unmarshal(value, &t); err != nil {
-		return errBad
-	}
-	d.Targets = append(d.Targets, t)
-	return nil
-}
-
 const namedBefore = 5 * time.Second
 
 type fixture struct {
@@ -65,7 +27,7 @@
 func withTestDirectory(t *testing.T) *fixture {
 	c := catalog.New(1)
 	d := directory.New(directory.Options{
-		Catalog: c, Decoder: decoder{}, Regions: map[string]string{"a": "north"}, NamedBefore: namedBefore, Log: journal.Discard().Logger(journal.State),
+		Catalog: c, Decoder: desired.Decoder{}, Regions: map[string]string{"a": "north"}, NamedBefore: namedBefore, Log: journal.Discard().Logger(journal.State),
 	})
 	return &fixture{t: t, catalog: c, directory: d}
 }
@@ -102,7 +64,7 @@
 }
 
 func (f *fixture) target(revision, version uint64) {
-	f.put(mirror.DocumentDirectives, revision, []mirror.Entry{{Key: "op/target/m", Value: encoded(f.t, hub.ModelTarget{Model: "m", Version: version}), Revision: revision}})
+	f.put(mirror.DocumentDirectives, revision, []mirror.Entry{{Key: desired.TargetPrefix + "m", Value: encoded(f.t, hub.ModelTarget{Model: "m", Version: version}), Revision: revision}})
 }
 
 func TestLongestPrefixWins(t *testing.T) {
@@ -130,8 +92,8 @@
 	f.configure(5, 1)
 	good := hub.Instance{Id: "i", Service: "engine", Domain: "a", Born: 4}
 	f.put(mirror.DocumentUpstreams, 6, []mirror.Entry{
-		{Key: "up/bad", Value: []byte("[]"), Revision: 6},
-		{Key: "up/i", Value: encoded(t, good), Revision: 5},
+		{Key: desired.UpstreamPrefix + "bad", Value: []byte("[]"), Revision: 6},
+		{Key: desired.UpstreamPrefix + "i", Value: encoded(t, good), Revision: 5},
 	})
 	upstreams := f.directory.Current().Service("engine").Upstreams
 	assert.Equal(t, len(upstreams), 1)
@@ -183,7 +145,7 @@
 func TestEvacuationIsTakenBack(t *testing.T) {
 	f := withTestDirectory(t)
 	f.configure(1, 1)
-	f.put(mirror.DocumentDirectives, 2, []mirror.Entry{{Key: "op/out/a", Value: []byte("{}"), Revision: 2}})
+	f.put(mirror.DocumentDirectives, 2, []mirror.Entry{{Key: desired.EvacuatePrefix + "a", Value: []byte("{}"), Revision: 2}})
 	assert.Assert(t, f.directory.Current().Evacuated["a"])
 	f.put(mirror.DocumentDirectives, 3, []mirror.Entry{})
 	assert.Assert(t, !f.directory.Current().Evacuated["a"])
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
-	"github.com/oriolehub/oriolehub/platform"
 )
 
 // source is a store whose faults a test sets.
@@ -100,7 +100,7 @@
 }
 
 func withTestMirror(s *source, c *catalog.Catalog) (stop func()) {
-	m := mirror.New(mirror.Options{Source: s, Decoder: platform.Decoder{}, Catalog: c, Log: journal.Discard().Logger(journal.State)})
+	m := mirror.New(mirror.Options{Source: s, Decoder: desired.Decoder{}, Catalog: c, Log: journal.Discard().Logger(journal.State)})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); m.Run(ctx) }()
@@ -121,19 +121,19 @@
 func TestChangesAreFollowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, c := newSource(), catalog.New(1)
-		s.put("op/config", "one")
-		s.put("servers/a", "x")
+		s.put(desired.ConfigurationKey, "one")
+		s.put(desired.UpstreamPrefix+"a", "x")
 		defer withTestMirror(s, c)()
 		time.Sleep(time.Second)
 		assert.Equal(t, string(c.Document(mirror.DocumentConfiguration).Value), "one")
-		s.put("op/config", "two")
-		s.put("servers/b", "y")
-		s.remove("servers/a")
-		s.put("op/evacuate/z", "{}")
+		s.put(desired.ConfigurationKey, "two")
+		s.put(desired.UpstreamPrefix+"b", "y")
+		s.remove(desired.UpstreamPrefix + "a")
+		s.put(desired.EvacuatePrefix+"z", "{}")
 		time.Sleep(time.Second)
 		assert.Equal(t, string(c.Document(mirror.DocumentConfiguration).Value), "two")
-		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{"servers/b"})
-		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentDirectives), []string{"op/evacuate/z"})
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{desired.UpstreamPrefix + "b"})
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentDirectives), []string{desired.EvacuatePrefix + "z"})
 	})
 }
 
@@ -141,10 +141,10 @@
 func TestLostHistoryIsReadAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, c := newSource(), catalog.New(1)
-		s.put("servers/a", "x")
+		s.put(desired.UpstreamPrefix+"a", "x")
 		defer withTestMirror(s, c)()
 		time.Sleep(time.Second)
-		s.set(func(s *source) { delete(s.items, "servers/a"); s.revision++; s.lost = true })
+		s.set(func(s *source) { delete(s.items, desired.UpstreamPrefix+"a"); s.revision++; s.lost = true })
 		time.Sleep(3 * time.Second)
 		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{})
 	})
@@ -157,9 +157,9 @@
 		defer withTestMirror(s, c)()
 		time.Sleep(time.Second)
 		s.set(func(s *source) { s.deaf = true })
-		s.put("servers/a", "x")
+		s.put(desired.UpstreamPrefix+"a", "x")
 		time.Sleep(15 * time.Second)
-		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{"servers/a"})
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{desired.UpstreamPrefix + "a"})
 	})
 }
 
@@ -167,13 +167,13 @@
 func TestNewerCopyOfAPeerIsTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, c := newSource(), catalog.New(1)
-		s.put("servers/a", "x")
+		s.put(desired.UpstreamPrefix+"a", "x")
 		defer withTestMirror(s, c)()
 		time.Sleep(time.Second)
 		s.set(func(s *source) { s.deaf = true })
-		c.PutDocument(hub.Document{Name: mirror.DocumentUpstreams, Revision: 50, Value: []byte(`[{"Key":"servers/b","Value":"eA==","Revision":50}]`)})
+		c.PutDocument(hub.Document{Name: mirror.DocumentUpstreams, Revision: 50, Value: []byte(`[{"Key":"upstreams/b","Value":"eA==","Revision":50}]`)})
 		time.Sleep(20 * time.Second)
-		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{"servers/b"})
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{desired.UpstreamPrefix + "b"})
 		assert.Equal(t, c.Document(mirror.DocumentUpstreams).Revision, uint64(50))
 	})
 }
@@ -181,12 +181,12 @@
 func TestOutageEndsWithAFullRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, c := newSource(), catalog.New(1)
-		s.put("servers/a", "x")
+		s.put(desired.UpstreamPrefix+"a", "x")
 		defer withTestMirror(s, c)()
 		time.Sleep(time.Second)
 		s.set(func(s *source) { s.down = true })
 		time.Sleep(5 * time.Second)
-		s.set(func(s *source) { delete(s.items, "servers/a"); s.revision++; s.down = false })
+		s.set(func(s *source) { delete(s.items, desired.UpstreamPrefix+"a"); s.revision++; s.down = false })
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{})
 	})
