route/forward: callers whose objective is missed wait behind those whose is not

Cause: under overload a caller who had come back took the place of one who could still be answered in time. Change: who waits for less than the route's timeout less its objective has come back and ranks behind.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -29,6 +29,8 @@
 	// firstPriority, at the upstream: its caller waits in the middle of an answer.
 	resumedPriority = -1
 	firstPriority   = 0
+	// cameBackRank ranks requests that can't be answered in time any more behind all that can.
+	cameBackRank = 100
 	// slowFactor is how many times its objective an answer that may be repeated may take before another
 	// upstream is asked.
 	slowFactor = 3
@@ -129,8 +131,11 @@
 			need.Priority = x.account.Priority
 		}
 	}
-	if x.relay != nil {
+	switch {
+	case x.relay != nil:
 		need.Priority, need.Backlog = resumedPriority, 0
+	case x.cameBack():
+		need.Priority += cameBackRank
 	}
 	choice, err := x.handler.options.Placement.Acquire(ctx, &need, x.patience())
 	if err != nil {
@@ -163,6 +168,12 @@
 	return false
 }
 
+// cameBack reports whether the caller has waited for so long already, at an earlier attempt, that its objective is
+// missed: it waits for less than the route's timeout.
+func (x *exchange) cameBack() bool {
+	return x.caller.Wait > 0 && x.caller.Wait < x.route.Timeout-x.route.Objective
+}
+
 func (x *exchange) patience() time.Duration {
 	wait := max(minPatience, x.route.Objective/patienceParts)
 	return min(wait, time.Until(x.deadline))
