--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -199,8 +199,8 @@
 	}
 	x.runs++
 	if err != nil {
-		x.upstreamFailed(c, err)
-		return err
+		x.upstreamFailed(c)
+		return x.brokenBy(ctx, err)
 	}
 	defer answer.Close()
 	return x.take(ctx, c, answer, slow)
@@ -260,7 +260,7 @@
 	}
 	success := answer.Status >= 200 && answer.Status < 300
 	if success && !verdict.Signed {
-		x.upstreamFailed(c, errFailed)
+		x.upstreamFailed(c)
 		return fmt.Errorf("%w: success without a signature", errFailed)
 	}
 	if success && x.route.Kind == hub.Stream {
@@ -276,16 +276,16 @@
 		err = fmt.Errorf("%w: answer over %d bytes", channel.ErrBroken, maxAnswerBytes)
 	}
 	if err != nil {
-		x.upstreamFailed(c, err)
-		return err
+		x.upstreamFailed(c)
+		return x.brokenBy(ctx, err)
 	}
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	if !success && x.relay != nil {
-		x.upstreamFailed(c, errFailed)
+		x.upstreamFailed(c)
 		return fmt.Errorf("%w: status %d to a stream that goes on", errFailed, answer.Status)
 	}
 	if answer.Status >= 500 {
-		x.upstreamFailed(c, errFailed)
+		x.upstreamFailed(c)
 		if x.route.Repeatable() {
 			x.kept = whole
 			return fmt.Errorf("%w: status %d", errFailed, answer.Status)
@@ -310,13 +310,12 @@
 }
 
 // upstreamFailed counts a failure, unless the caller ended the attempt by leaving.
-func (x *exchange) upstreamFailed(c *placement.Choice, err error) {
+func (x *exchange) upstreamFailed(c *placement.Choice) {
 	if x.r.Context().Err() != nil {
 		return
 	}
 	c.Load.Failed()
 	x.tried = append(x.tried, c.Upstream.Key())
-	_ = err
 }
 
 // mayRepeat reports whether the request may be sent once more after an attempt that failed with err.
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -48,14 +48,14 @@
 		}
 		if err != nil {
 			_ = x.flush()
-			err = fmt.Errorf("%w: %w", channel.ErrBroken, errorOf(ctx, err))
-			x.upstreamFailed(c, err)
+			err = x.brokenBy(ctx, err)
+			x.upstreamFailed(c)
 			return err
 		}
 		slow.Stop()
 		c.Begun()
 		if err := x.passEvent(e, answer); err != nil {
-			x.upstreamFailed(c, err)
+			x.upstreamFailed(c)
 			return err
 		}
 		if !events.Buffered() {
@@ -134,9 +134,16 @@
 	panic(http.ErrAbortHandler)
 }
 
-func errorOf(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
+// brokenBy returns why an answer broke: the reason for which we ended it where we did.
+func (x *exchange) brokenBy(ctx context.Context, err error) error {
+	switch cause := context.Cause(ctx); {
+	case x.r.Context().Err() != nil:
+		err = errGone
+	case cause != nil:
+		err = cause
 	}
-	return err
+	if errors.Is(err, channel.ErrBroken) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", channel.ErrBroken, err)
 }
