--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -22,8 +22,8 @@
 	// plainCost is the same for plain services.
 	plainCost = 10 * time.Millisecond
 	// otherDomainCost and otherRegionCost are what the way to another failure domain or region is worth.
-	otherDomainCost = 3 * time.Millisecond
-	otherRegionCost = 8 * time.Millisecond
+	otherDomainCost = 6 * time.Millisecond
+	otherRegionCost = 20 * time.Millisecond
 	// jitter keeps entry processes with the same knowledge from choosing the same upstream.
 	jitter = 8 * time.Millisecond
 	// avoidedCost makes an upstream that just failed the last to be chosen.
