process/node: tests on addresses and ports of their own

Cause: the test failed once: a port that was free a moment ago was taken (14 runs at once: 3 of 28 failed with 'address already in use', nothing else). Change: loopback addresses by process and fixed ports below those that the system hands out. 28 runs at once and one with the race detector pass.

--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -4,8 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,15 +45,20 @@
 	}
 }
 
-// freePort returns a port that is free on an IP address for TCP.
-func freePort(t *testing.T, ip string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", ip+":0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	assert.NilError(t, err)
-	return port
+// Ports of the processes, below those that the system hands out, so that no connection of another program has them.
+const (
+	callersPort = ":7101"
+	readyPort   = ":7102"
+	controlPort = ":7103"
+	sharedPort  = ":7104"
+)
+
+var addresses atomic.Uint32
+
+// loopback returns a loopback address that no other process of this or another test program uses.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+addresses.Add(1)%250)
 }
 
 // withTestFleet starts two entry processes, and an engine with a side process for each held version.
@@ -62,26 +68,21 @@
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
 	f := &fleet{site: site}
-	shared := freePort(t, "127.0.0.1")
 	base := func(id, ip, domain string) settings.Node {
 		s := settings.DefaultNode()
 		s.Id, s.Domain, s.Region = id, domain, "r-"+domain
 		s.Regions = []settings.DomainRegion{{Domain: "a", Region: "r-a"}, {Domain: "b", Region: "r-b"}}
-		s.ReportListen = ip + ":" + shared
+		s.ReportListen = ip + sharedPort
 		s.AdminListen = ip + ":0"
 		s.Store = site.StoreAddress
 		s.Bounds.Switch = settings.Duration(3 * time.Second)
 		return s
 	}
-	var seeds []string
-	for i := range 2 {
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
-		seeds = append(seeds, ip+":"+freePort(t, ip))
-	}
-	for i, seed := range seeds {
-		ip := fmt.Sprintf("127.0.1.%d", i+1)
+	ips := []string{loopback(), loopback()}
+	seeds := []string{ips[0] + controlPort, ips[1] + controlPort}
+	for i, ip := range ips {
 		s := base(fmt.Sprintf("entry-%d", i), ip, string("ab"[i]))
-		s.Listen, s.ReadyListen, s.ControlListen, s.Peers = ip+":"+freePort(t, ip), ip+":"+freePort(t, ip), seed, seeds
+		s.Listen, s.ReadyListen, s.ControlListen, s.Peers = ip+callersPort, ip+readyPort, seeds[i], seeds
 		e, err := node.StartEntry(s, journal.Discard(), adapter())
 		assert.NilError(t, err)
 		f.entries = append(f.entries, e)
@@ -89,12 +90,12 @@
 		f.ready = append(f.ready, s.ReadyListen)
 	}
 	for i, version := range held {
-		ip, domain := fmt.Sprintf("127.0.2.%d", i+1), string("ab"[i%2])
+		ip, domain := loopback(), string("ab"[i%2])
 		engine, address, err := site.AddEngine(fmt.Sprintf("i-%d", i), ip, domain, version)
 		assert.NilError(t, err)
 		f.engines = append(f.engines, engine)
 		s := base(fmt.Sprintf("side-%d", i), ip, domain)
-		s.ControlListen, s.Upstream, s.Service, s.Peers = ip+":"+shared, address, standin.Service, seeds
+		s.ControlListen, s.Upstream, s.Service, s.Peers = ip+sharedPort, address, standin.Service, seeds
 		side, err := node.StartSide(s, journal.Discard(), adapter())
 		assert.NilError(t, err)
 		t.Cleanup(func() { side.Stop(stopContext(t)) })
