--- a/internal/cli/commands/platform.go
+++ b/internal/cli/commands/platform.go
@@ -5,11 +5,9 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/cli/table"
-	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/process/node"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
-	"github.com/oriolehub/oriolehub/internal/wire/socket"
 	"github.com/oriolehub/oriolehub/platform"
 )
 
@@ -33,7 +31,7 @@
 		stop:   func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
 		reload: func(d daemon, s settings.Node) []string { return d.(reloader).Reload(s) },
 		start: func(s settings.Node, j *journal.Journal) (daemon, addresses, error) {
-			p, err := node.StartEntry(s, j, adapter())
+			p, err := node.StartEntry(s, j, platform.Adapter())
 			if err != nil {
 				return nil, addresses{}, err
 			}
@@ -53,7 +51,7 @@
 		stop:   func(s *settings.Node) time.Duration { return s.Bounds.Stop.Std() },
 		reload: func(d daemon, s settings.Node) []string { return d.(reloader).Reload(s) },
 		start: func(s settings.Node, j *journal.Journal) (daemon, addresses, error) {
-			p, err := node.StartSide(s, j, adapter())
+			p, err := node.StartSide(s, j, platform.Adapter())
 			if err != nil {
 				return nil, addresses{}, err
 			}
@@ -69,20 +67,3 @@
 	}
 	return otherwise
 }
-
-// adapter returns the parts that translate between the platform and the product.
-func adapter() node.Platform {
-	return node.Platform{
-		Decoder: platform.Decoder{},
-		Format:  platform.CallFormat{},
-		Store: func(address string, dial socket.DialFunc) hub.StateSource {
-			return platform.NewStore(address, dial)
-		},
-		Engine: func(address string, dial socket.DialFunc) hub.LocalUpstream {
-			return platform.NewEngine(address, dial)
-		},
-		Source: func(o *hub.Origin, e *hub.EngineModel, dial socket.DialFunc) hub.WeightSource {
-			return platform.NewOrigin(o.Address, e.Model, e.ChunkBytes, dial)
-		},
-	}
-}
--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -68,8 +68,6 @@
 // Service is a group of upstreams.
 type Service struct {
 	Name string
-	// MaxConnections bounds the connections that one upstream accepts from all callers.
-	MaxConnections int
 	// ColdPerSecond is the rate of requests that an upstream bears while it is cold; 0 without a limit.
 	ColdPerSecond float64
 	// Engine is nil for plain services.
@@ -90,21 +88,13 @@
 	Model string
 	// Slots is the number of requests that run at the same time.
 	Slots int
-	// Step is the time of a token step, StepPerRequest what each running request adds.
-	Step           time.Duration
-	StepPerRequest time.Duration
 	// ReadPerSecond is the number of prompt tokens that are read in a second.
 	ReadPerSecond float64
-	// TokensPerPass is the number of steps between two looks for new requests.
-	TokensPerPass int
-	// UsualPrompt and UsualAnswer are the mean numbers of tokens.
+	// UsualPrompt is the mean number of prompt tokens.
 	UsualPrompt int
-	UsualAnswer int
-	// LoadTime is the time in which the whole model is loaded.
-	LoadTime   time.Duration
-	Layers     int
-	Chunks     int
-	ChunkBytes int
+	Layers      int
+	Chunks      int
+	ChunkBytes  int
 }
 
 // Account is a client account with its keys.
@@ -120,7 +110,6 @@
 // RequestLimits bound what a caller may send.
 type RequestLimits struct {
 	MaxBodyBytes int64
-	IdleTimeout  time.Duration
 }
 
 // Instance is one lifetime of an upstream as the platform's list shows it.
--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -50,9 +50,8 @@
 	// Key is the caller's key; HasKey is false where there is none.
 	Key    string
 	HasKey bool
-	// PromptTokens and AnswerTokens are the sizes that the caller gives, 0 when it does not say.
+	// PromptTokens is the length of the prompt that the caller gives, 0 when it does not say.
 	PromptTokens int
-	AnswerTokens int
 	// LastEvent is the last event that the caller has, from which its stream goes on.
 	LastEvent string
 }
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -119,7 +119,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
+		ErrorLog:          e.journal.Logger(journal.Process).Std("", 0),
 	}
 	e.ready = &http.Server{Handler: alice.New(noStore).ThenFunc(e.answerReady), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = e.callers.Serve(callers) }()
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -12,11 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/process/node"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
-	"github.com/oriolehub/oriolehub/internal/wire/socket"
 	"github.com/oriolehub/oriolehub/platform"
 	"github.com/oriolehub/oriolehub/platform/standin"
 )
@@ -33,18 +31,6 @@
 	engines []*standin.Engine
 }
 
-func adapter() node.Platform {
-	return node.Platform{
-		Decoder: platform.Decoder{},
-		Format:  platform.CallFormat{},
-		Store:   func(address string, dial socket.DialFunc) hub.StateSource { return platform.NewStore(address, dial) },
-		Engine:  func(address string, dial socket.DialFunc) hub.LocalUpstream { return platform.NewEngine(address, dial) },
-		Source: func(o *hub.Origin, e *hub.EngineModel, dial socket.DialFunc) hub.WeightSource {
-			return platform.NewOrigin(o.Address, e.Model, e.ChunkBytes, dial)
-		},
-	}
-}
-
 // Ports of the processes, below those that the system hands out, so that no connection of another program has them.
 const (
 	callersPort = ":7101"
@@ -83,7 +69,7 @@
 	for i, ip := range ips {
 		s := base(fmt.Sprintf("entry-%d", i), ip, string("ab"[i]))
 		s.Listen, s.ReadyListen, s.ControlListen, s.Peers = ip+callersPort, ip+readyPort, seeds[i], seeds
-		e, err := node.StartEntry(s, journal.Discard(), adapter())
+		e, err := node.StartEntry(s, journal.Discard(), platform.Adapter())
 		assert.NilError(t, err)
 		f.entries = append(f.entries, e)
 		f.callers = append(f.callers, s.Listen)
@@ -96,7 +82,7 @@
 		f.engines = append(f.engines, engine)
 		s := base(fmt.Sprintf("side-%d", i), ip, domain)
 		s.ControlListen, s.Upstream, s.Service, s.Peers = ip+sharedPort, address, standin.Service, seeds
-		side, err := node.StartSide(s, journal.Discard(), adapter())
+		side, err := node.StartSide(s, journal.Discard(), platform.Adapter())
 		assert.NilError(t, err)
 		t.Cleanup(func() { side.Stop(stopContext(t)) })
 	}
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -55,10 +55,9 @@
 	options Options
 	loads   atomic.Pointer[map[directory.Key]*Load]
 
-	mu      sync.Mutex
-	queues  map[queueKey]*queue.Queue
-	room    map[string]chan struct{}
-	waiting map[string]int
+	mu     sync.Mutex
+	queues map[queueKey]*queue.Queue
+	room   map[string]chan struct{}
 }
 
 // queueKey tells apart the requests that do not wait for each other's upstreams.
@@ -103,7 +102,7 @@
 
 // New returns a placement without upstreams.
 func New(o Options) *Placement {
-	p := &Placement{options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{}, waiting: map[string]int{}}
+	p := &Placement{options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{}}
 	p.loads.Store(&map[directory.Key]*Load{})
 	return p
 }
@@ -160,13 +159,6 @@
 	}
 }
 
-// Waiting returns the number of requests that wait for a service.
-func (p *Placement) Waiting(service string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waiting[service]
-}
-
 // Choose returns the best upstream with room, or false.
 func (p *Placement) Choose(n *Need) (Choice, bool) {
 	service := p.options.Directory.Current().Service(n.Service)
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -39,7 +39,7 @@
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return 1 },
 	})
-	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, UsualAnswer: 100, Layers: 2, Chunks: 2}
+	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.Configure(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
 	f.directives(hub.Directives{})
 	return f
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -35,8 +35,6 @@
 	if err != nil {
 		return Choice{}, fmt.Errorf("%w: %w", ErrNoRoom, err)
 	}
-	p.count(n.Service, 1)
-	defer p.count(n.Service, -1)
 	c, err = p.wait(ctx, n, ticket)
 	if err != nil {
 		q.Leave(ticket)
@@ -115,12 +113,6 @@
 	return false
 }
 
-func (p *Placement) count(service string, by int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiting[service] += by
-}
-
 // roomOf returns a channel that is closed when an upstream of a service may have room.
 func (p *Placement) roomOf(service string) <-chan struct{} {
 	p.mu.Lock()
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -87,9 +87,6 @@
 	return r.Held, true
 }
 
-// State returns the state of the stager.
-func (s *Stager) State() string { return s.machine.Current() }
-
 // Run follows the named version until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
