--- a/internal/cli/queries/settings.go
+++ b/internal/cli/queries/settings.go
@@ -21,7 +21,7 @@
 		Section: table.Queries,
 		Help:    "check a settings file and report every fault with line and key",
 		Args:    []table.Arg{{Name: "FILE", Help: "settings file", Target: &file, Required: true}},
-		Flags:   []table.Flag{{Name: "role", Help: "entry or side", Target: &role}, jsonFlag(&asJSON)},
+		Flags:   []table.Flag{{Name: "role", Help: "entry or side; node-entry or node-side on the users' platform", Target: &role}, jsonFlag(&asJSON)},
 		Run: func(_ context.Context, env *table.Env) error {
 			err := checkSettings(role, file)
 			var faults settings.Faults
@@ -43,8 +43,10 @@
 		_, err = settings.ParseEntry(file, data)
 	case "side":
 		_, err = settings.ParseSide(file, data)
+	case "node-entry", "node-side":
+		_, err = settings.ParseNode(file, data, role == "node-side")
 	default:
-		return table.Exit(table.ExitUsage, "unknown role %q: want entry or side", role)
+		return table.Exit(table.ExitUsage, "unknown role %q: want entry, side, node-entry or node-side", role)
 	}
 	return err
 }
@@ -57,7 +59,7 @@
 		Name:    "settings show",
 		Section: table.Queries,
 		Help:    "print the settings that are in force where a file says nothing",
-		Flags:   []table.Flag{{Name: "role", Help: "entry or side", Target: &role}, jsonFlag(&asJSON)},
+		Flags:   []table.Flag{{Name: "role", Help: "entry or side; node-entry or node-side on the users' platform", Target: &role}, jsonFlag(&asJSON)},
 		Run: func(_ context.Context, env *table.Env) error {
 			var defaults any
 			switch role {
@@ -65,8 +67,10 @@
 				defaults = settings.DefaultEntry()
 			case "side":
 				defaults = settings.DefaultSide()
+			case "node-entry", "node-side":
+				defaults = settings.DefaultNode()
 			default:
-				return table.Exit(table.ExitUsage, "unknown role %q: want entry or side", role)
+				return table.Exit(table.ExitUsage, "unknown role %q: want entry, side, node-entry or node-side", role)
 			}
 			if asJSON {
 				return client.WriteJSON(env.Out, defaults)
--- a/internal/process/settings/encode.go
+++ b/internal/process/settings/encode.go
@@ -54,7 +54,7 @@
 	case reflect.String:
 		fmt.Fprintf(b, "%s%s: %q\n", indent, name, v.String())
 		return nil
-	case reflect.Int, reflect.Bool:
+	case reflect.Int, reflect.Float64, reflect.Bool:
 		fmt.Fprintf(b, "%s%s: %v\n", indent, name, v.Interface())
 		return nil
 	}
