route/channel: send nothing for a call that has ended

Cause: a call whose caller had left could still be written on a kept connection before that was closed (the new test fails without the check). Change: an ended call is not sent.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -55,6 +55,9 @@
 
 // Send sends a call and returns the head of its answer. The connection is closed when ctx ends.
 func (p *Pool) Send(ctx context.Context, address string, call *Call) (*Answer, error) {
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
+	}
 	c, reused, err := p.get(ctx, address, call.Fresh)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/route/channel/channel_test.go
+++ b/internal/route/channel/channel_test.go
@@ -228,3 +228,25 @@
 		t.Fatal("the upstream's connection was not closed")
 	}
 }
+
+// Nothing is sent for a caller that has left, on a kept connection neither.
+func TestEndedCallIsNotSent(t *testing.T) {
+	var calls atomic.Int64
+	u := withTestUpstream(t, func(_ int, r *http.Request, c net.Conn) bool {
+		calls.Add(1)
+		write(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	p := channel.NewPool(socket.Dialer(testTimeout))
+	_, err := exchange(t, p, u.address, testCall("a"))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 50 {
+		_, err := p.Send(ctx, u.address, testCall("b"))
+		assert.Assert(t, errors.Is(err, channel.ErrNotSent), "%v", err)
+	}
+	_, err = exchange(t, p, u.address, testCall("c"))
+	assert.NilError(t, err)
+	assert.Equal(t, calls.Load(), int64(2))
+}
