--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -38,8 +38,7 @@
 	defer slow.Stop()
 	answer, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
-		c.Load.Failed()
-		x.tried = append(x.tried, c.Upstream.Key())
+		x.upstreamFailed(c)
 		return err
 	}
 	x.runs++
