--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -22,9 +22,10 @@
 	mu       sync.Mutex
 	items    map[string]hub.Item
 	revision uint64
-	// deaf makes watches miss every change, lost drops their history, down makes every call fail.
-	deaf, lost, down bool
-	lists            int
+	// deaf makes watches miss every change, down makes every call fail.
+	deaf, down bool
+	// lost holds the prefixes whose next watch finds its history dropped.
+	lost map[string]bool
 }
 
 func newSource() *source { return &source{items: map[string]hub.Item{}, revision: 1} }
@@ -55,7 +56,6 @@
 	if s.down {
 		return hub.Listing{}, hub.ErrUnavailable
 	}
-	s.lists++
 	l := hub.Listing{Revision: s.revision}
 	for key, i := range s.items {
 		if len(key) >= len(prefix) && key[:len(prefix)] == prefix && !i.Deleted {
@@ -84,8 +84,8 @@
 	switch {
 	case s.down:
 		return hub.Listing{}, hub.ErrUnavailable
-	case s.lost:
-		s.lost = false
+	case s.lost[prefix]:
+		delete(s.lost, prefix)
 		return hub.Listing{}, fmt.Errorf("follow: %w", hub.ErrHistoryLost)
 	case s.deaf:
 		return hub.Listing{Revision: s.revision}, nil
@@ -144,7 +144,11 @@
 		s.put(desired.UpstreamPrefix+"a", "x")
 		defer withTestMirror(s, c)()
 		time.Sleep(time.Second)
-		s.set(func(s *source) { delete(s.items, desired.UpstreamPrefix+"a"); s.revision++; s.lost = true })
+		s.set(func(s *source) {
+			delete(s.items, desired.UpstreamPrefix+"a")
+			s.revision++
+			s.lost = map[string]bool{desired.UpstreamPrefix: true, desired.OperatorPrefix: true}
+		})
 		time.Sleep(3 * time.Second)
 		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{})
 	})
