--- a/internal/route/channel/channel_test.go
+++ b/internal/route/channel/channel_test.go
@@ -167,10 +167,10 @@
 
 // An answer without a length ends with its connection, and is broken where that is reset.
 func TestUnframedAnswer(t *testing.T) {
-	reset := false
+	var reset atomic.Bool
 	u := withTestUpstream(t, func(_ int, _ *http.Request, c net.Conn) bool {
 		write(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole")
-		if reset {
+		if reset.Load() {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
 		return false
@@ -179,7 +179,7 @@
 	body, err := exchange(t, p, u.address, testCall("a"))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "whole")
-	reset = true
+	reset.Store(true)
 	_, err = exchange(t, p, u.address, testCall("a"))
 	assert.Assert(t, errors.Is(err, channel.ErrBroken), "%v", err)
 }
