--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -64,7 +64,6 @@
 	relay *relay
 	// kept is a whole answer of a failure that the upstream gave, passed on if nothing better comes.
 	kept *wholeAnswer
-	last error
 }
 
 // run sends the request until it is answered or given up.
@@ -84,7 +83,6 @@
 		if err == nil {
 			return
 		}
-		x.last = err
 		x.logFailure(&choice, err)
 		if !x.mayRepeat(ctx, err) {
 			x.giveUp(ctx, err)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -84,7 +84,7 @@
 	path, _, _ := strings.Cut(x.target(), "?")
 	x.route = s.Route(x.r.Host, path)
 	if x.route == nil {
-		x.deny(http.StatusNotFound, "no route")
+		x.fail(http.StatusNotFound, "no route")
 		return false
 	}
 	x.account = nil
@@ -92,7 +92,7 @@
 		x.account = s.Account(x.caller.Key)
 	}
 	if s.HasAccounts() && !x.route.Public && x.account == nil {
-		x.deny(http.StatusUnauthorized, "unknown key")
+		x.fail(http.StatusUnauthorized, "unknown key")
 		return false
 	}
 	x.deadline = x.started.Add(x.budget())
@@ -128,10 +128,10 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		x.deny(http.StatusRequestEntityTooLarge, "body over "+strconv.FormatInt(limit, 10)+" bytes")
+		x.fail(http.StatusRequestEntityTooLarge, "body over "+strconv.FormatInt(limit, 10)+" bytes")
 		return false
 	case err != nil:
-		x.deny(http.StatusBadRequest, "body not readable: "+err.Error())
+		x.fail(http.StatusBadRequest, "body not readable: "+err.Error())
 		return false
 	}
 	x.body = body
@@ -144,9 +144,6 @@
 	x.fail(http.StatusServiceUnavailable, reason)
 }
 
-// deny answers a request that the desired state does not allow.
-func (x *exchange) deny(status int, reason string) { x.fail(status, reason) }
-
 // fail answers with a status of our own.
 func (x *exchange) fail(status int, reason string) {
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
