weights/topology, upstream/stager: few processes read from the origin, over one client

Their owners were reset by the origin up to eleven times each: it resets connections beyond its limit, 22 side processes each kept one and more (each reading opened a client of its own), and those of the processes that had lost power still counted. Ruled out: the swarm (all other chunks were everywhere by then), patience (duties change hands only when nothing is on its way).

--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -164,12 +164,18 @@
 	s.options.Log.Info().Int("Taken", taken).Int("Others", foreign).Str("Version", r.Manifest.Version).Msg("staged chunks taken over")
 }
 
-// source returns the origin of the service's weights, or nil.
+// source returns the origin of the service's weights, or nil. One client is kept for each origin: every client
+// keeps a connection of its own, and the origin accepts few.
 func (s *Stager) source() hub.WeightSource {
 	snapshot := s.options.Directory.Current()
 	service, origin := snapshot.Service(s.options.Service), snapshot.Origin()
 	if service == nil || service.Engine == nil || origin == nil {
 		return nil
 	}
-	return s.options.NewSource(origin, service.Engine)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.origin == nil || s.originOf != *origin || s.modelOf != *service.Engine {
+		s.origin, s.originOf, s.modelOf = s.options.NewSource(origin, service.Engine), *origin, *service.Engine
+	}
+	return s.origin
 }
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -64,6 +64,10 @@
 
 	mu      sync.Mutex
 	fetches map[uint64]*fetch
+	// origin reads the weights of modelOf from originOf.
+	origin   hub.WeightSource
+	originOf hub.Origin
+	modelOf  hub.EngineModel
 
 	// members is the number of participants at the last look, membersAt when it changed.
 	members   atomic.Int64
--- a/internal/weights/topology/topology_test.go
+++ b/internal/weights/topology/topology_test.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// TestFewReadFromTheOrigin wants that the connections to the origin stay few however many VMs there are: beyond its
+// limit the origin resets them, and the connections of processes that lost power count on for a while.
+func TestFewReadFromTheOrigin(t *testing.T) {
+	for _, vms := range []int{16, 64, 400} {
+		members := participants(vms, 3)
+		readers := 0
+		for _, m := range members {
+			drawn := 0
+			for _, chunks := range (Swarm{}.Layout("root", m.Id, members, 64)).Origin {
+				drawn += len(chunks)
+			}
+			if drawn > 0 {
+				readers++
+			}
+		}
+		assert.Assert(t, readers > 1 && readers <= 12, "%d of %d VMs read from the origin", readers, vms)
+	}
+}
+
 // TestNeighboursAreEvenAndClose wants that no process has many more followers than another, and that
 // everybody in a region is reached in few steps.
 func TestNeighboursAreEvenAndClose(t *testing.T) {
