upstream/stager: deal duties among the listed VMs at once

Ruled out: the start of the processes (0.2 s), the manifest (0.1 s). Change: participants are the control addresses beside the listed upstreams, with what the exchange says of them; their IDs are these addresses. Settling is gone. TestListedNeighboursShareFromTheStart fails without the list.

--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -40,7 +40,8 @@
 	shelf := replica.NewShelf(shelfBytes(&s), nil)
 	rate := int64(linkPart * s.LinkMegabits * 1e6 / 8)
 	e.stager = stager.New(stager.Options{
-		Self:      s.Id,
+		Self:      s.ControlListen,
+		Region:    s.Region,
 		Service:   s.Service,
 		Engine:    p.Engine(s.Upstream, e.dial),
 		Directory: e.directory,
--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -22,10 +22,6 @@
 	// longest time between two pieces: a switch leaves little time for peers that froze or were cut off.
 	patience = 400 * time.Millisecond
 	stall    = 700 * time.Millisecond
-	// settleTime is the time without a change of the participants after which duties are dealt, settleLimit the
-	// longest wait for it.
-	settleTime  = 250 * time.Millisecond
-	settleLimit = 1200 * time.Millisecond
 )
 
 // fetch is the content of one version, on its way or held.
@@ -116,7 +112,6 @@
 	f.replica = r
 	s.mu.Unlock()
 	s.takeStaged(ctx, model, r)
-	s.settle(ctx)
 	fetcher := transfer.NewFetcher(transfer.Options{
 		Self:                 s.options.Self,
 		Link:                 s.options.Link,
@@ -134,16 +129,6 @@
 	return fetcher.Complete(ctx, hub.Pin{Version: m.Version, Root: m.Root, Size: m.Size}, r)
 }
 
-// settle waits until the participants have found each other: who knows few of them takes on too many duties.
-func (s *Stager) settle(ctx context.Context) {
-	limit := time.Now().Add(settleLimit)
-	for time.Now().Before(limit) && s.unsettled() {
-		if hub.Sleep(ctx, lookInterval) != nil {
-			return
-		}
-	}
-}
-
 // takeStaged takes over what is staged beside the engine and has the right digests: it outlives this process.
 func (s *Stager) takeStaged(ctx context.Context, model string, r *replica.Replica) {
 	taken, foreign := 0, 0
--- a/internal/upstream/stager/manifests.go
+++ b/internal/upstream/stager/manifests.go
@@ -4,12 +4,9 @@
 	"bytes"
 	"context"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/weights/manifest"
 )
@@ -87,27 +84,3 @@
 	rank, _ := s.place(model + "/" + strconv.FormatUint(version, 10))
 	return rank
 }
-
-// place returns the place of this process among all participants in the hash order of a seed.
-func (s *Stager) place(seed string) (rank, total int) {
-	members := s.participants("")
-	own := xxhash.Sum64String(seed + "/" + s.options.Self)
-	for _, m := range members {
-		if xxhash.Sum64String(seed+"/"+m.Id) < own {
-			rank++
-		}
-	}
-	return rank, len(members)
-}
-
-// participants returns the living side processes of the service, sorted by ID, this one included.
-func (s *Stager) participants(string) []hub.Member {
-	var out []hub.Member
-	for _, m := range s.options.Catalog.Members() {
-		if m.Role == hub.RoleSide && m.Group == s.options.Service && (m.Alive() || m.Id == s.options.Self) {
-			out = append(out, m.Member)
-		}
-	}
-	slices.SortFunc(out, func(a, b hub.Member) int { return bytes.Compare([]byte(a.Id), []byte(b.Id)) })
-	return out
-}
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -37,7 +37,9 @@
 
 // Options are what a stager works with.
 type Options struct {
+	// Self is the control address of this process, Region its region.
 	Self      string
+	Region    string
 	Service   string
 	Engine    hub.LocalUpstream
 	Directory *directory.Directory
@@ -69,10 +71,6 @@
 	originOf hub.Origin
 	modelOf  hub.EngineModel
 
-	// members is the number of participants at the last look, membersAt when it changed.
-	members   atomic.Int64
-	membersAt atomic.Pointer[time.Time]
-
 	orderedAt time.Time
 	down      bool
 }
@@ -107,7 +105,6 @@
 
 // look takes one report of the engine and does what follows from it.
 func (s *Stager) look(ctx context.Context) {
-	s.countMembers()
 	report, err := s.options.Engine.Report(ctx)
 	if err != nil {
 		s.engineDown(ctx, err)
@@ -130,20 +127,6 @@
 	s.pursue(ctx, service, report)
 }
 
-// countMembers notes when the number of participants changes.
-func (s *Stager) countMembers() {
-	if n := int64(len(s.participants(""))); s.members.Swap(n) != n {
-		now := time.Now()
-		s.membersAt.Store(&now)
-	}
-}
-
-// unsettled reports whether the number of participants has changed a moment ago.
-func (s *Stager) unsettled() bool {
-	at := s.membersAt.Load()
-	return at == nil || time.Since(*at) < settleTime
-}
-
 func (s *Stager) engineDown(ctx context.Context, err error) {
 	if ctx.Err() != nil || s.down {
 		return
--- a/internal/upstream/stager/stager_test.go
+++ b/internal/upstream/stager/stager_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"storj.io/drpc/drpcmux"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -46,7 +47,8 @@
 	mu    sync.Mutex
 	down  bool
 	spoil int
-	reads int
+	// reads counts the chunks read of each version.
+	reads map[uint64]int
 }
 
 func (o *origin) Manifest(_ context.Context, version string) ([]byte, error) {
@@ -80,11 +82,14 @@
 	if o.down {
 		return nil, hub.ErrUnavailable
 	}
-	o.reads++
 	v, err := strconv.ParseUint(version, 10, 64)
 	if err != nil {
 		return nil, err
 	}
+	if o.reads == nil {
+		o.reads = map[uint64]int{}
+	}
+	o.reads[v]++
 	data := chunkOf(v, int(offset/chunkBytes))
 	if o.spoil > 0 {
 		o.spoil--
@@ -187,22 +192,28 @@
 }
 
 func withTestSide(t *testing.T, id string, o *origin, e *engine, bound time.Duration) *side {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return withTestSideAt(t, listener, id, o, e, bound)
+}
+
+// withTestSideAt runs a side process whose control listener is given.
+func withTestSideAt(t *testing.T, listener net.Listener, id string, o *origin, e *engine, bound time.Duration) *side {
 	t.Helper()
 	log := journal.Discard().Logger(journal.Placement)
 	s := &side{catalog: catalog.New(1), engine: e}
 	s.publisher = desired.Publisher{Catalog: s.catalog}
-	s.directory = directory.New(directory.Options{Catalog: s.catalog, Decoder: desired.Decoder{}, Log: log})
+	s.directory = directory.New(directory.Options{Catalog: s.catalog, Decoder: desired.Decoder{}, Regions: map[string]string{"d": "r"}, Log: log})
 	shelf := replica.NewShelf(1<<20, nil)
 	client := link.NewClient(link.Dial)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	mux := drpcmux.New()
 	assert.NilError(t, message.DRPCRegisterWeights(mux, transfer.NewServer(shelf, pace.New(0))))
 	server := link.Serve(listener, mux, func(error) {})
 	s.member = hub.Member{Id: id, Role: hub.RoleSide, Group: "s", Region: "r", Address: server.Address(), Incarnation: 1, Sequence: 1, State: hub.StateServing}
 	s.catalog.PutMember(s.member, id)
 	g := stager.New(stager.Options{
-		Self: id, Service: "s", Engine: e, Directory: s.directory, Catalog: s.catalog, Link: client, Shelf: shelf, Pacer: pace.New(0),
+		Self: server.Address(), Region: "r", Service: "s", Engine: e, Directory: s.directory, Catalog: s.catalog, Link: client, Shelf: shelf, Pacer: pace.New(0),
 		NewSource:   func(*hub.Origin, *hub.EngineModel) hub.WeightSource { return o },
 		SwitchBound: func() time.Duration { return bound },
 		Reported:    func(hub.UpstreamReport) {},
@@ -300,7 +311,77 @@
 	s.engine.waitLoads(t, 1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	assert.Equal(t, o.reads, 0)
+	assert.Equal(t, len(o.reads), 0)
+}
+
+// listenAlike opens a listener on each of n addresses, on one port.
+func listenAlike(t *testing.T, n int) []net.Listener {
+	t.Helper()
+	for range 20 {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		out := []net.Listener{first}
+		_, port, err := net.SplitHostPort(first.Addr().String())
+		assert.NilError(t, err)
+		for i := 2; i <= n; i++ {
+			l, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf("127.0.0.%d", i), port))
+			if err != nil {
+				break
+			}
+			out = append(out, l)
+		}
+		if len(out) == n {
+			return out
+		}
+		for _, l := range out {
+			_ = l.Close()
+		}
+	}
+	t.Fatal("no port is free on all addresses")
+	return nil
+}
+
+// Side processes that have heard of nobody deal the duties by the list of upstreams: each chunk leaves the origin once.
+func TestListedNeighboursShareFromTheStart(t *testing.T) {
+	o := &origin{}
+	var sides []*side
+	var instances []hub.Instance
+	for i, l := range listenAlike(t, 4) {
+		id := fmt.Sprintf("side-%d", i)
+		sides = append(sides, withTestSideAt(t, l, id, o, newEngine(1), 2*time.Second))
+		host, _, err := net.SplitHostPort(l.Addr().String())
+		assert.NilError(t, err)
+		instances = append(instances, hub.Instance{Id: id, Service: "s", Address: net.JoinHostPort(host, "1"), Domain: "d", Slots: 4})
+	}
+	first := sides[0]
+	for _, s := range sides {
+		s.publisher.List(instances...)
+		s.directory.Rebuild()
+		s.name(2)
+	}
+	// What one reads of the manifest the others learn as a document.
+	told := func() bool {
+		for _, s := range sides {
+			for _, d := range s.catalog.Documents() {
+				for _, other := range sides {
+					other.catalog.PutDocument(d)
+				}
+			}
+		}
+		return first.catalog.Document("Manifest/m").Revision == 2
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if told() {
+			return poll.Success()
+		}
+		return poll.Continue("nobody has the manifest")
+	}, poll.WithTimeout(testTimeout))
+	for _, s := range sides {
+		s.engine.waitLoads(t, 2)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	assert.Equal(t, o.reads[2], chunks)
 }
 
 // Each chunk leaves the origin about once for all, and every engine gets the version.
