weights/transfer: fewer chunks at once where live requests use the link

Ruled out: the entry process (it broke off at once, by its log), connections (kept ones). Change: ten slots; a fetch takes two of them while the engine beside it has weights, so five at once.

--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -44,6 +44,8 @@
 	Participants func(root string) []hub.Member
 	// Peers returns the addresses that may hold a manifest.
 	Peers func() []string
+	// Busy reports whether live requests use the VM's link; nil stands for a link that has none.
+	Busy func() bool
 	// OriginFetches bounds the chunks that are fetched from the sources at once, 0 for the default.
 	OriginFetches int
 	// Patience is the time without anything to fetch after which the next rank takes over a duty, 0 for the default.
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -63,15 +63,16 @@
 		return err
 	}
 	s := p.session
-	if err := s.slots.Acquire(ctx, 1); err != nil {
+	slots := s.slotsEach()
+	if err := s.slots.Acquire(ctx, slots); err != nil {
 		return err
 	}
 	index, ok := s.plan.Next(p.id, time.Now())
 	if !ok {
-		s.slots.Release(1)
+		s.slots.Release(slots)
 		return p.follow(ctx)
 	}
-	defer s.slots.Release(1)
+	defer s.slots.Release(slots)
 	return p.fetch(ctx, index)
 }
 
--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// downloadSlots bounds the chunks that are fetched from peers at once.
-	downloadSlots = 8
+	// downloadSlots bounds the chunks that are fetched from peers at once. Where live requests use the link, each
+	// takes busySlots of them: what many senders have under way at once stands before the requests that arrive.
+	downloadSlots = 10
+	busySlots     = 2
 	// lastResortChunks bounds the chunks that are tried at the origin when all ranks have had their turn.
 	lastResortChunks = 2
 	// refreshInterval is the time between two looks at the participants.
@@ -250,6 +252,14 @@
 	}
 }
 
+// slotsEach returns the slots that one fetch from a peer takes now.
+func (s *session) slotsEach() int64 {
+	if busy := s.fetcher.options.Busy; busy != nil && busy() {
+		return busySlots
+	}
+	return 1
+}
+
 // finish puts a whole chunk into the replica and ends the other fetches of it.
 func (s *session) finish(index int, buf []byte) error {
 	if _, err := s.replica.Put(index, buf); err != nil {
