platform/standin, bench/testbed, bench/trial: try runs on the platform's path, among faults by seed

Cause: `try` still ran the older path through the side process, the stand-ins of the platform knew only faults that a test sets, and there was none of the balancer. Files whose copies would not fit in memory are refused. Left: `measure` runs on the older path and its stand-ins.

--- /dev/null
+++ b/internal/bench/trial/trial_test.go
@@ -0,0 +1,55 @@
+package trial_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
+	"github.com/oriolehub/oriolehub/internal/bench/trial"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/platform/standin"
+)
+
+// withTestFile returns a small file to push.
+func withTestFile(t *testing.T) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "weights")
+	assert.NilError(t, os.WriteFile(file, bytes.Repeat([]byte("weights of a model\n"), 10_000), 0o600))
+	return file
+}
+
+// Whatever the stand-ins do wrong, every engine loads exactly the content, nothing that must run once runs twice, no
+// refusal is untrue and no answer is another's or short.
+func TestPushAmongFaults(t *testing.T) {
+	d, err := deployment.Named(deployment.Puhas)
+	assert.NilError(t, err)
+	file := withTestFile(t)
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			s, err := trial.Run(t.Context(), trial.Options{
+				Deployment: d, File: file, Vms: 5, Target: 4 * time.Second, Quiet: 500 * time.Millisecond,
+				Faults: standin.NewFaults(seed, standin.Troubled), Journal: journal.Discard(),
+			})
+			assert.NilError(t, err)
+			assert.DeepEqual(t, s.Faults(), []string(nil))
+			assert.Assert(t, s.Requests.Answered > 0)
+		})
+	}
+}
+
+func TestTooMuchForTheMemory(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "large")
+	f, err := os.Create(file)
+	assert.NilError(t, err)
+	assert.NilError(t, f.Truncate(64<<20))
+	assert.NilError(t, f.Close())
+	_, err = trial.Run(t.Context(), trial.Options{File: file, Vms: 200, Target: time.Second, Journal: journal.Discard()})
+	assert.ErrorContains(t, err, "fewer VMs")
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -207,6 +207,9 @@
 	return settings.Differing(same, s)
 }
 
+// ConfigurationRevision returns the revision of the desired state in force, 0 for none.
+func (n *node) ConfigurationRevision() uint64 { return n.directory.Current().Revision }
+
 // switchBound returns the time within which a named version replaces older ones.
 func (n *node) switchBound() time.Duration { return n.bounds.Load().Switch.Std() }
 
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -31,6 +31,7 @@
 	*node
 	stager *stager.Stager
 	sender *beacon.Sender
+	giver  *transfer.Server
 }
 
 // StartSide runs a side process until Stop.
@@ -55,7 +56,8 @@
 		Reported:    e.report,
 		Log:         j.Logger(journal.Placement),
 	})
-	if err := e.listen(transfer.NewServer(shelf, pace.New(rate)), e.record, func() error { return nil }); err != nil {
+	e.giver = transfer.NewServer(shelf, pace.New(rate))
+	if err := e.listen(e.giver, e.record, func() error { return nil }); err != nil {
 		return nil, err
 	}
 	e.sender = beacon.NewSender(e.reports, s.Upstream)
@@ -67,6 +69,12 @@
 	return e, nil
 }
 
+// ChunkBytesSent returns the bytes of chunks that were given to other side processes.
+func (e *Side) ChunkBytesSent() int64 { return e.giver.BytesSent() }
+
+// Progress returns the number of chunks of a version that are in memory and their total, 0 while neither is known.
+func (e *Side) Progress(version uint64) (held, total int) { return e.stager.Progress(version) }
+
 func shelfBytes(s *settings.Node) int64 {
 	if s.MemoryMegabytes == 0 {
 		return defaultShelf
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -89,6 +89,17 @@
 	return r.Held, true
 }
 
+// Progress returns the number of chunks of a version that are in memory and their total, 0 while neither is known.
+func (s *Stager) Progress(version uint64) (held, total int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fetches[version]
+	if f == nil || f.replica == nil {
+		return 0, 0
+	}
+	return f.replica.Held()
+}
+
 // Run follows the named version until ctx ends.
 func (s *Stager) Run(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
