upstream/stager: loads go on evenly when a newer version is named late

Change: loads wait for a newer version only if it was named so soon that engines can skip the older one (its fetch, 0.45 of the bound, ends before the last moment of the older). TestNewerVersionHoldsLoadsUpOnlyIfItCanReplaceThem fails without (24.8 for 22.2 s).

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -30,6 +30,8 @@
 	// lastChance is the part of the switch bound after which a version is loaded although a newer one is named
 	// but not held yet.
 	lastChance = 0.6
+	// fetchTime is the part of the switch bound that a fetch usually takes.
+	fetchTime = 0.45
 	// nearlyFetched is the part of a version's chunks from which its fetch goes on beside that of a newer one:
 	// the newer one may take long, if the origin fails meanwhile.
 	nearlyFetched = 0.5
@@ -192,15 +194,24 @@
 		return true
 	}
 	bound := s.options.SwitchBound()
-	begin := best.heldAt
-	if best.version < target.Version {
-		begin = latest(begin, oldest.Since.Add(part(bound, lastChance)))
-	}
+	begin := firstTurn(target, oldest, best, bound)
 	rank, total := s.place("turn/" + strconv.FormatUint(best.version, 10))
 	span := max(0, oldest.Since.Add(bound-part(bound, loadTime)).Sub(begin))
 	return time.Since(begin) >= span*time.Duration(rank)/time.Duration(max(1, total))
 }
 
+// firstTurn returns when the first engine may take what was fetched. Where a newer version was named so soon that it
+// will be fetched in time, that is the last moment: engines then skip the older one. Else they do not wait for it, for
+// the loads that are left would crowd into what is left of the time.
+func firstTurn(target directory.Target, oldest directory.Named, best *fetch, bound time.Duration) time.Time {
+	newer, ok := target.After(best.version)
+	lastMoment := oldest.Since.Add(part(bound, lastChance))
+	if ok && newer.Since.Add(part(bound, fetchTime)).Before(lastMoment) {
+		return latest(best.heldAt, lastMoment)
+	}
+	return best.heldAt
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
