--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"time"
 
@@ -22,6 +23,8 @@
 	defaultShelf = 1 << 30
 	// linkPart is the part of the VM's link that weights may take; the rest is for live streams.
 	linkPart = 0.85
+	// receiversAge is the age up to which the list of the reports' receivers is used again.
+	receiversAge = 250 * time.Millisecond
 	// alonePause is the time without a desired state after which a side process reads the store itself.
 	alonePause = 2500 * time.Millisecond
 )
@@ -32,6 +35,9 @@
 	stager *stager.Stager
 	sender *beacon.Sender
 	giver  *transfer.Server
+
+	listed   []*net.UDPAddr
+	listedAt time.Time
 }
 
 // StartSide runs a side process until Stop.
@@ -84,11 +90,19 @@
 
 // report tells the entry processes of the engine's load.
 func (e *Side) report(r hub.UpstreamReport) {
-	if err := e.sender.Send(r, e.reportAddresses()); err != nil {
+	if err := e.sender.Send(r, e.receivers); err != nil {
 		e.journal.Logger(journal.State).Debug().Err(err).Msg("beacon not sent")
 	}
 }
 
+// receivers returns where the entry processes receive reports, as of a moment ago; only the stager calls it.
+func (e *Side) receivers() []*net.UDPAddr {
+	if time.Since(e.listedAt) >= receiversAge {
+		e.listed, e.listedAt = e.reportAddresses(), time.Now()
+	}
+	return e.listed
+}
+
 func (e *Side) record() hub.Member {
 	m := e.member(hub.StateStarting)
 	if version, ok := e.stager.Serving(); ok && version != 0 {
--- a/internal/state/beacon/beacon.go
+++ b/internal/state/beacon/beacon.go
@@ -1,7 +1,6 @@
 package beacon
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -33,7 +32,7 @@
 type Sender struct {
 	conn    *net.UDPConn
 	address string
-	sent    []byte
+	sent    hub.UpstreamReport
 	sentAt  time.Time
 }
 
@@ -42,22 +41,23 @@
 	return &Sender{conn: conn, address: address}
 }
 
-// Send tells receivers of a report, unless they were told the same or something else a moment ago.
-func (s *Sender) Send(r hub.UpstreamReport, receivers []*net.UDPAddr) error {
-	data, err := json.Marshal(Beacon{Address: s.address, Report: r})
-	if err != nil {
-		return fmt.Errorf("encode beacon: %w", err)
-	}
+// Send tells receivers of a report, unless they were told the same or something else a moment ago; receivers is
+// called only if they are told.
+func (s *Sender) Send(r hub.UpstreamReport, receivers func() []*net.UDPAddr) error {
 	wait := repeatInterval
-	if !bytes.Equal(data, s.sent) {
+	if r != s.sent {
 		wait = sendInterval
 	}
 	if time.Since(s.sentAt) < wait {
 		return nil
 	}
-	s.sent, s.sentAt = data, time.Now()
+	data, err := json.Marshal(Beacon{Address: s.address, Report: r})
+	if err != nil {
+		return fmt.Errorf("encode beacon: %w", err)
+	}
+	s.sent, s.sentAt = r, time.Now()
 	var failed error
-	for _, to := range receivers {
+	for _, to := range receivers() {
 		if _, err := s.conn.WriteToUDP(data, to); err != nil {
 			failed = fmt.Errorf("beacon to %s: %w", to, err)
 		}
--- /dev/null
+++ b/internal/state/beacon/beacon_test.go
@@ -0,0 +1,42 @@
+package beacon
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+)
+
+// A report is told at once when it changes, but not more often than the link and the receivers bear, and now and then
+// when it does not, for datagrams are lost; who receives it is asked only then.
+func TestHowOftenReportsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewSender(nil, "10.0.0.1:80")
+		told := 0
+		receivers := func() []*net.UDPAddr { told++; return nil }
+		report := hub.UpstreamReport{Born: 1}
+		send := func() {
+			assert.NilError(t, s.Send(report, receivers))
+			time.Sleep(20 * time.Millisecond)
+		}
+		send()
+		assert.Equal(t, told, 1)
+		for range 20 {
+			send()
+		}
+		assert.Equal(t, told, 1)
+		for range 10 {
+			send()
+		}
+		assert.Equal(t, told, 2)
+		for i := range 30 {
+			report.Running = i
+			send()
+		}
+		assert.Equal(t, told, 12)
+	})
+}
