weights/transfer: chunks on their way follow the rate of the link

Five chunks of 32 KB asked for at once stand for 1.3 s before every request on such a link, and broken-off requests behind them, too. Ruled out: the margin before the bound (0.7 s, kept by the entry process), the closing of calls (at once). Change: a gate for each direction learns from each chunk how long one takes of the link, and lets through what takes 0.2 s, one at least; chunks that are given up count as slow, for all of five stall at once there. Without live requests nothing is held back.

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -17,6 +17,7 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
+	"github.com/oriolehub/oriolehub/internal/weights/transfer"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
 
@@ -50,6 +51,8 @@
 	Shelf     *replica.Shelf
 	// Pacer is the receiving direction of the VM's link.
 	Pacer *pace.Pacer
+	// Gate bounds the chunks on their way to this VM.
+	Gate *transfer.Gate
 	// NewSource opens the origin of a model's weights.
 	NewSource func(o *hub.Origin, e *hub.EngineModel) hub.WeightSource
 	// SwitchBound is the time within which a named version replaces older ones.
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -63,17 +63,18 @@
 		return err
 	}
 	s := p.session
-	slots := s.slotsEach()
-	if err := s.slots.Acquire(ctx, slots); err != nil {
+	pass, err := s.fetcher.options.Gate.Enter(ctx)
+	if err != nil {
 		return err
 	}
 	index, ok := s.plan.Next(p.id, time.Now())
 	if !ok {
-		s.slots.Release(slots)
+		pass.Leave(false)
 		return p.follow(ctx)
 	}
-	defer s.slots.Release(slots)
-	return p.fetch(ctx, index)
+	err = p.fetch(ctx, index)
+	pass.Leave(err == nil)
+	return err
 }
 
 func (p *peer) connect(ctx context.Context) error {
