route/placement: an older version ends earlier where the newer content is late; gates of transfers taken back

Change: reports tell the newest version whose content the side process holds. From 2 s before a version is due, engines without its content get nothing where most have it; 0.7 s elsewhere, as before, and where nobody has it. TestOlderVersionsStopEarlierWhereTheContentIsLate fails without (3 candidates for 2).

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -150,6 +150,8 @@
 	Held uint64
 	// Layers is the number of layers that it holds without a gap, -1 where it does not list them.
 	Layers int
+	// Fetched is the newest version whose content the side process beside it holds whole, 0 for none.
+	Fetched uint64
 	// Busy is true while an order is in progress.
 	Busy bool
 	// Orders is the number of orders accepted since Born.
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -56,14 +56,13 @@
 		Link:      e.link,
 		Shelf:     shelf,
 		Pacer:     pace.New(rate),
-		Gate:      transfer.NewGate(transfer.Downloads, transfer.BesideDownloads, e.live),
 		NewSource: func(o *hub.Origin, m *hub.EngineModel) hub.WeightSource { return p.Source(o, m, e.dial) },
 
 		SwitchBound: e.switchBound,
 		Reported:    e.report,
 		Log:         j.Logger(journal.Placement),
 	})
-	e.giver = transfer.NewServer(shelf, pace.New(rate), transfer.NewGate(transfer.Uploads, transfer.Uploads, e.live))
+	e.giver = transfer.NewServer(shelf, pace.New(rate))
 	if err := e.listen(e.giver, e.record, func() error { return nil }); err != nil {
 		return nil, err
 	}
@@ -96,12 +95,6 @@
 	}
 }
 
-// live reports whether the engine has weights, so that live requests use the VM's link.
-func (e *Side) live() bool {
-	version, ok := e.stager.Serving()
-	return ok && version != 0
-}
-
 // receivers returns where the entry processes receive reports, as of a moment ago; only the stager calls it.
 func (e *Side) receivers() []*net.UDPAddr {
 	if time.Since(e.listedAt) >= receiversAge {
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -137,7 +137,7 @@
 func (p *Side) assemble(base *url.URL, x Extras) {
 	s := &p.settings
 	sending := pace.New(int64(s.Weights.LinkPerSecond))
-	p.chunks = transfer.NewServer(p.shelf, sending, nil)
+	p.chunks = transfer.NewServer(p.shelf, sending)
 	p.attempts = attempt.NewServer(attempt.ServerOptions{
 		Incarnation: p.incarnation,
 		Group:       s.Group,
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -133,6 +133,14 @@
 	return u.Version
 }
 
+// unlessFetched returns a version, or 0 where the side process of the upstream is known to hold its content.
+func (l *Load) unlessFetched(version uint64) uint64 {
+	if r := l.fresh(); r != nil && r.Fetched >= version {
+		return 0
+	}
+	return version
+}
+
 // loading reports whether the upstream is known to be taking new weights.
 func (l *Load) loading() bool {
 	r := l.fresh()
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -31,6 +31,9 @@
 	// switchMargin is how long before the bound upstreams with an older version get nothing any more, for
 	// requests on their way and for the time in which news of the version came here.
 	switchMargin = 700 * time.Millisecond
+	// lateMargin is the same where most upstreams have the newer version and one does not even have its content:
+	// its link is slow, and what is sent to it arrives late.
+	lateMargin = 2 * time.Second
 	// startMargin is how long before the bound a request must have begun at an upstream with an older version.
 	startMargin = 150 * time.Millisecond
 	// maxWaiting bounds the requests that wait for one service at one priority.
@@ -167,14 +170,14 @@
 	}
 	loads := *p.loads.Load()
 	now := time.Now()
-	oldest := p.oldestVersion(service, now)
+	oldest, oldestLate := p.oldestVersions(service, loads, now)
 	best, bestScore, candidates := -1, time.Duration(0), 0
 	first := rand.IntN(len(service.Upstreams))
 	for i := range min(sampled, len(service.Upstreams)) {
 		at := (first + i) % len(service.Upstreams)
 		u := service.Upstreams[at]
 		l := loads[u.Key()]
-		if l == nil || !p.usable(service, u, l, n, oldest) {
+		if l == nil || !p.usable(service, u, l, n, max(oldest, l.unlessFetched(oldestLate))) {
 			continue
 		}
 		candidates++
@@ -238,12 +241,29 @@
 	c.placement.wake(c.Upstream.Service)
 }
 
-// oldestVersion returns the oldest version that may answer now, 0 for any.
-func (p *Placement) oldestVersion(s *directory.Service, now time.Time) uint64 {
+// oldestVersions returns the oldest version that may answer now, and the oldest at upstreams whose side process does
+// not hold the content of that one yet while most do; 0 for any.
+func (p *Placement) oldestVersions(s *directory.Service, loads map[directory.Key]*Load, now time.Time) (oldest, late uint64) {
 	if s.Engine == nil {
-		return 0
+		return 0, 0
 	}
-	return s.Target.Due(now, p.options.SwitchBound()-switchMargin)
+	bound := p.options.SwitchBound()
+	oldest, late = s.Target.Due(now, bound-switchMargin), s.Target.Due(now, bound-lateMargin)
+	if late <= oldest || !mostHave(s, loads, late) {
+		late = 0
+	}
+	return oldest, late
+}
+
+// mostHave reports whether most upstreams hold a version or its content.
+func mostHave(s *directory.Service, loads map[directory.Key]*Load, version uint64) bool {
+	have := 0
+	for _, u := range s.Upstreams {
+		if l := loads[u.Key()]; l != nil && (l.unlessFetched(version) == 0 || l.held(u) >= version) {
+			have++
+		}
+	}
+	return 2*have > len(s.Upstreams)
 }
 
 // usable reports whether a request may be sent to an upstream by all that is known here.
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -93,6 +93,33 @@
 	assert.DeepEqual(t, counts, map[string]int{"i000": 1, "i001": 1})
 }
 
+// An upstream whose side process does not hold the newer content while most do has a slow link: requests that are sent
+// to it late arrive after its version is over. Where nobody has the content, all go on.
+func TestOlderVersionsStopEarlierWhereTheContentIsLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestPlacement(t)
+		f.engines(3, 0)
+		f.directives(hub.Directives{Targets: []hub.ModelTarget{{Model: "m", Version: 2}}})
+		report := func(fetched ...uint64) {
+			for i, version := range fetched {
+				f.placement.Report(address(i), hub.UpstreamReport{Held: 1, Born: 1, Fetched: version})
+			}
+		}
+		candidates := func() int {
+			c := f.choose(t, need())
+			defer c.Release()
+			return c.Candidates
+		}
+		time.Sleep(switchBound - 1500*time.Millisecond)
+		report(1, 1, 1)
+		assert.Equal(t, candidates(), 3)
+		report(2, 2, 1)
+		assert.Equal(t, candidates(), 2)
+		report(2, 2, 2)
+		assert.Equal(t, candidates(), 3)
+	})
+}
+
 func TestBacklogIsNoRoom(t *testing.T) {
 	f := withTestPlacement(t)
 	f.engines(1, 0)
--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -121,7 +121,7 @@
 		Topology:             topology.Swarm{},
 		OriginBytesPerSecond: s.options.Directory.Current().Origin().BytesPerSecond,
 		Participants:         s.participants,
-		Gate:                 s.options.Gate,
+		Busy:                 s.busy,
 		OriginFetches:        originFetches,
 		Patience:             patience,
 		Stall:                stall,
@@ -150,6 +150,12 @@
 	s.options.Log.Info().Int("Taken", taken).Int("Others", foreign).Str("Version", r.Manifest.Version).Msg("staged chunks taken over")
 }
 
+// busy reports whether the engine has weights and so live requests.
+func (s *Stager) busy() bool {
+	r := s.report.Load()
+	return r != nil && r.Held != 0
+}
+
 // source returns the origin of the service's weights, or nil. One client is kept for each origin: every client
 // keeps a connection of its own, and the origin accepts few.
 func (s *Stager) source() hub.WeightSource {
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -17,7 +17,6 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
-	"github.com/oriolehub/oriolehub/internal/weights/transfer"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
 
@@ -51,8 +50,6 @@
 	Shelf     *replica.Shelf
 	// Pacer is the receiving direction of the VM's link.
 	Pacer *pace.Pacer
-	// Gate bounds the chunks on their way to this VM.
-	Gate *transfer.Gate
 	// NewSource opens the origin of a model's weights.
 	NewSource func(o *hub.Origin, e *hub.EngineModel) hub.WeightSource
 	// SwitchBound is the time within which a named version replaces older ones.
@@ -135,6 +132,9 @@
 		s.fire(EventReset)
 		s.orderedAt = time.Time{}
 	}
+	if f := s.newest(0); f != nil {
+		report.Fetched = f.version
+	}
 	s.options.Reported(report)
 	service := s.options.Directory.Current().Service(s.options.Service)
 	if service == nil || service.Engine == nil {
--- a/internal/upstream/stager/stager_test.go
+++ b/internal/upstream/stager/stager_test.go
@@ -208,7 +208,7 @@
 	shelf := replica.NewShelf(1<<20, nil)
 	client := link.NewClient(link.Dial)
 	mux := drpcmux.New()
-	assert.NilError(t, message.DRPCRegisterWeights(mux, transfer.NewServer(shelf, pace.New(0), nil)))
+	assert.NilError(t, message.DRPCRegisterWeights(mux, transfer.NewServer(shelf, pace.New(0))))
 	server := link.Serve(listener, mux, func(error) {})
 	s.member = hub.Member{Id: id, Role: hub.RoleSide, Group: "s", Region: "r", Address: server.Address(), Incarnation: 1, Sequence: 1, State: hub.StateServing}
 	s.catalog.PutMember(s.member, id)
--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -44,8 +44,8 @@
 	Participants func(root string) []hub.Member
 	// Peers returns the addresses that may hold a manifest.
 	Peers func() []string
-	// Gate bounds the chunks that are fetched from peers at once, nil for the usual bound.
-	Gate *Gate
+	// Busy reports whether live requests use the VM's link; nil stands for a link that has none.
+	Busy func() bool
 	// OriginFetches bounds the chunks that are fetched from the sources at once, 0 for the default.
 	OriginFetches int
 	// Patience is the time without anything to fetch after which the next rank takes over a duty, 0 for the default.
@@ -65,9 +65,6 @@
 	options.OriginFetches = cmp.Or(options.OriginFetches, defaultOriginFetches)
 	options.Patience = cmp.Or(options.Patience, defaultPatience)
 	options.Stall = cmp.Or(options.Stall, defaultStall)
-	if options.Gate == nil {
-		options.Gate = NewGate(Downloads, Downloads, nil)
-	}
 	return &Fetcher{options: options}
 }
 
--- a/internal/weights/transfer/peer.go
+++ b/internal/weights/transfer/peer.go
@@ -63,18 +63,17 @@
 		return err
 	}
 	s := p.session
-	pass, err := s.fetcher.options.Gate.Enter(ctx)
-	if err != nil {
+	slots := s.slotsEach()
+	if err := s.slots.Acquire(ctx, slots); err != nil {
 		return err
 	}
 	index, ok := s.plan.Next(p.id, time.Now())
 	if !ok {
-		pass.Leave(false)
+		s.slots.Release(slots)
 		return p.follow(ctx)
 	}
-	err = p.fetch(ctx, index)
-	pass.Leave(err == nil)
-	return err
+	defer s.slots.Release(slots)
+	return p.fetch(ctx, index)
 }
 
 func (p *peer) connect(ctx context.Context) error {
--- a/internal/weights/transfer/server.go
+++ b/internal/weights/transfer/server.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/weights/manifest"
 	"github.com/oriolehub/oriolehub/internal/weights/pace"
@@ -14,8 +16,8 @@
 )
 
 const (
-	// Uploads bounds the chunks that are sent at once, so that each arrives soon and can be passed on.
-	Uploads = 4
+	// uploadSlots bounds the chunks that are sent at once, so that each arrives soon and can be passed on.
+	uploadSlots = 4
 	// followBatch is the time for which arrivals are gathered before they are told.
 	followBatch = 10 * time.Millisecond
 	// maxFollowWait bounds the wait for an arrival.
@@ -26,17 +28,14 @@
 type Server struct {
 	shelf *replica.Shelf
 	pacer *pace.Pacer
-	gate  *Gate
+	slots *semaphore.Weighted
 
 	sent atomic.Int64
 }
 
-// NewServer returns a server of the replicas on shelf that sends through pacer and gate; a nil gate is the usual one.
-func NewServer(shelf *replica.Shelf, pacer *pace.Pacer, gate *Gate) *Server {
-	if gate == nil {
-		gate = NewGate(Uploads, Uploads, nil)
-	}
-	return &Server{shelf: shelf, pacer: pacer, gate: gate}
+// NewServer returns a server of the replicas on shelf that sends through pacer.
+func NewServer(shelf *replica.Shelf, pacer *pace.Pacer) *Server {
+	return &Server{shelf: shelf, pacer: pacer, slots: semaphore.NewWeighted(uploadSlots)}
 }
 
 // BytesSent returns the bytes of chunks sent so far.
@@ -105,13 +104,11 @@
 	if int(r.GetOffset()) >= len(data) {
 		return fmt.Errorf("offset %d in a chunk of %d bytes", r.GetOffset(), len(data))
 	}
-	pass, err := s.gate.Enter(ctx)
-	if err != nil {
+	if err := s.slots.Acquire(ctx, 1); err != nil {
 		return err
 	}
-	err = s.send(ctx, r, data, stream)
-	pass.Leave(err == nil)
-	return err
+	defer s.slots.Release(1)
+	return s.send(ctx, r, data, stream)
 }
 
 func (s *Server) send(ctx context.Context, r *message.FetchRequest, data []byte, stream message.DRPCWeights_FetchStream) error {
--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -7,16 +7,18 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/weights/plan"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
 )
 
 const (
-	// Downloads and BesideDownloads bound the chunks that are fetched from peers at once, over a link without live
-	// requests and over one with them.
-	Downloads       = 10
-	BesideDownloads = 5
+	// downloadSlots bounds the chunks that are fetched from peers at once. Where live requests use the link, each
+	// takes busySlots of them: what many senders have under way at once stands before the requests that arrive.
+	downloadSlots = 10
+	busySlots     = 2
 	// lastResortChunks bounds the chunks that are tried at the origin when all ranks have had their turn.
 	lastResortChunks = 2
 	// refreshInterval is the time between two looks at the participants.
@@ -37,6 +39,7 @@
 	pin     hub.Pin
 	replica *replica.Replica
 	plan    *plan.Plan
+	slots   *semaphore.Weighted
 	started time.Time
 
 	mu        sync.Mutex
@@ -64,6 +67,7 @@
 		pin:     pin,
 		replica: r,
 		plan:    plan.New(total, endgameAge, rand.Uint64()),
+		slots:   semaphore.NewWeighted(downloadSlots),
 		started: time.Now(),
 		peers:   map[string]context.CancelFunc{},
 		aside:   map[string]time.Time{},
@@ -248,6 +252,14 @@
 	}
 }
 
+// slotsEach returns the slots that one fetch from a peer takes now.
+func (s *session) slotsEach() int64 {
+	if busy := s.fetcher.options.Busy; busy != nil && busy() {
+		return busySlots
+	}
+	return 1
+}
+
 // finish puts a whole chunk into the replica and ends the other fetches of it.
 func (s *session) finish(index int, buf []byte) error {
 	if _, err := s.replica.Put(index, buf); err != nil {
--- a/internal/weights/transfer/transfer_test.go
+++ b/internal/weights/transfer/transfer_test.go
@@ -90,7 +90,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	mux := drpcmux.New()
-	giver := &slowGiver{DRPCWeightsServer: transfer.NewServer(shelf, pace.New(0), nil), gauge: g}
+	giver := &slowGiver{DRPCWeightsServer: transfer.NewServer(shelf, pace.New(0)), gauge: g}
 	assert.NilError(t, message.DRPCRegisterWeights(mux, giver))
 	return link.Serve(listener, mux, func(error) {})
 }
@@ -110,7 +110,7 @@
 }
 
 // fetch fetches the content of a manifest from the participants.
-func fetch(t *testing.T, m manifest.Manifest, encoded []byte, live func() bool, participants func(string) []hub.Member) error {
+func fetch(t *testing.T, m manifest.Manifest, encoded []byte, busy func() bool, participants func(string) []hub.Member) error {
 	t.Helper()
 	shelf := replica.NewShelf(1<<20, nil)
 	r, err := shelf.Open(m, encoded, "")
@@ -118,9 +118,8 @@
 	client := link.NewClient(link.Dial)
 	t.Cleanup(func() { _ = client.Close() })
 	fetcher := transfer.NewFetcher(transfer.Options{
-		Self: "self", Link: client, Shelf: shelf, Pacer: pace.New(0), Topology: neighbours{}, Participants: participants,
-		Gate: transfer.NewGate(transfer.Downloads, transfer.BesideDownloads, live),
-		Log:  journal.Discard().Logger(journal.Placement),
+		Self: "self", Link: client, Shelf: shelf, Pacer: pace.New(0), Topology: neighbours{}, Busy: busy, Participants: participants,
+		Log: journal.Discard().Logger(journal.Placement),
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
@@ -128,7 +127,7 @@
 }
 
 // fetchFromAll fetches content that all givers hold and returns how many chunks were on their way at once.
-func fetchFromAll(t *testing.T, live func() bool) int64 {
+func fetchFromAll(t *testing.T, busy func() bool) int64 {
 	t.Helper()
 	content, m, encoded := testContent(t)
 	var g gauge
@@ -136,7 +135,7 @@
 	for i := range givers {
 		members = append(members, hub.Member{Id: fmt.Sprint("giver-", i), Address: withTestGiver(t, m, encoded, content, &g)})
 	}
-	assert.NilError(t, fetch(t, m, encoded, live, func(string) []hub.Member { return members }))
+	assert.NilError(t, fetch(t, m, encoded, busy, func(string) []hub.Member { return members }))
 	return g.most.Load()
 }
 
