--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -133,12 +133,10 @@
 	return u.Version
 }
 
-// unlessFetched returns a version, or 0 where the side process of the upstream is known to hold its content.
-func (l *Load) unlessFetched(version uint64) uint64 {
-	if r := l.fresh(); r != nil && r.Fetched >= version {
-		return 0
-	}
-	return version
+// hasContent reports whether the side process of the upstream is known to hold the content of a version.
+func (l *Load) hasContent(version uint64) bool {
+	r := l.fresh()
+	return r != nil && r.Fetched >= version
 }
 
 // loading reports whether the upstream is known to be taking new weights.
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -28,14 +28,6 @@
 	jitter = 8 * time.Millisecond
 	// avoidedCost makes an upstream that just failed the last to be chosen.
 	avoidedCost = time.Minute
-	// switchMargin is how long before the bound upstreams with an older version get nothing any more, for
-	// requests on their way and for the time in which news of the version came here.
-	switchMargin = 700 * time.Millisecond
-	// lateMargin is the same where most upstreams have the newer version and one does not even have its content:
-	// its link is slow, and what is sent to it arrives late.
-	lateMargin = 2 * time.Second
-	// startMargin is how long before the bound a request must have begun at an upstream with an older version.
-	startMargin = 150 * time.Millisecond
 	// maxWaiting bounds the requests that wait for one service at one priority.
 	maxWaiting = 256
 	// plainSlots is the limit of running requests where the list names none.
@@ -164,20 +156,21 @@
 
 // Choose returns the best upstream with room, or false.
 func (p *Placement) Choose(n *Need) (Choice, bool) {
-	service := p.options.Directory.Current().Service(n.Service)
+	snapshot := p.options.Directory.Current()
+	service := snapshot.Service(n.Service)
 	if service == nil || len(service.Upstreams) == 0 {
 		return Choice{}, false
 	}
 	loads := *p.loads.Load()
 	now := time.Now()
-	oldest, oldestLate := p.oldestVersions(service, loads, now)
+	oldest := p.oldestVersions(service, loads, now)
 	best, bestScore, candidates := -1, time.Duration(0), 0
 	first := rand.IntN(len(service.Upstreams))
 	for i := range min(sampled, len(service.Upstreams)) {
 		at := (first + i) % len(service.Upstreams)
 		u := service.Upstreams[at]
 		l := loads[u.Key()]
-		if l == nil || !p.usable(service, u, l, n, max(oldest, l.unlessFetched(oldestLate))) {
+		if l == nil || !p.usable(snapshot, service, u, l, n, oldest.at(l)) {
 			continue
 		}
 		candidates++
@@ -211,15 +204,6 @@
 	return c, true
 }
 
-// startBy returns when a request must have begun at an upstream that holds a version, or zero.
-func (p *Placement) startBy(s *directory.Service, held uint64) time.Time {
-	next, ok := s.Target.After(held)
-	if s.Engine == nil || !ok {
-		return time.Time{}
-	}
-	return next.Since.Add(p.options.SwitchBound() - startMargin)
-}
-
 // Begun tells that the answer has begun, so that the prompt is read.
 func (c *Choice) Begun() {
 	if c.unread == 0 {
@@ -241,34 +225,8 @@
 	c.placement.wake(c.Upstream.Service)
 }
 
-// oldestVersions returns the oldest version that may answer now, and the oldest at upstreams whose side process does
-// not hold the content of that one yet while most do; 0 for any.
-func (p *Placement) oldestVersions(s *directory.Service, loads map[directory.Key]*Load, now time.Time) (oldest, late uint64) {
-	if s.Engine == nil {
-		return 0, 0
-	}
-	bound := p.options.SwitchBound()
-	oldest, late = s.Target.Due(now, bound-switchMargin), s.Target.Due(now, bound-lateMargin)
-	if late <= oldest || !mostHave(s, loads, late) {
-		late = 0
-	}
-	return oldest, late
-}
-
-// mostHave reports whether most upstreams hold a version or its content.
-func mostHave(s *directory.Service, loads map[directory.Key]*Load, version uint64) bool {
-	have := 0
-	for _, u := range s.Upstreams {
-		if l := loads[u.Key()]; l != nil && (l.unlessFetched(version) == 0 || l.held(u) >= version) {
-			have++
-		}
-	}
-	return 2*have > len(s.Upstreams)
-}
-
 // usable reports whether a request may be sent to an upstream by all that is known here.
-func (p *Placement) usable(s *directory.Service, u *directory.Upstream, l *Load, n *Need, oldest uint64) bool {
-	snapshot := p.options.Directory.Current()
+func (p *Placement) usable(snapshot *directory.Snapshot, s *directory.Service, u *directory.Upstream, l *Load, n *Need, oldest uint64) bool {
 	if u.Leaving || l.gone() || snapshot.Evacuated[u.Domain] || slices.Contains(n.Tried, u.Key()) {
 		return false
 	}
