state/directory: one place tells the side process beside an upstream

process/node and upstream/stager both made its control address from the upstream's. No change of behaviour; tests of the three packages pass.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -235,8 +235,8 @@
 			continue
 		}
 		for _, u := range service.Upstreams {
-			if host, _, err := net.SplitHostPort(u.Address); err == nil {
-				out = append(out, net.JoinHostPort(host, port))
+			if address := u.SideAddress(port); address != "" {
+				out = append(out, address)
 			}
 		}
 	}
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -45,6 +45,16 @@
 // Key identifies the lifetime: an ID may be used again.
 func (u *Upstream) Key() Key { return Key{Id: u.Id, Born: u.Born} }
 
+// SideAddress returns the control address of the side process beside the upstream, which listens at the same IP
+// address on a port that is the same on all VMs; "" where the upstream's address can't be read.
+func (u *Upstream) SideAddress(port string) string {
+	host, _, err := net.SplitHostPort(u.Address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
 // Key identifies one lifetime of an upstream.
 type Key struct {
 	Id   string
--- a/internal/upstream/stager/participants.go
+++ b/internal/upstream/stager/participants.go
@@ -49,8 +49,7 @@
 	}
 	var out []hub.Member
 	for _, u := range service.Upstreams {
-		if host, _, err := net.SplitHostPort(u.Address); err == nil {
-			address := net.JoinHostPort(host, port)
+		if address := u.SideAddress(port); address != "" {
 			out = append(out, hub.Member{Id: address, Address: address, Region: u.Region})
 		}
 	}
