wire/link, state/catalog, route/forward: tell how many bytes processes exchange and how an attempt was sent

The logs could not tell whether an attempt failed on a new or a reused connection, how long after it was sent, or how old the load report was that chose the upstream; no metric told what fills a VM's link. Added: SinceSent, Reused and ReportAge, and the metrics oriolehub_peer_bytes_total, oriolehub_chunk_bytes_sent_total and oriolehub_document_bytes_total (whole or delta).

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -81,6 +81,7 @@
 	mirror    *mirror.Mirror
 	presence  *presence.Presence
 	link      *link.Client
+	traffic   link.Traffic
 	exchange  *exchange.Client
 	reports   *net.UDPConn
 	server    *link.Server
@@ -119,7 +120,7 @@
 	})
 	n.mirror = mirror.New(mirror.Options{Source: p.Store(s.Store, n.dial), Decoder: p.Decoder, Catalog: n.catalog, Log: stateLog})
 	n.presence = presence.New(n.catalog, record)
-	n.link = link.NewClient(link.DialFunc(n.dial))
+	n.link = link.NewClient(n.traffic.Dial(link.DialFunc(n.dial)))
 	n.exchange = exchange.NewClient(exchange.Options{
 		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, MoreSeeds: n.seedAddresses,
 		SeedInterval: seedInterval, Log: stateLog,
@@ -164,11 +165,12 @@
 			return fmt.Errorf("register weights service: %w", err)
 		}
 	}
-	n.server = link.Serve(control, mux, func(err error) {
+	n.server = link.Serve(n.traffic.Listener(control), mux, func(err error) {
 		n.journal.Logger(journal.Process).Debug().Err(err).Msg("control connection closed with an error")
 	})
 	n.admin = admin.Start(adminListener, n.metrics, ready)
 	n.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(n.journal.Dropped()) })
+	n.countTraffic()
 	n.metrics.NewGauge("oriolehub_configuration_revision", func() float64 { return float64(n.directory.Current().Revision) })
 	n.metrics.NewGauge("oriolehub_store_reachable", func() float64 {
 		if n.mirror.Reachable() {
@@ -179,6 +181,14 @@
 	return nil
 }
 
+// countTraffic registers the metrics of the bytes exchanged with other processes.
+func (n *node) countTraffic() {
+	n.metrics.NewGauge(`oriolehub_peer_bytes_total{direction="received"}`, func() float64 { return float64(n.traffic.Received.Load()) })
+	n.metrics.NewGauge(`oriolehub_peer_bytes_total{direction="sent"}`, func() float64 { return float64(n.traffic.Sent.Load()) })
+	n.metrics.NewGauge(`oriolehub_document_bytes_total{form="whole"}`, func() float64 { return float64(n.catalog.BytesRead().Whole) })
+	n.metrics.NewGauge(`oriolehub_document_bytes_total{form="delta"}`, func() float64 { return float64(n.catalog.BytesRead().Delta) })
+}
+
 // run starts the background tasks of both roles, which end when ctx is done.
 func (n *node) run(ctx context.Context) {
 	n.presence.Publish()
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -67,6 +67,7 @@
 	if err := e.listen(e.chunkServer, e.record, func() error { return nil }); err != nil {
 		return nil, err
 	}
+	e.metrics.NewGauge("oriolehub_chunk_bytes_sent_total", func() float64 { return float64(e.ChunkBytesSent()) })
 	e.sender = beacon.NewSender(e.reports, s.Upstream)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -34,6 +34,16 @@
 	Mismatched func(status int, h http.Header) bool
 	// NewConnection requires a connection on which no call has been sent before.
 	NewConnection bool
+	// Trace, if not nil, records how the call was sent.
+	Trace *Trace
+}
+
+// Trace describes how a call was sent.
+type Trace struct {
+	// SentAt is the time at which sending began, zero if it did not.
+	SentAt time.Time
+	// Reused is true if other calls had been sent on the connection before.
+	Reused bool
 }
 
 // Response is the response to a Call, with Read for its body. It must be closed after use.
@@ -68,6 +78,9 @@
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
 	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if call.Trace != nil {
+		*call.Trace = Trace{SentAt: time.Now(), Reused: reused}
+	}
 	if _, err := c.Write(call.encode()); err != nil {
 		r.Close()
 		return nil, brokenError(ctx, "send", err)
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -34,6 +34,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.sent++
+	x.trace = channel.Trace{}
 	x.logChoice(c, remaining)
 	timer := x.startTimer(c, cancel)
 	defer timer.Stop()
@@ -83,6 +84,7 @@
 		Body:          x.body,
 		Mismatched:    x.mismatched,
 		NewConnection: !x.route.Retryable(),
+		Trace:         &x.trace,
 	}
 }
 
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -66,6 +66,8 @@
 	// sent is the number of attempts, runs the number of those that may have run at an upstream.
 	sent int
 	runs int
+	// trace describes how the last attempt was sent.
+	trace channel.Trace
 	// tried lists the upstreams that must not be chosen again.
 	tried []directory.Key
 	// relay is the state of the response stream, nil until the first event has been forwarded.
@@ -235,11 +237,15 @@
 
 func (x *exchange) logChoice(c *placement.Choice, remaining time.Duration) {
 	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Str("Address", c.Upstream.Address).
-		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Held", c.Held).
+		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Held", c.Held).Dur("ReportAge", c.ReportAge).
 		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", x.sent).Dur("Waited", time.Since(x.started)).Dur("Left", remaining).
 		Msg("upstream chosen")
 }
 
 func (x *exchange) logFailure(c *placement.Choice, err error) {
-	x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", x.sent).Err(err).Msg("attempt failed")
+	line := x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", x.sent)
+	if !x.trace.SentAt.IsZero() {
+		line = line.Dur("SinceSent", time.Since(x.trace.SentAt)).Bool("Reused", x.trace.Reused)
+	}
+	line.Err(err).Msg("attempt failed")
 }
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -78,6 +78,15 @@
 	return r
 }
 
+// reportAge returns the age of the last report, -1 if there is none.
+func (l *Load) reportAge() time.Duration {
+	r := l.report.Load()
+	if r == nil {
+		return -1
+	}
+	return time.Since(r.at)
+}
+
 // total returns the estimated number of requests at the upstream.
 func (l *Load) total() int {
 	n := int(l.running.Load())
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -102,6 +102,8 @@
 	Running int
 	// Candidates is the number of compared upstreams that may run the request, with or without room.
 	Candidates int
+	// ReportAge is the age of the upstream's last report, -1 if it has sent none.
+	ReportAge time.Duration
 
 	placement *Placement
 	// pendingTokens is the number of prompt tokens that the Load counts until the response starts.
@@ -209,7 +211,7 @@
 	l.running.Add(1)
 	held := l.held(u)
 	c := Choice{
-		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: candidates, placement: p,
+		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: candidates, ReportAge: l.reportAge(), placement: p,
 	}
 	if service.Engine != nil {
 		c.pendingTokens = int64(cmp.Or(r.PromptTokens, service.Engine.UsualPrompt, 1))
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -46,6 +46,13 @@
 	changed chan struct{}
 	// documentsChanged is closed when a document changes.
 	documentsChanged chan struct{}
+	read             BytesRead
+}
+
+// BytesRead holds the bytes of the documents that Since returned for other processes.
+type BytesRead struct {
+	Whole int64
+	Delta int64
 }
 
 // entry is a member record with its position in the order of changes.
@@ -110,6 +117,24 @@
 	if h == nil {
 		return nil, 0
 	}
+	value, from = h.since(base)
+	if from == 0 {
+		c.read.Whole += int64(len(value))
+	} else {
+		c.read.Delta += int64(len(value))
+	}
+	return value, from
+}
+
+// BytesRead returns the bytes of the documents returned by Since so far.
+func (c *Catalog) BytesRead() BytesRead {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.read
+}
+
+// since returns the current value as in Catalog.Since.
+func (h *history) since(base uint64) (value []byte, from uint64) {
 	if encoded, ok := h.deltas[base]; ok {
 		return encoded, base
 	}
