state/exchange: send the changed entries of a list, and only to peers that lack them

Cause: while engines are added, the list of upstreams changes 40 times a second. Deltas needed the receiver's exact revision among four kept ones, else the whole list of 40 KB went out; it was pushed to peers that had it already, and a round pulled it from all neighbours at once. Each process got 230 to 540 KB a second, more than a narrowed link of 119 KB a second carries, and requests stood behind it. The three tests of traffic_test.go failed before: 508,832 bytes for 120 changed entries of a list of 50,754 bytes; 50,870 bytes to a peer that has the document; three times the same list. Why it works: the entries changed since any revision can be told from the revision of each key and the keys removed lately, so whole lists go only to processes that have none; a document is sent only after the peer's own reply shows that it lacks it. Checksums guard the result, a mismatch asks for the whole list; processes of the old build are sent whole documents.

--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
 
@@ -153,21 +154,21 @@
 
 // PublishUpstreams publishes the list of upstreams; it replaces the previous list.
 func (p *Publisher) PublishUpstreams(instances ...hub.Instance) {
-	entries := []mirror.Entry{}
+	entries := []listing.Entry{}
 	for _, i := range instances {
-		entries = append(entries, mirror.Entry{Key: UpstreamPrefix + i.Id, Value: encode(i), Revision: p.revision})
+		entries = append(entries, listing.Entry{Key: UpstreamPrefix + i.Id, Value: encode(i), Revision: p.revision})
 	}
 	p.publish(mirror.DocumentUpstreams, encode(entries))
 }
 
 // PublishDirectives publishes the operator's directives; they replace the previous ones.
 func (p *Publisher) PublishDirectives(d hub.Directives) {
-	entries := []mirror.Entry{}
+	entries := []listing.Entry{}
 	for _, domain := range d.Evacuated {
-		entries = append(entries, mirror.Entry{Key: EvacuatePrefix + domain, Value: []byte("{}"), Revision: p.revision})
+		entries = append(entries, listing.Entry{Key: EvacuatePrefix + domain, Value: []byte("{}"), Revision: p.revision})
 	}
 	for _, t := range d.Targets {
-		entries = append(entries, mirror.Entry{Key: TargetPrefix + t.Model, Value: encode(t), Revision: p.revision})
+		entries = append(entries, listing.Entry{Key: TargetPrefix + t.Model, Value: encode(t), Revision: p.revision})
 	}
 	p.publish(mirror.DocumentDirectives, encode(entries))
 }
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -9,6 +9,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/delta"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 )
 
 // maxBaseRevisions is the number of earlier revisions of a document that are kept as bases for deltas.
@@ -63,13 +64,32 @@
 	from string
 }
 
-// history is a document with its earlier revisions.
+// history is a document with what is kept of its earlier revisions.
 type history struct {
 	current hub.Document
-	// earlier holds up to maxBaseRevisions revisions, the oldest first.
+	// earlier holds up to maxBaseRevisions revisions, the oldest first; it is empty for lists.
 	earlier []hub.Document
-	// deltas caches the encoded deltas to the current revision, by base revision.
-	deltas map[uint64][]byte
+	// list is the history of a document that is a list.
+	list listing.History
+	// deltas caches the encodings of the current revision, by what they are based on.
+	deltas map[deltaKey]Encoding
+	// inconsistent is true if changes received from another process did not fit the current revision.
+	inconsistent bool
+}
+
+// deltaKey identifies an encoding of the current revision.
+type deltaKey struct {
+	base    uint64
+	entries bool
+}
+
+// Encoding is a document encoded for a process that has an earlier revision of it.
+type Encoding struct {
+	Value []byte
+	// Base is the revision that the receiver must have, 0 if Value is the whole value.
+	Base uint64
+	// Entries is true if Value holds changed entries of a list; the receiver may also have a revision after Base.
+	Entries bool
 }
 
 // New returns an empty catalog. epoch must be different after each start of a process.
@@ -96,34 +116,43 @@
 		return false
 	}
 	c.documents[d.Name] = h
-	if h.current.Revision != 0 {
-		h.earlier = append(h.earlier, h.current)
-		h.earlier = h.earlier[max(0, len(h.earlier)-maxBaseRevisions):]
-	}
-	h.current = d
-	h.deltas = map[uint64][]byte{}
+	h.put(d)
 	close(c.documentsChanged)
 	c.documentsChanged = make(chan struct{})
 	c.notify()
 	return true
 }
 
-// Since returns the current value of a document for a process that has revision base: a delta with from set to base if
-// that revision is still kept and the delta is shorter, otherwise the full value with from set to 0.
-func (c *Catalog) Since(name string, base uint64) (value []byte, from uint64) {
+// put replaces the current revision by d.
+func (h *history) put(d hub.Document) {
+	h.list.Update(d.Value, d.Revision)
+	switch {
+	case h.list.Valid():
+		h.earlier = nil
+	case h.current.Revision != 0:
+		h.earlier = append(h.earlier, h.current)
+		h.earlier = h.earlier[max(0, len(h.earlier)-maxBaseRevisions):]
+	}
+	h.current, h.inconsistent = d, false
+	h.deltas = map[deltaKey]Encoding{}
+}
+
+// Since encodes the current revision of a document for a process that has revision base: as a delta if possible and
+// shorter, otherwise whole. entries tells whether the process accepts changed entries of lists.
+func (c *Catalog) Since(name string, base uint64, entries bool) Encoding {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.documents[name]
 	if h == nil {
-		return nil, 0
+		return Encoding{}
 	}
-	value, from = h.since(base)
-	if from == 0 {
-		c.read.Whole += int64(len(value))
+	e := h.since(base, entries)
+	if e.Base == 0 {
+		c.read.Whole += int64(len(e.Value))
 	} else {
-		c.read.Delta += int64(len(value))
+		c.read.Delta += int64(len(e.Value))
 	}
-	return value, from
+	return e
 }
 
 // BytesRead returns the bytes of the documents returned by Since so far.
@@ -133,21 +162,60 @@
 	return c.read
 }
 
-// since returns the current value as in Catalog.Since.
-func (h *history) since(base uint64) (value []byte, from uint64) {
-	if encoded, ok := h.deltas[base]; ok {
-		return encoded, base
+// since encodes the current revision as in Catalog.Since.
+func (h *history) since(base uint64, entries bool) Encoding {
+	key := deltaKey{base: base, entries: entries}
+	e, ok := h.deltas[key]
+	if !ok {
+		e = h.encode(base, entries)
+		h.deltas[key] = e
+	}
+	return e
+}
+
+func (h *history) encode(base uint64, entries bool) Encoding {
+	whole := Encoding{Value: h.current.Value}
+	if base == 0 {
+		return whole
+	}
+	if entries {
+		if encoded, ok := h.list.Since(base); ok && len(encoded) < len(h.current.Value) {
+			return Encoding{Value: encoded, Base: base, Entries: true}
+		}
 	}
 	for _, d := range h.earlier {
 		if d.Revision != base {
 			continue
 		}
 		if encoded, ok := delta.Encode(d.Value, h.current.Value); ok {
-			h.deltas[base] = encoded
-			return encoded, base
+			return Encoding{Value: encoded, Base: base}
 		}
 	}
-	return h.current.Value, 0
+	return whole
+}
+
+// SetInconsistent marks a document as inconsistent with the changes that other processes send; Revisions reports it as
+// missing until it is replaced.
+func (c *Catalog) SetInconsistent(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.documents[name]; h != nil {
+		h.inconsistent = true
+	}
+}
+
+// Revisions returns the revision of each document, 0 for those that are needed whole.
+func (c *Catalog) Revisions() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]uint64, len(c.documents))
+	for name, h := range c.documents {
+		out[name] = h.current.Revision
+		if h.inconsistent {
+			out[name] = 0
+		}
+	}
+	return out
 }
 
 // PutMember stores the member record m, received from the process with ID from, and returns true if it is newer than
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
 
@@ -138,7 +139,7 @@
 // applyDirectives sets the evacuated failure domains in next and updates the target versions. The target version of a
 // model never decreases while the directives contain it. Entries that cannot be decoded are skipped.
 func (d *Directory) applyDirectives(next *Snapshot, doc hub.Document) {
-	entries, err := mirror.Decode(doc.Value)
+	entries, err := listing.Decode(doc.Value)
 	if err != nil {
 		d.options.Log.Error().Str("Document", doc.Name).Uint64("Revision", doc.Revision).Err(err).Msg("cannot decode directives, keeping the previous ones")
 		next.Evacuated = d.evacuated
@@ -190,7 +191,7 @@
 
 // applyUpstreams adds the listed upstreams to the services of next. Entries that cannot be decoded are skipped.
 func (d *Directory) applyUpstreams(next *Snapshot, doc hub.Document) {
-	entries, err := mirror.Decode(doc.Value)
+	entries, err := listing.Decode(doc.Value)
 	if err != nil {
 		d.options.Log.Error().Str("Document", doc.Name).Uint64("Revision", doc.Revision).Err(err).Msg("cannot decode list of upstreams, using an empty list")
 	}
@@ -241,7 +242,7 @@
 }
 
 // logInvalid logs an entry that cannot be decoded, once for each of its revisions.
-func (d *Directory) logInvalid(e mirror.Entry, err error) {
+func (d *Directory) logInvalid(e listing.Entry, err error) {
 	if d.invalid[e.Key] == e.Revision {
 		return
 	}
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -13,6 +13,7 @@
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
 
@@ -66,7 +67,7 @@
 
 // target adds directives at a revision of the store that set the target version of model m.
 func (f *fixture) target(revision, version uint64) {
-	f.put(mirror.DocumentDirectives, revision, []mirror.Entry{{Key: desired.TargetPrefix + "m", Value: encoded(f.t, hub.ModelTarget{Model: "m", Version: version}), Revision: revision}})
+	f.put(mirror.DocumentDirectives, revision, []listing.Entry{{Key: desired.TargetPrefix + "m", Value: encoded(f.t, hub.ModelTarget{Model: "m", Version: version}), Revision: revision}})
 }
 
 func TestLongestPrefixWins(t *testing.T) {
@@ -93,7 +94,7 @@
 	f := withTestDirectory(t)
 	f.configure(5, 1)
 	good := hub.Instance{Id: "i", Service: "engine", Domain: "a", Born: 4}
-	f.put(mirror.DocumentUpstreams, 6, []mirror.Entry{
+	f.put(mirror.DocumentUpstreams, 6, []listing.Entry{
 		{Key: desired.UpstreamPrefix + "bad", Value: []byte("[]"), Revision: 6},
 		{Key: desired.UpstreamPrefix + "i", Value: encoded(t, good), Revision: 5},
 	})
@@ -108,7 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := withTestDirectory(t)
 		f.configure(1, 1)
-		f.put(mirror.DocumentDirectives, 1, []mirror.Entry{})
+		f.put(mirror.DocumentDirectives, 1, []listing.Entry{})
 		f.target(2, 2)
 		time.Sleep(2 * time.Second)
 		f.target(3, 3)
@@ -149,8 +150,8 @@
 func TestEvacuationIsRevoked(t *testing.T) {
 	f := withTestDirectory(t)
 	f.configure(1, 1)
-	f.put(mirror.DocumentDirectives, 2, []mirror.Entry{{Key: desired.EvacuatePrefix + "a", Value: []byte("{}"), Revision: 2}})
+	f.put(mirror.DocumentDirectives, 2, []listing.Entry{{Key: desired.EvacuatePrefix + "a", Value: []byte("{}"), Revision: 2}})
 	assert.Assert(t, f.directory.Current().Evacuated["a"])
-	f.put(mirror.DocumentDirectives, 3, []mirror.Entry{})
+	f.put(mirror.DocumentDirectives, 3, []listing.Entry{})
 	assert.Assert(t, !f.directory.Current().Evacuated["a"])
 }
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"storj.io/drpc"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
@@ -29,6 +30,11 @@
 	// roundTimeout is the maximum time for which a round waits for its exchanges; slower ones continue in the
 	// background.
 	roundTimeout = 300 * time.Millisecond
+	// neighbourDelay is the maximum time that a round waits for the exchange with one neighbour before it starts that
+	// with the next, so that a document received from one is not requested from the others.
+	neighbourDelay = 25 * time.Millisecond
+	// changeInterval is the minimum interval between two rounds that changes of documents cause.
+	changeInterval = 150 * time.Millisecond
 )
 
 // Options configures a Client.
@@ -77,8 +83,6 @@
 	sequence uint64
 	// sentSequence is the sequence of this process's own record that was last sent to the peer.
 	sentSequence uint64
-	// revisions are the document revisions that the peer last reported, nil before its first response.
-	revisions revisions
 	// lastResponse is the time of the last response, initially the time at which the address was first contacted.
 	lastResponse time.Time
 }
@@ -95,14 +99,16 @@
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		documentsChanged := c.options.Catalog.DocumentsChanged()
+		started := time.Now()
 		c.Round(ctx)
-		c.wait(ctx, documentsChanged)
+		c.wait(ctx, started, documentsChanged)
 	}
 }
 
-// wait waits for the interval or until documentsChanged is closed. The interval has jitter, so that the rounds of
+// wait waits for the interval or until documentsChanged is closed, but in the latter case at least until changeInterval
+// after the round that started at the given time. The interval has jitter, so that the rounds of
 // different processes are not synchronised.
-func (c *Client) wait(ctx context.Context, documentsChanged <-chan struct{}) {
+func (c *Client) wait(ctx context.Context, started time.Time, documentsChanged <-chan struct{}) {
 	interval := c.options.Interval
 	if c.hasNoNeighbours() {
 		interval = min(interval, joinInterval)
@@ -112,6 +118,7 @@
 	select {
 	case <-timer.C:
 	case <-documentsChanged:
+		_ = hub.Sleep(ctx, changeInterval-time.Since(started))
 	case <-ctx.Done():
 	}
 }
@@ -123,9 +130,9 @@
 	return len(c.chosen) == 0
 }
 
-// Round exchanges once with each neighbour, and with a seed if that is due, all concurrently. It returns after
-// roundTimeout even if exchanges are still in progress, so that one unreachable process does not delay replication
-// to the others.
+// Round exchanges once with each neighbour, and with a seed if that is due, one after the other. It waits for no
+// exchange longer than neighbourDelay, and returns after roundTimeout even if exchanges are still in progress, so that
+// one unreachable process does not delay replication to the others.
 func (c *Client) Round(ctx context.Context) {
 	neighbours, selfAddress := c.neighbours()
 	done := make(chan struct{}, len(neighbours)+1)
@@ -134,13 +141,15 @@
 		if !c.begin(n.Address) {
 			continue
 		}
-		started++
 		go func() {
 			defer c.end(n.Address, done)
 			if err := c.Exchange(ctx, n.Address, n.Id); err != nil {
 				c.suspect(ctx, n, err)
 			}
 		}()
+		if !ended(done, neighbourDelay) {
+			started++
+		}
 	}
 	if seed := c.seed(len(neighbours)); seed != "" && seed != selfAddress && c.begin(seed) {
 		started++
@@ -162,6 +171,18 @@
 	}
 }
 
+// ended waits for up to d for a signal on done and reports whether it came.
+func ended(done <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // begin marks an exchange with address as in progress. It returns false if one is in progress already.
 func (c *Client) begin(address string) bool {
 	c.mu.Lock()
@@ -240,22 +261,49 @@
 	request, sentSequence := c.request(&state)
 	conn := c.options.Link.Pooled(ctx, address)
 	defer conn.Close()
-	reply, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
+	reply, err := c.call(ctx, conn, id, request)
 	if err != nil {
 		return fmt.Errorf("exchange with %s: %w", address, err)
 	}
-	merge(c.options.Catalog, id, reply.GetDocuments(), reply.GetMembers())
+	if request = c.push(reply); len(request.Documents) > 0 {
+		if reply, err = c.call(ctx, conn, id, request); err != nil {
+			return fmt.Errorf("send documents to %s: %w", address, err)
+		}
+	}
 	next := &peerState{
 		epoch:        reply.GetEpoch(),
 		sequence:     reply.GetSequence(),
 		sentSequence: sentSequence,
-		revisions:    fromRevisions(reply.GetRevisions()),
 		lastResponse: time.Now(),
 	}
 	c.setPeer(address, next)
 	return nil
 }
 
+// call sends one request to a peer and merges its reply.
+func (c *Client) call(ctx context.Context, conn drpc.Conn, id string, request *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	reply, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	merge(c.options.Catalog, id, reply.GetDocuments(), reply.GetMembers())
+	return reply, nil
+}
+
+// push returns the request that sends a peer the documents which it lacks according to its reply. Documents are sent
+// only then, because a peer may have received them from others since the exchange before.
+func (c *Client) push(reply *message.ExchangeReply) *message.ExchangeRequest {
+	local := c.options.Catalog
+	return &message.ExchangeRequest{
+		Sender:         c.options.Self,
+		KnownEpoch:     reply.GetEpoch(),
+		KnownSequence:  reply.GetSequence(),
+		Documents:      newerThan(local, fromRevisions(reply.GetRevisions()), reply.GetAcceptsEntries()),
+		Revisions:      toRevisions(local),
+		AcceptsEntries: true,
+	}
+}
+
 // request returns the request to send to a peer and the sequence of this process's own record that the peer has
 // afterwards.
 //
@@ -268,9 +316,8 @@
 		KnownEpoch:    state.epoch,
 		KnownSequence: state.sequence,
 		Revisions:     toRevisions(local),
-	}
-	if state.revisions != nil {
-		request.Documents = newerThan(local, state.revisions)
+
+		AcceptsEntries: true,
 	}
 	if state.epoch == 0 {
 		buckets := local.Buckets()
--- a/internal/state/exchange/documents.go
+++ b/internal/state/exchange/documents.go
@@ -1,20 +1,25 @@
 package exchange
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/delta"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
 // revisions maps the names of the documents that a process has to their revisions.
 type revisions map[string]uint64
 
-// toRevisions returns the revisions of all documents in the catalog.
+// toRevisions returns the revisions of all documents in the catalog, sorted by name.
 func toRevisions(c *catalog.Catalog) []*message.DocumentRevision {
 	var out []*message.DocumentRevision
-	for _, d := range c.Documents() {
-		out = append(out, &message.DocumentRevision{Name: d.Name, Revision: d.Revision})
+	known := c.Revisions()
+	for _, name := range slices.Sorted(maps.Keys(known)) {
+		out = append(out, &message.DocumentRevision{Name: name, Revision: known[name]})
 	}
 	return out
 }
@@ -27,24 +32,25 @@
 	return out
 }
 
-// newerThan returns the documents whose revisions are higher than those in known, each as a delta if possible.
-func newerThan(c *catalog.Catalog, known revisions) []*message.Document {
+// newerThan returns the documents whose revisions are higher than those in known, each as a delta if possible. entries
+// tells whether the receiver accepts changed entries of lists.
+func newerThan(c *catalog.Catalog, known revisions, entries bool) []*message.Document {
 	var out []*message.Document
 	for _, d := range c.Documents() {
 		if d.Revision <= known[d.Name] {
 			continue
 		}
-		value, base := c.Since(d.Name, known[d.Name])
+		e := c.Since(d.Name, known[d.Name], entries)
 		out = append(out, &message.Document{
-			Name: d.Name, Revision: d.Revision, Value: value, BaseRevision: base, Checksum: delta.Checksum(d.Value),
+			Name: d.Name, Revision: d.Revision, Value: e.Value, BaseRevision: e.Base, Checksum: delta.Checksum(d.Value), Entries: e.Entries,
 		})
 	}
 	return out
 }
 
-// merge adds documents and member records received from another process to the catalog. A delta whose base revision
-// is not the current one is skipped; the sender finds the old revision in the next exchange and sends the document
-// again in a form that can be decoded.
+// merge adds documents and member records received from another process to the catalog. A delta that does not fit the
+// current revision is skipped; the sender finds the old revision in the next exchange and sends the document again in a
+// form that can be decoded.
 func merge(c *catalog.Catalog, from string, documents []*message.Document, members []*message.Member) {
 	for _, d := range documents {
 		if value, ok := fullValue(c, d); ok {
@@ -56,16 +62,33 @@
 	}
 }
 
-// fullValue returns the full value of a received document, or false if its base is not the current revision or its
-// checksum does not match.
+// fullValue returns the full value of a received document, or false if it is not newer, its base does not fit the
+// current revision or its checksum does not match.
 func fullValue(c *catalog.Catalog, d *message.Document) ([]byte, bool) {
-	if d.GetBaseRevision() == 0 {
+	known := c.Document(d.GetName())
+	switch {
+	case d.GetRevision() <= known.Revision && d.GetBaseRevision() != 0:
+		return nil, false
+	case d.GetBaseRevision() == 0:
 		return d.GetValue(), delta.Checksum(d.GetValue()) == d.GetChecksum()
-	}
-	base := c.Document(d.GetName())
-	if base.Revision != d.GetBaseRevision() {
+	case d.GetEntries():
+		return applyEntries(c, known, d)
+	case known.Revision != d.GetBaseRevision():
 		return nil, false
 	}
-	value, err := delta.Apply(base.Value, d.GetValue(), d.GetChecksum())
+	value, err := delta.Apply(known.Value, d.GetValue(), d.GetChecksum())
 	return value, err == nil
 }
+
+// applyEntries returns the list after the received changes. If they do not fit, the list is requested whole.
+func applyEntries(c *catalog.Catalog, known hub.Document, d *message.Document) ([]byte, bool) {
+	if known.Revision < d.GetBaseRevision() {
+		return nil, false
+	}
+	value, err := listing.Apply(known.Value, d.GetValue(), d.GetChecksum())
+	if err != nil {
+		c.SetInconsistent(d.GetName())
+		return nil, false
+	}
+	return value, true
+}
--- a/internal/state/exchange/server.go
+++ b/internal/state/exchange/server.go
@@ -30,8 +30,9 @@
 func (s *Server) Exchange(_ context.Context, r *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	merge(s.catalog, r.GetSender(), r.GetDocuments(), r.GetMembers())
 	reply := &message.ExchangeReply{
-		Documents: newerThan(s.catalog, fromRevisions(r.GetRevisions())),
-		Revisions: toRevisions(s.catalog),
+		Documents:      newerThan(s.catalog, fromRevisions(r.GetRevisions()), r.GetAcceptsEntries()),
+		Revisions:      toRevisions(s.catalog),
+		AcceptsEntries: true,
 	}
 	var change catalog.Change
 	if r.GetKnownEpoch() == s.catalog.Epoch() {
--- a/internal/state/exchange/traffic_test.go
+++ b/internal/state/exchange/traffic_test.go
@@ -1,7 +1,6 @@
 package exchange_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -10,6 +9,7 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/state/exchange"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
 )
@@ -18,7 +18,7 @@
 
 // list is a document that lists the keys of a store, of which one changes with each revision.
 type list struct {
-	entries  []mirror.Entry
+	entries  []listing.Entry
 	revision uint64
 }
 
@@ -26,7 +26,7 @@
 	l := &list{}
 	for i := range listLength {
 		l.revision++
-		l.entries = append(l.entries, mirror.Entry{Key: fmt.Sprintf("servers/i-%08x", i*7919), Revision: l.revision})
+		l.entries = append(l.entries, listing.Entry{Key: fmt.Sprintf("servers/i-%08x", i*7919), Revision: l.revision})
 		l.write(i)
 	}
 	return l
@@ -49,7 +49,7 @@
 
 func (l *list) document(t *testing.T) hub.Document {
 	t.Helper()
-	value, err := json.Marshal(l.entries)
+	value, err := listing.Encode(l.entries)
 	assert.NilError(t, err)
 	return hub.Document{Name: mirror.DocumentUpstreams, Revision: l.revision, Value: value}
 }
--- /dev/null
+++ b/internal/state/listing/listing.go
@@ -0,0 +1,40 @@
+package listing
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Entry is one key of the store within a list.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
+// Encode returns the value of a document with the given entries, sorted by key.
+func Encode(entries []Entry) ([]byte, error) {
+	sorted := append([]Entry{}, entries...)
+	slices.SortFunc(sorted, compare)
+	value, err := json.Marshal(sorted)
+	if err != nil {
+		return nil, fmt.Errorf("encode list: %w", err)
+	}
+	return value, nil
+}
+
+// Decode returns the entries in the value of a document, none if the value is empty.
+func Decode(value []byte) ([]Entry, error) {
+	var out []Entry
+	if len(value) == 0 {
+		return nil, nil
+	}
+	if err := json.Unmarshal(value, &out); err != nil {
+		return nil, fmt.Errorf("decode list: %w", err)
+	}
+	return out, nil
+}
+
+func compare(a, b Entry) int { return strings.Compare(a.Key, b.Key) }
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 )
 
 const (
@@ -151,7 +152,7 @@
 	if d.Revision <= k.revision {
 		return
 	}
-	entries, err := Decode(d.Value)
+	entries, err := listing.Decode(d.Value)
 	if err != nil {
 		m.options.Log.Error().Str("Document", name).Uint64("Revision", d.Revision).Err(err).Msg("cannot decode copy of another process, keeping the local one")
 		return
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -14,6 +14,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
 
@@ -112,7 +113,7 @@
 // keysOf returns the keys in a document.
 func keysOf(t *testing.T, c *catalog.Catalog, document string) []string {
 	t.Helper()
-	entries, err := mirror.Decode(c.Document(document).Value)
+	entries, err := listing.Decode(c.Document(document).Value)
 	assert.NilError(t, err)
 	keys := []string{}
 	for _, e := range entries {
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -1,41 +1,18 @@
 package mirror
 
 import (
-	"encoding/json"
-	"fmt"
-	"slices"
-	"strings"
-
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
 )
 
 // Names of the documents that a mirror publishes. The configuration document holds the value of one key, the others
-// hold a list of Entry as JSON.
+// hold a list of keys (see package listing).
 const (
 	DocumentConfiguration = "Configuration"
 	DocumentDirectives    = "Directives"
 	DocumentUpstreams     = "Upstreams"
 )
 
-// Entry is one key of the store within a document.
-type Entry struct {
-	Key      string
-	Value    []byte
-	Revision uint64
-}
-
-// Decode returns the entries in the value of a document, none if the value is empty.
-func Decode(value []byte) ([]Entry, error) {
-	var out []Entry
-	if len(value) == 0 {
-		return nil, nil
-	}
-	if err := json.Unmarshal(value, &out); err != nil {
-		return nil, fmt.Errorf("decode document: %w", err)
-	}
-	return out, nil
-}
-
 // keys is the state of all keys with one prefix at a revision of the store.
 type keys struct {
 	items map[string]hub.Item
@@ -67,24 +44,19 @@
 	k.revision = max(k.revision, l.Revision)
 }
 
-// encode returns the entries whose keys include accepts as JSON, sorted by key.
+// encode returns the list of the keys that include accepts.
 func (k *keys) encode(include func(key string) bool) ([]byte, error) {
-	out := []Entry{}
+	var out []listing.Entry
 	for _, i := range k.items {
 		if include(i.Key) {
-			out = append(out, Entry{Key: i.Key, Value: i.Value, Revision: i.Revision})
+			out = append(out, listing.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision})
 		}
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
-	data, err := json.Marshal(out)
-	if err != nil {
-		return nil, fmt.Errorf("encode document: %w", err)
-	}
-	return data, nil
+	return listing.Encode(out)
 }
 
 // adopt replaces the keys that include accepts by the entries of a document with a higher revision.
-func (k *keys) adopt(entries []Entry, revision uint64, include func(key string) bool) {
+func (k *keys) adopt(entries []listing.Entry, revision uint64, include func(key string) bool) {
 	for key := range k.items {
 		if include(key) {
 			delete(k.items, key)
