route/channel: reset the connection of an abandoned call

Cause: the connection was closed, and a close delivers what the send buffer holds. Why it works: a reset drops the unsent bytes and tells the upstream that nobody waits.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -67,7 +67,7 @@
 }
 
 // Send sends a call to the upstream at address and returns the response once its header has been read.
-// It closes the connection when ctx is done, also while the body is read. Its errors wrap ErrNotSent or ErrBroken.
+// It aborts the connection when ctx is done, also while the body is read. Its errors wrap ErrNotSent or ErrBroken.
 func (p *Pool) Send(ctx context.Context, address string, call *Call) (*Response, error) {
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
@@ -77,7 +77,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
-	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	r.stop = context.AfterFunc(ctx, c.abort)
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: reused}
 	}
@@ -159,14 +159,14 @@
 }
 
 // Close returns the connection to the pool if the body has been read completely and no data follows it.
-// Otherwise it closes the connection.
+// Otherwise it aborts the connection.
 func (r *Response) Close() {
 	stopped := r.stop()
 	if stopped && r.complete && !r.close && r.conn.reader.Buffered() == 0 {
 		r.pool.put(r.conn, r.Header.Get("Keep-Alive"))
 		return
 	}
-	_ = r.conn.Close()
+	r.conn.abort()
 }
 
 // SetReadTimeout makes reads of the body fail once d has passed from now.
--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -41,6 +41,15 @@
 	until time.Time
 }
 
+// abort resets the connection. Bytes of a call that are still in the send buffer are dropped; after a close they would
+// be delivered, however late, although nobody waits for the response.
+func (c *conn) abort() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // NewPool returns an empty pool that opens its connections with dial.
 func NewPool(dial socket.DialFunc) *Pool {
 	return &Pool{dial: dial, idle: map[string][]*conn{}}
