route/quarantine: refuse requests with parts of prompts under which upstreams crash

Cause: nothing kept what the requests had in common under which upstreams were lost; each was sent to a second engine. Evidence: the log of a trial with the parts: one part of 165 tokens in each of them, none of them was ever answered, their first part is also that of sound ones. Why it works: a part under which three upstreams were lost and which none has answered is refused everywhere within 100 ms; parts answered lately, or explained by the part in quarantine, are not. State is bounded, expires, and outlives kills of the entry processes in the side processes.

--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -53,6 +53,8 @@
 	HasKey bool
 	// PromptTokens is the prompt length stated by the caller, 0 if not given.
 	PromptTokens int
+	// SharedParts lists the IDs of the parts of the prompt that other requests may share, in the order of the prompt.
+	SharedParts []string
 	// LastEvent is the ID of the last event that the caller has received, after which its stream is resumed.
 	LastEvent string
 }
--- /dev/null
+++ b/internal/hub/quarantine.go
@@ -0,0 +1,33 @@
+package hub
+
+// QuarantineNotice tells other processes which parts of prompts crash upstreams. Times are ages, because the clocks of
+// processes differ.
+type QuarantineNotice struct {
+	Crashes     []UpstreamCrash   `json:",omitempty"`
+	Quarantined []QuarantinedPart `json:",omitempty"`
+	Sound       []SoundPart       `json:",omitempty"`
+}
+
+// UpstreamCrash is an upstream whose connection was lost before it had answered a request.
+type UpstreamCrash struct {
+	// Upstream and Born are the ID and the start time of the upstream.
+	Upstream string
+	Born     int64
+	// Parts lists the suspected parts of the request, in the order of its prompt.
+	Parts           []string
+	AgeMilliseconds int64
+}
+
+// QuarantinedPart is a part of prompts whose requests must not be sent.
+type QuarantinedPart struct {
+	Part             string
+	LeftMilliseconds int64
+	// Count is the number of quarantines of the part in a row.
+	Count int
+}
+
+// SoundPart is a suspected part of prompts of which a request was answered completely.
+type SoundPart struct {
+	Part            string
+	AgeMilliseconds int64
+}
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -73,11 +73,20 @@
 	e.running.Go(func() { e.placement.Run(ctx) })
 	e.running.Go(func() { e.sweep(ctx) })
 	e.running.Go(func() {
-		beacon.Receive(ctx, e.reports, j.Logger(journal.State), func(b beacon.Beacon) { e.placement.Report(b.Address, b.Report) })
+		beacon.Receive(ctx, e.reports, j.Logger(journal.State), e.receive)
 	})
 	return e, nil
 }
 
+// receive handles a beacon from another process.
+func (e *Entry) receive(b beacon.Beacon) {
+	if b.Notice != nil {
+		e.quarantine.Merge(*b.Notice)
+		return
+	}
+	e.placement.Report(b.Address, b.Report)
+}
+
 // record returns the current member record of this process.
 func (e *Entry) record() hub.Member {
 	if e.leaving.Load() {
@@ -114,6 +123,7 @@
 		Placement:   e.placement,
 		Pool:        e.pool,
 		RetryBudget: allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
+		Quarantine:  e.quarantine,
 		Format:      e.platform.Format,
 		Log:         e.journal.Logger(journal.Routing),
 		Metrics:     e.metrics,
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/process/presence"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/state/exchange"
@@ -84,9 +85,11 @@
 	traffic   link.Traffic
 	exchange  *exchange.Client
 	reports   *net.UDPConn
-	server    *link.Server
-	admin     *admin.Server
-	metrics   *metrics.Set
+	// quarantine is used by entry processes; side processes keep a copy for entry processes that restart.
+	quarantine *quarantine.Quarantine
+	server     *link.Server
+	admin      *admin.Server
+	metrics    *metrics.Set
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -120,6 +123,7 @@
 	})
 	n.mirror = mirror.New(mirror.Options{Source: p.Store(s.Store, n.dial), Decoder: p.Decoder, Catalog: n.catalog, Log: stateLog})
 	n.presence = presence.New(n.catalog, record)
+	n.quarantine = quarantine.New(quarantine.Options{Log: j.Logger(journal.Routing), Metrics: n.metrics})
 	n.link = link.NewClient(n.traffic.Dial(link.DialFunc(n.dial)))
 	n.exchange = exchange.NewClient(exchange.Options{
 		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, MoreSeeds: n.seedAddresses,
@@ -196,6 +200,7 @@
 	n.running.Go(func() { n.presence.Run(ctx) })
 	n.running.Go(func() { n.exchange.Run(ctx) })
 	n.running.Go(func() { n.forgetMembers(ctx) })
+	n.running.Go(func() { n.shareNotices(ctx) })
 }
 
 // forgetMembers periodically removes the records of former members until ctx is done.
@@ -262,11 +267,11 @@
 	return out
 }
 
-// aliveEntries returns the records of the entry processes that are alive.
-func (n *node) aliveEntries() []hub.Member {
+// aliveMembers returns the records of the other processes with a role that are alive.
+func (n *node) aliveMembers(role string) []hub.Member {
 	var out []hub.Member
 	for _, m := range n.catalog.Members() {
-		if m.Role == hub.RoleEntry && m.Alive() {
+		if m.Role == role && m.Alive() && m.Id != n.settings.Id {
 			out = append(out, m.Member)
 		}
 	}
@@ -288,6 +293,11 @@
 
 // reportAddresses returns the UDP addresses on which the entry processes receive reports.
 func (n *node) reportAddresses() []*net.UDPAddr {
+	return n.reportAddressesOf(n.aliveMembers(hub.RoleEntry))
+}
+
+// reportAddressesOf returns the UDP addresses on which members receive reports and notices.
+func (n *node) reportAddressesOf(members []hub.Member) []*net.UDPAddr {
 	_, portText, err := net.SplitHostPort(n.settings.ReportListen)
 	if err != nil {
 		return nil
@@ -297,7 +307,7 @@
 		return nil
 	}
 	var out []*net.UDPAddr
-	for _, m := range n.aliveEntries() {
+	for _, m := range members {
 		host, _, err := net.SplitHostPort(m.Address)
 		if err == nil {
 			out = append(out, &net.UDPAddr{IP: net.ParseIP(host), Port: port})
--- /dev/null
+++ b/internal/process/node/notices.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/state/beacon"
+)
+
+const (
+	// noticeInterval is the mean interval at which what the quarantine knows is repeated, because datagrams may be lost.
+	noticeInterval = 400 * time.Millisecond
+	// noticeDelay is the time for which news is collected before it is sent.
+	noticeDelay = 20 * time.Millisecond
+	// newsReceivers is the maximum number of entry processes to which an entry process sends news, repeatReceivers the
+	// number of those to which a process repeats what it knows, sideReceivers the number of side processes in both
+	// cases.
+	newsReceivers   = 16
+	repeatReceivers = 3
+	sideReceivers   = 2
+)
+
+// shareNotices tells other processes what the quarantine knows until ctx is done: entry processes at once when there is
+// news, all processes periodically.
+func (n *node) shareNotices(ctx context.Context) {
+	for ctx.Err() == nil {
+		entries := n.waitNews(ctx)
+		notices := n.quarantine.Notices()
+		if len(notices) == 0 || ctx.Err() != nil {
+			continue
+		}
+		receivers := append(n.pickReceivers(hub.RoleEntry, entries), n.pickReceivers(hub.RoleSide, sideReceivers)...)
+		for _, notice := range notices {
+			if err := beacon.SendNotice(n.reports, notice, receivers); err != nil && ctx.Err() == nil {
+				n.journal.Logger(journal.State).Debug().Err(err).Msg("cannot send quarantine notice to all receivers; repeating it later")
+			}
+		}
+	}
+}
+
+// waitNews waits for the next time to send notices and returns the number of entry processes that receive them.
+func (n *node) waitNews(ctx context.Context) int {
+	timer := time.NewTimer(noticeInterval/2 + rand.N(noticeInterval))
+	defer timer.Stop()
+	var news <-chan struct{}
+	if n.role == hub.RoleEntry {
+		news = n.quarantine.Changed()
+	}
+	select {
+	case <-news:
+		_ = hub.Sleep(ctx, noticeDelay)
+		return newsReceivers
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return repeatReceivers
+}
+
+// pickReceivers returns the addresses of up to count random processes with a role.
+func (n *node) pickReceivers(role string, count int) []*net.UDPAddr {
+	members := n.aliveMembers(role)
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return n.reportAddressesOf(members[:min(count, len(members))])
+}
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -74,6 +74,13 @@
 	e.run(ctx)
 	e.running.Go(func() { e.stager.Run(ctx) })
 	e.running.Go(func() { e.readStoreFallback(ctx) })
+	e.running.Go(func() {
+		beacon.Receive(ctx, e.reports, j.Logger(journal.State), func(b beacon.Beacon) {
+			if b.Notice != nil {
+				e.quarantine.Merge(*b.Notice)
+			}
+		})
+	})
 	return e, nil
 }
 
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -54,6 +54,9 @@
 	Length int64
 	// Reused is true if other calls have been sent on the connection before.
 	Reused bool
+	// CloseDelimited is true if the body has neither a length nor chunks and ends with the connection, so that a lost
+	// upstream can look like the end of the body.
+	CloseDelimited bool
 
 	pool *Pool
 	conn *conn
@@ -126,6 +129,7 @@
 			continue
 		}
 		r.Status, r.Header, r.body, r.Length = resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
+		r.CloseDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		r.close = r.close || resp.Close
 		return nil
 	}
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -7,11 +7,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 )
 
 // maxResponseBytes limits the body of a response that is not a stream.
@@ -44,9 +46,14 @@
 		return err
 	}
 	x.runs++
+	x.verdict = quarantine.Verdict{}
 	if err != nil {
 		x.upstreamFailed(c)
-		return x.brokenError(ctx, err)
+		err = x.brokenError(ctx, err)
+		if !x.trace.Reused {
+			x.reportCrash(c, err)
+		}
+		return err
 	}
 	defer response.Close()
 	return x.handleResponse(ctx, c, response, timer)
@@ -127,7 +134,9 @@
 	}
 	if err != nil {
 		x.upstreamFailed(c)
-		return x.brokenError(ctx, err)
+		err = x.brokenError(ctx, err)
+		x.reportCrash(c, err)
+		return err
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if !success && x.relay != nil {
@@ -143,6 +152,9 @@
 	} else {
 		c.Load.Succeeded()
 	}
+	if success && !response.CloseDelimited {
+		x.handler.options.Quarantine.Completed(x.caller.SharedParts)
+	}
 	x.writeResponse(buffered)
 	return nil
 }
@@ -159,6 +171,18 @@
 	x.finish("answered", b.status, "")
 }
 
+// reportCrash reports an attempt to the quarantine if its connection was lost, as happens if the upstream crashes.
+func (x *exchange) reportCrash(c *placement.Choice, err error) {
+	if len(x.caller.SharedParts) > 0 && connectionLost(err) {
+		x.handler.options.Quarantine.Crashed(c.Upstream.Key(), x.caller.SharedParts)
+	}
+}
+
+// connectionLost reports whether err means that the upstream's end of the connection was closed or reset.
+func connectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // upstreamFailed records a failure of the upstream and excludes it from further attempts, unless the attempt ended
 // because the caller disconnected.
 func (x *exchange) upstreamFailed(c *placement.Choice) {
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
@@ -45,6 +46,8 @@
 	errSlow     = errors.New("upstream does not answer")
 	errTimedOut = errors.New("time is up")
 	errGone     = errors.New("caller has left")
+	// errQuarantined means that the request has a part under which upstreams crash.
+	errQuarantined = errors.New("part of the prompt is in quarantine")
 )
 
 // exchange is a caller's request with its response.
@@ -72,6 +75,8 @@
 	tried []directory.Key
 	// relay is the state of the response stream, nil until the first event has been forwarded.
 	relay *relay
+	// verdict is that of the quarantine on the request.
+	verdict quarantine.Verdict
 	// errorResponse is the latest 5xx response to a retryable request. It is forwarded if no further attempt succeeds.
 	errorResponse *bufferedResponse
 }
@@ -83,6 +88,10 @@
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimedOut)
 	defer cancel()
 	for {
+		if x.verdict = x.judge(); x.verdict.Blocked() {
+			x.giveUp(ctx, errQuarantined)
+			return
+		}
 		choice, err := x.acquire(ctx)
 		if err != nil {
 			x.giveUp(ctx, err)
@@ -101,6 +110,14 @@
 	}
 }
 
+// judge returns the verdict of the quarantine on the request. A trial stays one until it has been sent.
+func (x *exchange) judge() quarantine.Verdict {
+	if x.verdict.Trial() {
+		return x.verdict
+	}
+	return x.handler.options.Quarantine.Judge(x.caller.SharedParts)
+}
+
 // pickTarget chooses a service at random in proportion to the weights of targets, the first if all weights are 0.
 func pickTarget(targets []hub.Target) string {
 	total := 0
@@ -140,6 +157,10 @@
 	if err != nil {
 		return choice, err
 	}
+	if x.verdict = x.judge(); x.verdict.Blocked() {
+		choice.Release()
+		return choice, errQuarantined
+	}
 	if s := x.handler.options.Directory.Current(); s.Revision != x.snapshot.Revision && !x.stillAllowed(s) {
 		choice.Release()
 		return choice, errDenied
@@ -197,6 +218,9 @@
 // error response, or aborts the stream or connection.
 func (x *exchange) giveUp(ctx context.Context, err error) {
 	gone := x.r.Context().Err() != nil
+	if errors.Is(err, errQuarantined) {
+		x.handler.options.Quarantine.Refused()
+	}
 	switch {
 	case errors.Is(err, errDenied):
 	case x.relay != nil:
@@ -218,6 +242,9 @@
 // retryAfter returns the time after which an upstream is likely to have room: short if upstreams are at their limits,
 // long if no upstream serves the request.
 func (x *exchange) retryAfter(err error) time.Duration {
+	if errors.Is(err, errQuarantined) {
+		return x.verdict.Left
+	}
 	if errors.Is(err, placement.ErrNoUpstream) {
 		return fraction(max(busyRetryAfter, time.Until(x.deadline)), noUpstreamRetryFraction)
 	}
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -22,6 +22,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/forward"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
@@ -150,6 +151,8 @@
 	publisher desired.Publisher
 	directory *directory.Directory
 	placement *placement.Placement
+
+	quarantine *quarantine.Quarantine
 }
 
 // withTestEntry starts a server with the routes once, many, slow, stream and bound on host h.test, and lists upstreams
@@ -164,14 +167,17 @@
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 },
 	})
+	set := metrics.NewSet()
+	f.quarantine = quarantine.New(quarantine.Options{Log: log, Metrics: set})
 	handler := forward.New(forward.Options{
+		Quarantine:  f.quarantine,
 		Directory:   f.directory,
 		Placement:   f.placement,
 		Pool:        channel.NewPool(socket.Dialer(testTimeout)),
 		RetryBudget: allowance.NewRetryBudget(10*time.Second, func() allowance.Bounds { return allowance.Bounds{Ratio: 0.2, Slack: 10} }, func() int { return 1 }),
 		Format:      desired.CallFormat{},
 		Log:         log,
-		Metrics:     metrics.NewSet(),
+		Metrics:     set,
 	})
 	f.server = httptest.NewServer(handler)
 	t.Cleanup(f.server.Close)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -15,6 +15,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/allowance"
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
@@ -39,9 +40,11 @@
 	Pool      *channel.Pool
 	// RetryBudget limits the retries to each service.
 	RetryBudget *allowance.RetryBudget
-	Format      hub.CallFormat
-	Log         *log.Logger
-	Metrics     *metrics.Set
+	// Quarantine tells which requests crash upstreams.
+	Quarantine *quarantine.Quarantine
+	Format     hub.CallFormat
+	Log        *log.Logger
+	Metrics    *metrics.Set
 }
 
 // Handler is the http.Handler for callers' requests.
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -19,6 +19,9 @@
 	// which a stream is resumed at another upstream.
 	stallTimeoutFactor = 3
 	minStallTimeout    = 700 * time.Millisecond
+	// maxEventsBeforeCrash is the number of events of a stream after which a lost connection is not put down to the
+	// request: an upstream that crashes under a request does so when it begins to answer it.
+	maxEventsBeforeCrash = 1
 )
 
 // relay is the state of a response stream since its first event was forwarded.
@@ -40,6 +43,7 @@
 // of the stream; when the stream is resumed, it continues the same response.
 func (x *exchange) relayStream(ctx context.Context, c *placement.Choice, response *channel.Response, timer *time.Timer) error {
 	events := stream.NewReader(response)
+	forwarded := 0
 	if x.relay != nil {
 		x.relay.resumed++
 	}
@@ -47,6 +51,9 @@
 		e, err := events.Next()
 		if err == io.EOF && x.relay != nil {
 			c.Load.Succeeded()
+			if !response.CloseDelimited {
+				x.handler.options.Quarantine.Completed(x.caller.SharedParts)
+			}
 			x.finish("answered", http.StatusOK, "")
 			return nil
 		}
@@ -54,6 +61,9 @@
 			_ = x.flush()
 			err = x.brokenError(ctx, err)
 			x.upstreamFailed(c)
+			if forwarded <= maxEventsBeforeCrash {
+				x.reportCrash(c, err)
+			}
 			return err
 		}
 		timer.Stop()
@@ -62,6 +72,7 @@
 			x.upstreamFailed(c)
 			return err
 		}
+		forwarded++
 		if !events.Buffered() {
 			if err := x.flush(); err != nil {
 				return fmt.Errorf("%w: %w", errGone, err)
--- /dev/null
+++ b/internal/route/quarantine/quarantine.go
@@ -0,0 +1,317 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+)
+
+const (
+	// minCrashes is the number of upstreams that must crash under requests with a part before it is quarantined.
+	minCrashes = 3
+	// crashTTL is the time for which a crash counts.
+	crashTTL = 30 * time.Second
+	// soundTTL is the time for which a part counts as sound after a complete response to a request that contains it.
+	soundTTL = time.Minute
+	// firstQuarantine is the duration of a part's first quarantine. It doubles with each further one, up to
+	// maxQuarantine.
+	firstQuarantine = time.Minute
+	maxQuarantine   = 10 * time.Minute
+
+	// maxRecords, maxSound and maxQuarantined limit the state, which callers determine.
+	maxRecords     = 128
+	maxSound       = 4096
+	maxQuarantined = 64
+	// maxParts is the number of parts of one request that are considered, the last ones.
+	maxParts = 8
+	// maxPartBytes is the maximum length of a part that is considered.
+	maxPartBytes = 64
+)
+
+// Options are the dependencies of a Quarantine.
+type Options struct {
+	Log     *log.Logger
+	Metrics *metrics.Set
+}
+
+// Quarantine keeps the crashes of upstreams with the parts of the requests that they had begun, and the parts that are
+// quarantined. It is safe for concurrent use.
+//
+// A part that crashes upstreams never gets a complete response, so parts that got one lately are not suspected. A part
+// is quarantined once minCrashes upstreams have crashed under requests that contain it and none of the quarantined
+// parts. Of several parts with equally many crashes, the last in the prompt is taken, because parts at its beginning are
+// shared by more requests.
+type Quarantine struct {
+	options  Options
+	refusals *metrics.Counter
+
+	mu sync.Mutex
+	// records is sorted by time, the oldest first.
+	records []record
+	// sound maps parts to the time of the last complete response.
+	sound map[string]time.Time
+	// cleared maps parts that other processes suspect to the time of the last complete response seen here.
+	cleared     map[string]time.Time
+	quarantined map[string]*sentence
+	// changed is closed when there is something new to tell other processes.
+	changed chan struct{}
+}
+
+// record is one upstream that crashed before it had answered a request with the given parts.
+type record struct {
+	upstream directory.Key
+	// parts are the suspected parts in the order of the prompt.
+	parts []string
+	at    time.Time
+}
+
+// sentence is the quarantine of one part.
+type sentence struct {
+	until time.Time
+	// count is the number of quarantines of the part in a row.
+	count int
+}
+
+// New returns an empty quarantine and registers its metrics in o.Metrics.
+func New(o Options) *Quarantine {
+	q := &Quarantine{
+		options:     o,
+		refusals:    o.Metrics.NewCounter("oriolehub_quarantine_refusals_total"),
+		sound:       map[string]time.Time{},
+		cleared:     map[string]time.Time{},
+		quarantined: map[string]*sentence{},
+		changed:     make(chan struct{}),
+	}
+	o.Metrics.NewGauge("oriolehub_quarantined_parts", func() float64 {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return float64(len(q.quarantined))
+	})
+	return q
+}
+
+// Verdict tells whether a request may be sent.
+type Verdict struct {
+	// Part is the quarantined part of the request, empty if it has none.
+	Part string
+	// Left is the time until the quarantine ends, 0 if the request is let through as a trial.
+	Left time.Duration
+}
+
+// Blocked reports whether the request must not be sent.
+func (v Verdict) Blocked() bool { return v.Left > 0 }
+
+// Trial reports whether the request is sent to find out whether its part still crashes upstreams.
+func (v Verdict) Trial() bool { return v.Part != "" && v.Left == 0 }
+
+// Judge returns the verdict on a request with the given parts. Once the quarantine of a part has ended, one request is
+// let through as a trial, and the quarantine starts anew for twice the time unless the trial gets a complete response.
+func (q *Quarantine) Judge(parts []string) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.quarantined) == 0 {
+		return Verdict{}
+	}
+	now := time.Now()
+	v := Verdict{}
+	for _, p := range considered(parts) {
+		s := q.quarantined[p]
+		if s != nil && now.Before(s.until) {
+			return Verdict{Part: p, Left: s.until.Sub(now)}
+		}
+		if s != nil {
+			v.Part = p
+		}
+	}
+	if v.Trial() {
+		q.extend(v.Part, q.quarantined[v.Part], now)
+		q.options.Log.Info().Str("Part", v.Part).Int("Quarantines", q.quarantined[v.Part].count).Msg("quarantine ended, letting one request through")
+	}
+	return v
+}
+
+// Refused counts a request that was not sent because of its verdict.
+func (q *Quarantine) Refused() { q.refusals.Inc() }
+
+// extend starts the next quarantine of a part. Its duration is random, so that processes let trials through at
+// different times and the crash of one extends the quarantine at the others.
+func (q *Quarantine) extend(part string, s *sentence, now time.Time) {
+	d := min(maxQuarantine, firstQuarantine<<min(s.count, 8))
+	s.count++
+	s.until = now.Add(d + rand.N(d/2))
+}
+
+// Crashed records that an upstream's connection was lost before it had answered a request with the given parts.
+func (q *Quarantine) Crashed(upstream directory.Key, parts []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	suspected := slices.DeleteFunc(slices.Clone(considered(parts)), func(p string) bool { return q.isSound(p, now) })
+	if q.add(record{upstream: upstream, parts: suspected, at: now}, now) {
+		q.options.Log.Warn().Str("Upstream", upstream.Id).Strs("Parts", suspected).Msg("upstream lost under a request with parts that no upstream has answered")
+		q.convict(now)
+		q.notify()
+	}
+}
+
+// Completed records a complete response to a request with the given parts, which ends the suspicion of them.
+func (q *Quarantine) Completed(parts []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for _, p := range considered(parts) {
+		q.setSound(p, now)
+	}
+}
+
+// setSound records a complete response at the given time to a request with a part.
+func (q *Quarantine) setSound(part string, at time.Time) {
+	if at.Before(q.sound[part]) {
+		return
+	}
+	if _, ok := q.sound[part]; !ok && len(q.sound) >= maxSound {
+		q.dropSound(at)
+	}
+	q.sound[part] = at
+	if q.quarantined[part] == nil && !q.isSuspected(part) {
+		return
+	}
+	if q.quarantined[part] != nil {
+		delete(q.quarantined, part)
+		q.options.Log.Info().Str("Part", part).Msg("part answered completely, quarantine lifted")
+	}
+	q.withdraw(part)
+	q.clear(part, at)
+}
+
+// dropSound makes room in sound: it removes the expired parts, or any parts if none has expired.
+func (q *Quarantine) dropSound(now time.Time) {
+	for p, at := range q.sound {
+		if now.Sub(at) > soundTTL {
+			delete(q.sound, p)
+		}
+	}
+	for p := range q.sound {
+		if len(q.sound) < maxSound {
+			return
+		}
+		delete(q.sound, p)
+	}
+}
+
+// clear tells other processes that a part is sound.
+func (q *Quarantine) clear(part string, at time.Time) {
+	_, known := q.cleared[part]
+	if known || len(q.cleared) < maxQuarantined {
+		q.cleared[part] = at
+	}
+	if !known {
+		q.notify()
+	}
+}
+
+func (q *Quarantine) isSound(part string, now time.Time) bool {
+	at, ok := q.sound[part]
+	return ok && now.Sub(at) <= soundTTL
+}
+
+func (q *Quarantine) isSuspected(part string) bool {
+	return slices.ContainsFunc(q.records, func(r record) bool { return slices.Contains(r.parts, part) })
+}
+
+// withdraw removes a part from the suspected parts of all records.
+func (q *Quarantine) withdraw(part string) {
+	for i := range q.records {
+		q.records[i].parts = slices.DeleteFunc(q.records[i].parts, func(p string) bool { return p == part })
+	}
+	q.records = slices.DeleteFunc(q.records, func(r record) bool { return len(r.parts) == 0 })
+}
+
+// add adds a record unless it has no parts or is known. It returns whether it was added.
+func (q *Quarantine) add(r record, now time.Time) bool {
+	q.expire(now)
+	if len(r.parts) == 0 || slices.ContainsFunc(q.records, r.same) {
+		return false
+	}
+	if len(q.records) >= maxRecords {
+		q.records = slices.Delete(q.records, 0, 1)
+	}
+	at, _ := slices.BinarySearchFunc(q.records, r.at, func(r record, at time.Time) int { return r.at.Compare(at) })
+	q.records = slices.Insert(q.records, at, r)
+	return true
+}
+
+func (r *record) same(other record) bool {
+	return r.upstream == other.upstream && slices.Equal(r.parts, other.parts)
+}
+
+// expire removes the records and clearances that no longer count and the quarantines that ended long ago.
+func (q *Quarantine) expire(now time.Time) {
+	q.records = slices.DeleteFunc(q.records, func(r record) bool { return now.Sub(r.at) > crashTTL })
+	for p, at := range q.cleared {
+		if now.Sub(at) > soundTTL {
+			delete(q.cleared, p)
+		}
+	}
+	for p, s := range q.quarantined {
+		if now.Sub(s.until) > maxQuarantine {
+			delete(q.quarantined, p)
+		}
+	}
+}
+
+// convict quarantines the parts under which enough upstreams have crashed.
+func (q *Quarantine) convict(now time.Time) {
+	for len(q.quarantined) < maxQuarantined {
+		part, upstreams := q.worst()
+		if upstreams < minCrashes {
+			return
+		}
+		s := &sentence{}
+		q.extend(part, s, now)
+		q.quarantined[part] = s
+		q.options.Log.Warn().Str("Part", part).Int("Upstreams", upstreams).Time("Until", s.until).Msg("part quarantined: upstreams crash under requests that contain it")
+	}
+}
+
+// worst returns the suspected part with the most upstreams that crashed under requests without a quarantined part. Of
+// parts with the same number, it returns the one that is last in its prompt.
+func (q *Quarantine) worst() (part string, upstreams int) {
+	crashed := map[string]map[directory.Key]bool{}
+	position := map[string]int{}
+	for _, r := range q.records {
+		if slices.ContainsFunc(r.parts, func(p string) bool { return q.quarantined[p] != nil }) {
+			continue
+		}
+		for i, p := range r.parts {
+			if crashed[p] == nil {
+				crashed[p] = map[directory.Key]bool{}
+			}
+			crashed[p][r.upstream] = true
+			position[p] = max(position[p], i)
+		}
+	}
+	for p, keys := range crashed {
+		if len(keys) > upstreams || len(keys) == upstreams && position[p] > position[part] {
+			part, upstreams = p, len(keys)
+		}
+	}
+	return part, upstreams
+}
+
+// considered returns the parts of a request that are considered.
+func considered(parts []string) []string {
+	parts = parts[max(0, len(parts)-maxParts):]
+	if slices.ContainsFunc(parts, tooLong) {
+		parts = slices.DeleteFunc(slices.Clone(parts), tooLong)
+	}
+	return parts
+}
+
+func tooLong(part string) bool { return len(part) > maxPartBytes }
--- /dev/null
+++ b/internal/route/quarantine/quarantine_test.go
@@ -0,0 +1,136 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+)
+
+func newQuarantine() *quarantine.Quarantine {
+	return quarantine.New(quarantine.Options{Log: journal.Discard().Logger(journal.Routing), Metrics: metrics.NewSet()})
+}
+
+func upstream(i int) directory.Key { return directory.Key{Id: fmt.Sprintf("u-%d", i), Born: 1} }
+
+func crash(q *quarantine.Quarantine, n int, parts ...string) {
+	for i := range n {
+		q.Crashed(upstream(i), parts)
+	}
+}
+
+func tell(from, to *quarantine.Quarantine) {
+	for _, n := range from.Notices() {
+		to.Merge(n)
+	}
+}
+
+func TestPartUnderWhichThreeUpstreamsCrashIsQuarantined(t *testing.T) {
+	q := newQuarantine()
+	crash(q, 2, "first", "deadly")
+	crash(q, 2, "first", "deadly")
+	assert.Assert(t, !q.Judge([]string{"first", "deadly"}).Blocked())
+	crash(q, 3, "first", "deadly")
+	assert.Equal(t, q.Judge([]string{"other", "deadly", "more"}).Part, "deadly")
+	assert.Assert(t, q.Judge([]string{"other", "deadly", "more"}).Blocked())
+}
+
+// Guards against sound requests that are refused because they share a part with those that crash upstreams.
+func TestPartsSharedWithSoundRequestsAreNotQuarantined(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		observe func(q *quarantine.Quarantine)
+	}{
+		{"unknown part", func(*quarantine.Quarantine) {}},
+		{"answered before", func(q *quarantine.Quarantine) { q.Completed([]string{"first"}) }},
+		{"deadly part in other prompts", func(q *quarantine.Quarantine) { crash(q, 3, "second", "deadly") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := newQuarantine()
+			tc.observe(q)
+			crash(q, 9, "first", "deadly")
+			assert.DeepEqual(t, q.Parts(), []string{"deadly"})
+			assert.Assert(t, !q.Judge([]string{"first"}).Blocked())
+		})
+	}
+}
+
+func TestSeveralDeadlyPartsAreQuarantined(t *testing.T) {
+	q := newQuarantine()
+	crash(q, 4, "first", "deadly-a")
+	crash(q, 4, "deadly-b", "x")
+	for i := range 4 {
+		q.Crashed(upstream(10+i), []string{"deadly-b", fmt.Sprint("y", i)})
+	}
+	assert.DeepEqual(t, q.Parts(), []string{"deadly-a", "deadly-b", "x"})
+}
+
+// Guards against a part that stays refused although upstreams answer it again, and against one that is let through often.
+func TestQuarantineEndsWithATrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		crash(q, 3, "deadly")
+		time.Sleep(50 * time.Second)
+		assert.Assert(t, q.Judge([]string{"deadly"}).Blocked())
+		time.Sleep(45 * time.Second)
+		assert.Assert(t, q.Judge([]string{"deadly"}).Trial())
+		assert.Assert(t, q.Judge([]string{"deadly"}).Blocked())
+		time.Sleep(100 * time.Second)
+		assert.Assert(t, q.Judge([]string{"deadly"}).Blocked())
+		time.Sleep(85 * time.Second)
+		assert.Assert(t, q.Judge([]string{"deadly"}).Trial())
+		q.Completed([]string{"deadly"})
+		assert.Equal(t, q.Judge([]string{"deadly"}), quarantine.Verdict{})
+		assert.Equal(t, len(q.Parts()), 0)
+	})
+}
+
+// Guards against each process learning of a deadly part by crashes of its own.
+func TestProcessesShareCrashes(t *testing.T) {
+	a, b, c := newQuarantine(), newQuarantine(), newQuarantine()
+	a.Crashed(upstream(1), []string{"deadly"})
+	b.Crashed(upstream(2), []string{"deadly"})
+	c.Crashed(upstream(3), []string{"deadly"})
+	tell(a, b)
+	tell(b, c)
+	assert.Assert(t, c.Judge([]string{"deadly"}).Blocked())
+	restarted := newQuarantine()
+	tell(c, restarted)
+	assert.Assert(t, restarted.Judge([]string{"deadly"}).Blocked())
+}
+
+// Guards against a process that has just started and takes a part for suspect that others know to be sound.
+func TestSoundPartsAreClearedAtOtherProcesses(t *testing.T) {
+	old, started := newQuarantine(), newQuarantine()
+	old.Completed([]string{"first"})
+	crash(started, 3, "first")
+	assert.Assert(t, started.Judge([]string{"first"}).Blocked())
+	tell(started, old)
+	assert.Assert(t, !old.Judge([]string{"first"}).Blocked())
+	tell(old, started)
+	assert.Assert(t, !started.Judge([]string{"first"}).Blocked())
+}
+
+// Guards against state that callers can make grow without limit.
+func TestStateIsBoundedAndExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		for i := range 5000 {
+			crash(q, 3, fmt.Sprint("deadly-", i))
+			q.Completed([]string{fmt.Sprint("sound-", i)})
+		}
+		assert.Assert(t, len(q.Parts()) <= 64)
+		assert.Assert(t, len(q.Notices()) <= 32, "%d notices", len(q.Notices()))
+		q.Merge(hub.QuarantineNotice{Quarantined: []hub.QuarantinedPart{{Part: "late", LeftMilliseconds: 1 << 60}}})
+		time.Sleep(time.Hour)
+		assert.Equal(t, len(q.Notices()), 0)
+	})
+}
--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -33,6 +33,8 @@
 	HeaderNotRun    = "Not-Run"
 	HeaderKey       = "Key"
 	HeaderLastEvent = "Last-Event-Id"
+	// HeaderParts lists the shared parts of the prompt.
+	HeaderParts = "Parts"
 )
 
 // ErrMalformed means that a value is not valid JSON of the expected type.
@@ -95,11 +97,12 @@
 func (CallFormat) ParseRequest(h http.Header) hub.RequestInfo {
 	ms, _ := strconv.Atoi(h.Get(HeaderRemaining))
 	return hub.RequestInfo{
-		RequestId: h.Get(HeaderRequestId),
-		Wait:      time.Duration(ms) * time.Millisecond,
-		Key:       h.Get(HeaderKey),
-		HasKey:    h.Get(HeaderKey) != "",
-		LastEvent: h.Get(HeaderLastEvent),
+		RequestId:   h.Get(HeaderRequestId),
+		Wait:        time.Duration(ms) * time.Millisecond,
+		Key:         h.Get(HeaderKey),
+		HasKey:      h.Get(HeaderKey) != "",
+		LastEvent:   h.Get(HeaderLastEvent),
+		SharedParts: strings.Fields(h.Get(HeaderParts)),
 	}
 }
 
--- a/internal/state/beacon/beacon.go
+++ b/internal/state/beacon/beacon.go
@@ -22,11 +22,32 @@
 	maxDatagramBytes = 1400
 )
 
-// Beacon is the content of a datagram, encoded as JSON: the report of one upstream.
+// Beacon is the content of a datagram, encoded as JSON: the report of one upstream or a notice.
 type Beacon struct {
-	// Address is the address of the upstream.
+	// Address is the address of the upstream, empty in a notice.
 	Address string
 	Report  hub.UpstreamReport
+	Notice  *hub.QuarantineNotice `json:",omitempty"`
+}
+
+// SendNotice sends a notice from conn to all receivers and returns the last error.
+func SendNotice(conn *net.UDPConn, n hub.QuarantineNotice, receivers []*net.UDPAddr) error {
+	return send(conn, Beacon{Notice: &n}, receivers)
+}
+
+// send sends a beacon to all receivers and returns the last error.
+func send(conn *net.UDPConn, b Beacon, receivers []*net.UDPAddr) error {
+	data, err := json.Marshal(b)
+	if err != nil {
+		return fmt.Errorf("encode beacon: %w", err)
+	}
+	var failed error
+	for _, to := range receivers {
+		if _, err := conn.WriteToUDP(data, to); err != nil {
+			failed = fmt.Errorf("send beacon to %s: %w", to, err)
+		}
+	}
+	return failed
 }
 
 // Sender sends the beacons of one upstream.
@@ -54,18 +75,8 @@
 	if time.Since(s.sentAt) < wait {
 		return nil
 	}
-	data, err := json.Marshal(Beacon{Address: s.address, Report: r})
-	if err != nil {
-		return fmt.Errorf("encode beacon: %w", err)
-	}
 	s.sent, s.sentAt = r, time.Now()
-	var failed error
-	for _, to := range receivers() {
-		if _, err := s.conn.WriteToUDP(data, to); err != nil {
-			failed = fmt.Errorf("send beacon to %s: %w", to, err)
-		}
-	}
-	return failed
+	return send(s.conn, Beacon{Address: s.address, Report: r}, receivers())
 }
 
 // Receive calls handle with each beacon received on conn until ctx is done, then closes conn. Invalid datagrams are
