--- a/internal/state/exchange/traffic_test.go
+++ b/internal/state/exchange/traffic_test.go
@@ -35,7 +35,7 @@
 // write sets the value of entry i as of the current revision.
 func (l *list) write(i int) {
 	l.entries[i].Revision = l.revision
-	l.entries[i].Value = fmt.Appendf(nil, `{"service":"scaler-llm","address":"10.%d.0.%d:8366","zone":"sinai-a","version":1,"slots":12,"state":"ready","cold_left_ms":%d,"born":%d}`,
+	l.entries[i].Value = fmt.Appendf(nil, `{"Service":"scaler","Address":"10.%d.0.%d:8366","Domain":"sinai-a","Version":1,"Slots":12,"Cold":%d,"Born":%d}`,
 		i%4, i, l.revision*31%3000, 1776099600000+i*977)
 }
 
