route/stream: neither a piece of a long line nor a blank line is an event

Cause: a line longer than the read buffer was taken for several lines; a blank line ended an event that had not begun. Evidence: TestLongLinesAreOneLine and TestBlankLinesAreNoEvents failed before. Why it works: a line is read whole, up to the size limit of an event, before it is looked at; blank lines before an event are skipped and count against the limit, now 256 KiB.

--- a/internal/route/stream/reader.go
+++ b/internal/route/stream/reader.go
@@ -8,8 +8,8 @@
 	"io"
 )
 
-// maxEventBytes limits the size of an event.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of an event, and of the blank lines before one.
+const maxEventBytes = 256 << 10
 
 // ErrPartial means that a stream ended within an event.
 var ErrPartial = errors.New("answer ended within an event")
@@ -32,30 +32,47 @@
 	return &Reader{lines: bufio.NewReaderSize(r, 1<<10)}
 }
 
-// Next returns the next event, io.EOF after the last one, or ErrPartial if the stream ends within an event.
-// An event of more than maxEventBytes is an error.
+// Next returns the next event, io.EOF after the last one, or ErrPartial if the stream ends within an event. Blank lines
+// before an event are skipped. It is an error if an event or the blank lines before it exceed maxEventBytes.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	read := 0
 	for {
-		line, err := r.lines.ReadSlice('\n')
-		e.Data = append(e.Data, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.Data) < maxEventBytes {
-			continue
-		}
-		if err == io.EOF && len(e.Data) > 0 {
+		start := len(e.Data)
+		err := r.appendLine(&e)
+		read += len(e.Data) - start
+		line := e.Data[start:]
+		switch {
+		case read > maxEventBytes:
+			return e, fmt.Errorf("event over %d bytes", maxEventBytes)
+		case err == io.EOF && len(e.Data) > 0:
 			return e, ErrPartial
-		}
-		if err != nil {
+		case err != nil:
 			return e, err
 		}
-		if len(e.Data) > maxEventBytes {
-			return e, fmt.Errorf("event over %d bytes", maxEventBytes)
+		blank := len(bytes.TrimRight(line, "\r\n")) == 0
+		if blank && start > 0 {
+			return e, nil
+		}
+		if blank {
+			e.Data = e.Data[:0]
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.Id = string(bytes.TrimSpace(id))
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return e, nil
+	}
+}
+
+// appendLine appends the next line to the data of e, up to maxEventBytes.
+func (r *Reader) appendLine(e *Event) error {
+	for {
+		piece, err := r.lines.ReadSlice('\n')
+		e.Data = append(e.Data, piece...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+		if len(e.Data) > maxEventBytes {
+			return nil
 		}
 	}
 }
