route/channel: limit the bytes read before the end of a response's head

A process read such a head into memory until the call's time was up: 10 s and gigabytes in the test. Cause: http.ReadResponse has no limit, nor had the bodies of responses to other calls that are passed over. Why it works: the connection's reader fails after 256 KiB until the head has been read.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -19,6 +19,10 @@
 	ErrBroken = errors.New("connection broke")
 )
 
+// maxHeadBytes limits the bytes that are read before the end of the response's header, including responses that belong
+// to other calls and interim responses.
+const maxHeadBytes = 256 << 10
+
 // maxMismatchedResponses limits the responses read for one call while they belong to other calls.
 const maxMismatchedResponses = 3
 
@@ -109,9 +113,11 @@
 	return b.Bytes()
 }
 
-// readHeader reads the header of the response to call. It discards late responses to earlier calls; the connection is
+// readHeader reads the header of the response to call, up to maxHeadBytes. It discards late responses to earlier calls; the connection is
 // not reused after one.
 func (r *Response) readHeader(call *Call) error {
+	r.conn.limit.left = maxHeadBytes
+	defer func() { r.conn.limit.left = noLimit }()
 	request := &http.Request{Method: call.Method}
 	for range maxMismatchedResponses {
 		resp, err := readResponse(r.conn.reader, request)
--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -36,7 +36,9 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	limit   *limitedReader
+	// reader buffers what limit reads.
+	reader *bufio.Reader
 	// until is the time after which the idle connection must not be used.
 	until time.Time
 }
@@ -72,7 +74,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return &conn{Conn: netConn, address: address, reader: bufio.NewReaderSize(netConn, readBufferBytes)}, false, nil
+	limit := &limitedReader{source: netConn, left: noLimit}
+	return &conn{Conn: netConn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, false, nil
 }
 
 // takeIdle removes the most recently used idle connection to address from the pool, or returns nil.
