route/forward: limit the bodies that are read whole, and do not wait for those of refusals

Each such answer took 32 MiB of an entry process's 284 MB, and a refusal whose body did not come kept the request until its time was up. Cause: the limit was for one answer, far above what a process with many requests bears, and refusals were read like answers. Why it works: 4 MiB for one body, 16 MiB for all beyond the first 64 KiB of each; a body that does not fit ends its attempt. The body of a refusal is read only if it is short and comes within 100 ms.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -16,9 +16,6 @@
 	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 )
 
-// maxResponseBytes limits the body of a response that is not a stream.
-const maxResponseBytes = 32 << 20
-
 // bufferedResponse is an upstream's response whose body has been read completely.
 type bufferedResponse struct {
 	status int
@@ -106,7 +103,7 @@
 	info := x.handler.options.Format.ParseResponse(response.Status, response.Header)
 	if info.NotRun {
 		x.runs--
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, maxResponseBytes))
+		discardRefusal(response)
 		c.Load.Refused()
 		if info.WrongInstance {
 			c.Load.Misdirected()
@@ -128,10 +125,7 @@
 // forwardBuffered reads the complete response before it forwards any of it. For a 5xx response to a retryable request
 // it returns an error and stores the response in x.errorResponse.
 func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool) error {
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("%w: answer over %d bytes", channel.ErrBroken, maxResponseBytes)
-	}
+	body, err := x.readResponse(response)
 	if err != nil {
 		x.upstreamFailed(c)
 		err = x.brokenError(ctx, err)
--- /dev/null
+++ b/internal/route/forward/body.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/channel"
+)
+
+const (
+	// maxResponseBytes limits the body of a response that is not a stream.
+	maxResponseBytes = 4 << 20
+	// maxBufferedBytes limits the memory for all bodies beyond the first bodyBlockBytes of each.
+	maxBufferedBytes = 16 << 20
+	bodyBlockBytes   = 64 << 10
+	// maxRefusalBytes is the maximum length of a refusal's body that is read, and refusalBodyTimeout the time for that,
+	// so that the connection can be reused.
+	maxRefusalBytes    = 4 << 10
+	refusalBodyTimeout = 100 * time.Millisecond
+)
+
+// errTooLarge means that the body of a response exceeds maxResponseBytes or does not fit into the memory for bodies.
+var errTooLarge = errors.New("answer is too large")
+
+// bodyMemory is the memory for the bodies of responses that are read completely before they are forwarded.
+type bodyMemory struct {
+	used atomic.Int64
+}
+
+// reserve reserves n bytes and returns false if that would exceed maxBufferedBytes.
+func (m *bodyMemory) reserve(n int64) bool {
+	if m.used.Add(n) > maxBufferedBytes {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// readResponse reads the complete body of a response. The memory is reserved until the exchange ends.
+func (x *exchange) readResponse(response *channel.Response) ([]byte, error) {
+	if response.Length > maxResponseBytes {
+		return nil, fmt.Errorf("%w: %w: %d bytes", channel.ErrBroken, errTooLarge, response.Length)
+	}
+	body := make([]byte, 0, max(512, min(response.Length, bodyBlockBytes)))
+	for {
+		if len(body) == cap(body) {
+			grown, err := x.grow(body)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
+		}
+		n, err := response.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow returns body with more capacity, or an error if that exceeds a limit.
+func (x *exchange) grow(body []byte) ([]byte, error) {
+	if len(body) > maxResponseBytes {
+		return nil, fmt.Errorf("%w: %w: over %d bytes", channel.ErrBroken, errTooLarge, maxResponseBytes)
+	}
+	size := min(2*cap(body), maxResponseBytes+1)
+	if size > bodyBlockBytes {
+		if !x.handler.bodies.reserve(int64(size)) {
+			return nil, fmt.Errorf("%w: %w: no memory for over %d bytes", channel.ErrBroken, errTooLarge, len(body))
+		}
+		x.reserved += int64(size)
+	}
+	return append(make([]byte, 0, size), body...), nil
+}
+
+// discardRefusal reads the body of a refusal if that is short and comes at once.
+func discardRefusal(response *channel.Response) {
+	if response.Length < 0 || response.Length > maxRefusalBytes {
+		return
+	}
+	response.SetReadTimeout(refusalBodyTimeout)
+	_, _ = io.Copy(io.Discard, response)
+}
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -77,6 +77,8 @@
 	relay *relay
 	// verdict is that of the quarantine on the request.
 	verdict quarantine.Verdict
+	// reserved is the memory reserved for bodies of responses, in bytes.
+	reserved int64
 	// errorResponse is the latest 5xx response to a retryable request. It is forwarded if no further attempt succeeds.
 	errorResponse *bufferedResponse
 }
@@ -87,6 +89,7 @@
 	x.handler.options.RetryBudget.CountRequest(x.service)
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimedOut)
 	defer cancel()
+	defer func() { x.handler.bodies.used.Add(-x.reserved) }()
 	for {
 		if x.verdict = x.judge(); x.verdict.Blocked() {
 			x.giveUp(ctx, errQuarantined)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -53,6 +53,7 @@
 	latency *metrics.Histogram
 	// firstPart is the time from a request to the first event of its response stream.
 	firstPart *metrics.Histogram
+	bodies    bodyMemory
 }
 
 // New returns a handler and registers its metrics in o.Metrics.
--- a/internal/route/forward/quarantine_test.go
+++ b/internal/route/forward/quarantine_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -31,26 +30,15 @@
 		upstreams = append(upstreams, withTestUpstream(t, crashUnder("shared deadly")))
 	}
 	f := withTestEntry(t, upstreams...)
-	send := func(id, parts string) (int, string, http.Header) {
-		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.server.URL+"/stream/x", http.NoBody)
-		assert.NilError(t, err)
-		r.Host = "h.test"
-		r.Header.Set(desired.HeaderRequestId, id)
-		r.Header.Set(desired.HeaderKey, "k1")
-		r.Header.Set(desired.HeaderParts, parts)
-		response, err := http.DefaultClient.Do(r)
-		assert.NilError(t, err)
-		defer response.Body.Close()
-		body, err := io.ReadAll(response.Body)
-		assert.NilError(t, err)
-		return response.StatusCode, string(body), response.Header
+	send := func(parts string) reply {
+		return f.call(t.Context(), t, http.MethodPost, "/stream/x", http.Header{desired.HeaderParts: {parts}})
 	}
-	for i := range 10 {
-		status, _, header := send(fmt.Sprint("deadly-", i), "shared deadly")
-		assert.Assert(t, status == http.StatusBadGateway || status == http.StatusServiceUnavailable && header.Get("Retry-After") != "", "status %d", status)
-		status, body, _ := send(fmt.Sprint("sound-", i), "shared")
-		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, body, completeStream(3))
+	for range 10 {
+		deadly := send("shared deadly")
+		assert.Assert(t, deadly.status == http.StatusBadGateway || deadly.status == http.StatusServiceUnavailable && deadly.header.Get("Retry-After") != "", "status %d", deadly.status)
+		sound := send("shared")
+		assert.Equal(t, sound.status, http.StatusOK)
+		assert.Equal(t, sound.body, completeStream(3))
 	}
 	crashes := 0
 	for _, u := range upstreams {
