route/forward, route/quarantine: name the account in the last line of a request; crashes count for five minutes

Crashes under a part that comes once a minute never counted together when they expired after 30 s. The account in the log tells whether one account is served less than the others (docs/OPERATIONS.md).

--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -174,6 +174,9 @@
 	if x.route != nil {
 		line = line.Str("Route", x.route.Name).Uint64("Configuration", x.snapshot.Configuration.Version)
 	}
+	if x.account != nil {
+		line = line.Str("Account", x.account.Name)
+	}
 	if x.relay != nil {
 		line = line.Dur("First", x.relay.firstAt.Sub(x.started)).Int("Events", x.relay.events).Int("Resumed", x.relay.resumed).Dur("LongestPause", x.relay.longestPause)
 	}
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 	// minCrashes is the number of upstreams that must crash under requests with a part before it is quarantined.
 	minCrashes = 3
 	// crashTTL is the time for which a crash counts.
-	crashTTL = 30 * time.Second
+	crashTTL = 5 * time.Minute
 	// soundTTL is the time for which a part counts as sound after a complete response to a request that contains it.
 	soundTTL = time.Minute
 	// firstQuarantine is the duration of a part's first quarantine. It doubles with each further one, up to
