route/quarantine: only upstreams that accept no connection have crashed, and nothing is quarantined right after the start

What callers would have seen: after a restart of all processes, whose memory of sound parts is empty, the parts that most requests share could be refused for a minute because engines that load weights cut their streams. Cause: a lost connection was taken for a crash. In the first 3 s crashes are only collected; parts that are answered meanwhile are cleared.

--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -78,6 +78,15 @@
 	return &conn{Conn: netConn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, false, nil
 }
 
+// Probe opens a new connection to address and closes it. The error is that of dial.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // takeIdle removes the most recently used idle connection to address from the pool, or returns nil.
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -165,18 +163,6 @@
 	x.finish("answered", b.status, "")
 }
 
-// reportCrash reports an attempt to the quarantine if its connection was lost, as happens if the upstream crashes.
-func (x *exchange) reportCrash(c *placement.Choice, err error) {
-	if len(x.caller.SharedParts) > 0 && connectionLost(err) {
-		x.handler.options.Quarantine.Crashed(c.Upstream.Key(), x.caller.SharedParts)
-	}
-}
-
-// connectionLost reports whether err means that the upstream's end of the connection was closed or reset.
-func connectionLost(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // upstreamFailed records a failure of the upstream and excludes it from further attempts, unless the attempt ended
 // because the caller disconnected.
 func (x *exchange) upstreamFailed(c *placement.Choice) {
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -15,6 +15,9 @@
 const (
 	// minCrashes is the number of upstreams that must crash under requests with a part before it is quarantined.
 	minCrashes = 3
+	// settleTime is the time after the start for which no part is quarantined by crashes, because none is known to be
+	// sound yet.
+	settleTime = 3 * time.Second
 	// crashTTL is the time for which a crash counts.
 	crashTTL = 5 * time.Minute
 	// soundTTL is the time for which a part counts as sound after a complete response to a request that contains it.
@@ -50,8 +53,11 @@
 type Quarantine struct {
 	options  Options
 	refusals *metrics.Counter
+	started  time.Time
 
 	mu sync.Mutex
+	// settled is true once the parts that were suspected during settleTime have been judged.
+	settled bool
 	// records is sorted by time, the oldest first.
 	records []record
 	// sound maps parts to the time of the last complete response.
@@ -82,6 +88,7 @@
 func New(o Options) *Quarantine {
 	q := &Quarantine{
 		options:     o,
+		started:     time.Now(),
 		refusals:    o.Metrics.NewCounter("oriolehub_quarantine_refusals_total"),
 		sound:       map[string]time.Time{},
 		cleared:     map[string]time.Time{},
@@ -115,10 +122,14 @@
 func (q *Quarantine) Judge(parts []string) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := time.Now()
+	if !q.settled && now.Sub(q.started) >= settleTime {
+		q.settled = true
+		q.convict(now)
+	}
 	if len(q.quarantined) == 0 {
 		return Verdict{}
 	}
-	now := time.Now()
 	v := Verdict{}
 	for _, p := range considered(parts) {
 		s := q.quarantined[p]
@@ -147,7 +158,15 @@
 	s.until = now.Add(d + rand.N(d/2))
 }
 
-// Crashed records that an upstream's connection was lost before it had answered a request with the given parts.
+// Suspects reports whether the crash of an upstream under a request with the given parts would raise a suspicion.
+func (q *Quarantine) Suspects(parts []string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(considered(parts), func(p string) bool { return !q.isSound(p, now) })
+}
+
+// Crashed records that an upstream crashed before it had answered a request with the given parts.
 func (q *Quarantine) Crashed(upstream directory.Key, parts []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -266,9 +285,9 @@
 	}
 }
 
-// convict quarantines the parts under which enough upstreams have crashed.
+// convict quarantines the parts under which enough upstreams have crashed, unless the process has just started.
 func (q *Quarantine) convict(now time.Time) {
-	for len(q.quarantined) < maxQuarantined {
+	for now.Sub(q.started) >= settleTime && len(q.quarantined) < maxQuarantined {
 		part, upstreams := q.worst()
 		if upstreams < minCrashes {
 			return
