state/exchange: revision and checksum belong to the sent value

A document that changed between two reads of the catalog went out with the revision and the checksum of the value before, so that the receiver asked for the whole list. Both now come with the encoded value.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -85,7 +85,10 @@
 
 // Encoding is a document encoded for a process that has an earlier revision of it.
 type Encoding struct {
-	Value []byte
+	// Revision and Checksum are those of the whole value.
+	Revision uint64
+	Checksum uint64
+	Value    []byte
 	// Base is the revision that the receiver must have, 0 if Value is the whole value.
 	Base uint64
 	// Entries is true if Value holds changed entries of a list; the receiver may also have a revision after Base.
@@ -174,13 +177,14 @@
 }
 
 func (h *history) encode(base uint64, entries bool) Encoding {
-	whole := Encoding{Value: h.current.Value}
+	e := Encoding{Revision: h.current.Revision, Checksum: delta.Checksum(h.current.Value), Value: h.current.Value}
 	if base == 0 {
-		return whole
+		return e
 	}
 	if entries {
 		if encoded, ok := h.list.Since(base); ok && len(encoded) < len(h.current.Value) {
-			return Encoding{Value: encoded, Base: base, Entries: true}
+			e.Value, e.Base, e.Entries = encoded, base, true
+			return e
 		}
 	}
 	for _, d := range h.earlier {
@@ -188,10 +192,11 @@
 			continue
 		}
 		if encoded, ok := delta.Encode(d.Value, h.current.Value); ok {
-			return Encoding{Value: encoded, Base: base}
+			e.Value, e.Base = encoded, base
+			return e
 		}
 	}
-	return whole
+	return e
 }
 
 // SetInconsistent marks a document as inconsistent with the changes that other processes send; Revisions reports it as
--- a/internal/state/exchange/documents.go
+++ b/internal/state/exchange/documents.go
@@ -42,7 +42,7 @@
 		}
 		e := c.Since(d.Name, known[d.Name], entries)
 		out = append(out, &message.Document{
-			Name: d.Name, Revision: d.Revision, Value: e.Value, BaseRevision: e.Base, Checksum: delta.Checksum(d.Value), Entries: e.Entries,
+			Name: d.Name, Revision: e.Revision, Value: e.Value, BaseRevision: e.Base, Checksum: e.Checksum, Entries: e.Entries,
 		})
 	}
 	return out
