route/quarantine: check requests without a lock

The decision on each request took the lock of the whole quarantine; it reads a copy of the parts in quarantine now.

--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -127,11 +127,13 @@
 			return false
 		}
 		q.quarantined[in.Part] = &sentence{until: until, count: in.Count}
+		q.publish()
 		q.options.Log.Warn().Str("Part", in.Part).Time("Until", until).Msg("part quarantined by another process")
 		return true
 	}
 	if in.Count > known.count {
 		*known = sentence{until: until, count: in.Count}
+		q.publish()
 		return true
 	}
 	return false
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,10 +55,13 @@
 	options  Options
 	refusals *metrics.Counter
 	started  time.Time
+	// blocked maps the parts in quarantine to the end of their quarantine. It is replaced at each change, so that Judge
+	// needs no lock.
+	blocked atomic.Pointer[map[string]time.Time]
+	// settled is true once the parts that were suspected during settleTime have been judged.
+	settled atomic.Bool
 
 	mu sync.Mutex
-	// settled is true once the parts that were suspected during settleTime have been judged.
-	settled bool
 	// records is sorted by time, the oldest first.
 	records []record
 	// sound maps parts to the time of the last complete response.
@@ -95,14 +99,22 @@
 		quarantined: map[string]*sentence{},
 		changed:     make(chan struct{}),
 	}
+	q.publish()
 	o.Metrics.NewGauge("oriolehub_quarantined_parts", func() float64 {
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		return float64(len(q.quarantined))
+		return float64(len(*q.blocked.Load()))
 	})
 	return q
 }
 
+// publish makes the parts in quarantine visible to Judge.
+func (q *Quarantine) publish() {
+	blocked := make(map[string]time.Time, len(q.quarantined))
+	for part, s := range q.quarantined {
+		blocked[part] = s.until
+	}
+	q.blocked.Store(&blocked)
+}
+
 // Verdict tells whether a request may be sent.
 type Verdict struct {
 	// Part is the quarantined part of the request, empty if it has none.
@@ -120,39 +132,61 @@
 // Judge returns the verdict on a request with the given parts. Once the quarantine of a part has ended, one request is
 // let through as a trial, and the quarantine starts anew for twice the time unless the trial gets a complete response.
 func (q *Quarantine) Judge(parts []string) Verdict {
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	now := time.Now()
-	if !q.settled && now.Sub(q.started) >= settleTime {
-		q.settled = true
-		q.convict(now)
+	if !q.settled.Load() && now.Sub(q.started) >= settleTime {
+		q.settle(now)
 	}
-	if len(q.quarantined) == 0 {
+	blocked := *q.blocked.Load()
+	if len(blocked) == 0 {
 		return Verdict{}
 	}
-	v := Verdict{}
+	ended := ""
 	for _, p := range considered(parts) {
-		s := q.quarantined[p]
-		if s != nil && now.Before(s.until) {
-			return Verdict{Part: p, Left: s.until.Sub(now)}
+		until, ok := blocked[p]
+		if ok && now.Before(until) {
+			return Verdict{Part: p, Left: until.Sub(now)}
 		}
-		if s != nil {
-			v.Part = p
+		if ok {
+			ended = p
 		}
 	}
-	if v.Trial() {
-		q.extend(v.Part, q.quarantined[v.Part], now)
-		q.options.Log.Info().Str("Part", v.Part).Int("Quarantines", q.quarantined[v.Part].count).Msg("quarantine ended, letting one request through")
+	if ended == "" {
+		return Verdict{}
+	}
+	return q.startTrial(ended, now)
+}
+
+// settle quarantines the parts that were suspected during settleTime.
+func (q *Quarantine) settle(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.settled.Store(true)
+	q.convict(now)
+}
+
+// startTrial lets a request through and starts the next quarantine of its part, unless another request has just done so.
+func (q *Quarantine) startTrial(part string, now time.Time) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.quarantined[part]
+	if s == nil {
+		return Verdict{}
+	}
+	if now.Before(s.until) {
+		return Verdict{Part: part, Left: s.until.Sub(now)}
 	}
-	return v
+	q.extend(s, now)
+	q.publish()
+	q.options.Log.Info().Str("Part", part).Int("Quarantines", s.count).Msg("quarantine ended, letting one request through")
+	return Verdict{Part: part}
 }
 
 // Refused counts a request that was not sent because of its verdict.
 func (q *Quarantine) Refused() { q.refusals.Inc() }
 
-// extend starts the next quarantine of a part. Its duration is random, so that processes let trials through at
+// extend starts the next quarantine. Its duration is random, so that processes let trials through at
 // different times and the crash of one extends the quarantine at the others.
-func (q *Quarantine) extend(part string, s *sentence, now time.Time) {
+func (q *Quarantine) extend(s *sentence, now time.Time) {
 	d := min(maxQuarantine, firstQuarantine<<min(s.count, 8))
 	s.count++
 	s.until = now.Add(d + rand.N(d/2))
@@ -203,6 +237,7 @@
 	}
 	if q.quarantined[part] != nil {
 		delete(q.quarantined, part)
+		q.publish()
 		q.options.Log.Info().Str("Part", part).Msg("part answered completely, quarantine lifted")
 	}
 	q.withdraw(part)
@@ -281,6 +316,7 @@
 	for p, s := range q.quarantined {
 		if now.Sub(s.until) > maxQuarantine {
 			delete(q.quarantined, p)
+			q.publish()
 		}
 	}
 }
@@ -293,8 +329,9 @@
 			return
 		}
 		s := &sentence{}
-		q.extend(part, s, now)
+		q.extend(s, now)
 		q.quarantined[part] = s
+		q.publish()
 		q.options.Log.Warn().Str("Part", part).Int("Upstreams", upstreams).Time("Until", s.until).Msg("part quarantined: upstreams crash under requests that contain it")
 	}
 }
