--- a/internal/state/exchange/traffic_test.go
+++ b/internal/state/exchange/traffic_test.go
@@ -12,6 +12,7 @@
 	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
 const listLength = 200
@@ -132,3 +133,46 @@
 	received := int(traffic.Received.Load())
 	assert.Assert(t, received < 2*len(l.document(t).Value), "%d bytes for a list of %d bytes", received, len(l.document(t).Value))
 }
+
+// reply sends a request to the process p and returns its reply.
+func (p *process) reply(t *testing.T, request *message.ExchangeRequest) *message.ExchangeReply {
+	t.Helper()
+	reply, err := exchange.NewServer(p.catalog, p.record).Exchange(t.Context(), request)
+	assert.NilError(t, err)
+	return reply
+}
+
+// Guards against processes of an earlier build that receive changes which they can't apply.
+func TestProcessesThatDoNotAcceptEntriesReceiveWholeLists(t *testing.T) {
+	a := withTestProcess(t, "a", 1)
+	l := newList()
+	a.catalog.PutDocument(l.document(t))
+	base := l.revision
+	l.change(3)
+	want := l.document(t)
+	a.catalog.PutDocument(want)
+	revisions := []*message.DocumentRevision{{Name: want.Name, Revision: base}}
+	old := a.reply(t, &message.ExchangeRequest{Sender: "old", Revisions: revisions})
+	assert.DeepEqual(t, old.GetDocuments()[0].GetValue(), want.Value)
+	assert.Equal(t, old.GetDocuments()[0].GetBaseRevision(), uint64(0))
+	current := a.reply(t, &message.ExchangeRequest{Sender: "new", Revisions: revisions, AcceptsEntries: true})
+	assert.Assert(t, current.GetDocuments()[0].GetEntries())
+}
+
+// Guards against a process whose copy of a list differs from that of others at the same revision and stays so.
+func TestListThatDoesNotFitIsRequestedWhole(t *testing.T) {
+	a, b := withTestProcess(t, "a", 1), withTestProcess(t, "b", 2)
+	l := newList()
+	b.catalog.PutDocument(l.document(t))
+	different := newList()
+	different.entries[7].Value = []byte("{}")
+	a.catalog.PutDocument(different.document(t))
+	client, _ := a.withCountedClient(t)
+	l.change(1)
+	want := l.document(t)
+	b.catalog.PutDocument(want)
+	for range 2 {
+		assert.NilError(t, client.Exchange(t.Context(), b.address, "b"))
+	}
+	assert.DeepEqual(t, a.catalog.Document(want.Name), want)
+}
