route/forward: find out whether an upstream has crashed before a suspected request is sent again

Cause: the verification ran beside the request. Why it works: only requests with parts that no upstream has answered wait, 20 ms and one dial.

--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -17,7 +17,11 @@
 	"github.com/oriolehub/oriolehub/platform/standin"
 )
 
-const testTimeout = 60 * time.Second
+const (
+	testTimeout = 60 * time.Second
+	// settleTime exceeds the time for which a started process quarantines nothing.
+	settleTime = 3200 * time.Millisecond
+)
 
 // fleet is a testbed with two entry processes in different failure domains.
 type fleet struct {
@@ -188,3 +192,44 @@
 	})
 	assert.NilError(t, <-done)
 }
+
+// Guards against entry processes that each learn of a part by crashes of their own, and against a restarted one that
+// has to learn it again.
+func TestPartThatCrashesEnginesIsRefusedByAllEntries(t *testing.T) {
+	const deadly = "bad"
+	f := startTestFleet(t, 5, 0)
+	f.waitUntilServing(t)
+	for _, e := range f.engines {
+		e.CrashUnder(deadly)
+	}
+	sent := 0
+	send := func(entry, parts string) *http.Response {
+		sent++
+		r, err := standin.Request(entry, http.MethodPost, standin.Path+"x", fmt.Sprint("r", sent))
+		assert.NilError(t, err)
+		r.Header.Set("X-Oriolehub-Prefix-Hash", parts)
+		response, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		return response
+	}
+	time.Sleep(settleTime)
+	refused := func(entry string) bool {
+		return send(entry, "shared:40,"+deadly+":10,own:5").StatusCode == http.StatusServiceUnavailable
+	}
+	waitUntil(t, "the first entry process refuses the part", func() bool { return refused(f.callers[0]) })
+	waitUntil(t, "the other entry process knows", func() bool { return f.entries[1].QuarantinedParts() > 0 })
+	assert.Assert(t, refused(f.callers[1]))
+	crashed := 0
+	for _, e := range f.engines {
+		if e.Crashed() {
+			crashed++
+		}
+	}
+	assert.Equal(t, crashed, 3)
+	for _, entry := range f.callers {
+		assert.Equal(t, send(entry, "shared:40,own:5").StatusCode, http.StatusOK)
+	}
+}
--- a/internal/process/node/notices.go
+++ b/internal/process/node/notices.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// QuarantinedParts returns the number of parts of prompts in quarantine.
+func (n *node) QuarantinedParts() int { return len(n.quarantine.Parts()) }
+
 // waitNews waits for the next time to send notices and returns the number of entry processes that receive them.
 func (n *node) waitNews(ctx context.Context) int {
 	timer := time.NewTimer(noticeInterval/2 + rand.N(noticeInterval))
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -11,31 +11,23 @@
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 )
 
-const (
-	// crashProbeDelay is the time after a lost connection at which a new one is tried.
-	crashProbeDelay = 20 * time.Millisecond
-	// maxCrashProbes limits the concurrent tries.
-	maxCrashProbes = 16
-)
+// crashProbeDelay is the time after a lost connection at which a new one is tried.
+const crashProbeDelay = 20 * time.Millisecond
 
 // reportCrash reports an attempt to the quarantine if its connection was lost because the upstream has crashed. An
-// upstream that cuts a response but accepts connections is in service.
+// upstream that cuts a response but accepts connections is in service. For requests with suspected parts this takes
+// time, so that a part is in quarantine before the request is sent to another upstream.
 func (x *exchange) reportCrash(c *placement.Choice, err error) {
-	h := x.handler
-	if !connectionLost(err) || !h.options.Quarantine.Suspects(x.caller.SharedParts) {
+	o := &x.handler.options
+	if !connectionLost(err) || !o.Quarantine.Suspects(x.caller.SharedParts) {
 		return
 	}
-	if h.crashProbes.Add(1) > maxCrashProbes {
-		h.crashProbes.Add(-1)
-		return
+	// The caller may leave meanwhile, but the upstream has crashed all the same.
+	ctx := context.WithoutCancel(x.r.Context())
+	_ = hub.Sleep(ctx, crashProbeDelay)
+	if o.Pool.Probe(ctx, c.Upstream.Address) != nil {
+		o.Quarantine.Crashed(c.Upstream.Key(), x.caller.SharedParts)
 	}
-	go func() {
-		defer h.crashProbes.Add(-1)
-		_ = hub.Sleep(context.Background(), crashProbeDelay)
-		if h.options.Pool.Probe(context.Background(), c.Upstream.Address) != nil {
-			h.options.Quarantine.Crashed(c.Upstream.Key(), x.caller.SharedParts)
-		}
-	}()
 }
 
 // connectionLost reports whether err means that the upstream's end of the connection was closed or reset.
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -55,8 +54,6 @@
 	// firstPart is the time from a request to the first event of its response stream.
 	firstPart *metrics.Histogram
 	bodies    bodyMemory
-	// crashProbes is the number of connections being tried to find out whether an upstream has crashed.
-	crashProbes atomic.Int64
 }
 
 // New returns a handler and registers its metrics in o.Metrics.
--- a/internal/route/forward/quarantine_test.go
+++ b/internal/route/forward/quarantine_test.go
@@ -12,12 +12,8 @@
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
 )
 
-const (
-	// quarantineSettleTime exceeds the time for which a started process quarantines nothing.
-	quarantineSettleTime = 3100 * time.Millisecond
-	// crashProbeTime exceeds the time after which a crash is recorded.
-	crashProbeTime = 60 * time.Millisecond
-)
+// quarantineSettleTime exceeds the time for which a started process quarantines nothing.
+const quarantineSettleTime = 3100 * time.Millisecond
 
 // breakUnder returns a script that calls broken and ends the connection after the head of the response to a request with
 // a part, and sends complete streams otherwise.
@@ -68,13 +64,12 @@
 	for range 10 {
 		deadly := send("shared deadly")
 		assert.Assert(t, deadly.status == http.StatusBadGateway || deadly.status == http.StatusServiceUnavailable && deadly.header.Get("Retry-After") != "", "status %d", deadly.status)
-		time.Sleep(crashProbeTime)
 		sound := send("shared")
 		assert.Equal(t, sound.status, http.StatusOK)
 		assert.Equal(t, sound.body, completeStream(3))
 	}
 	sent := countWithParts(upstreams, "shared deadly")
-	assert.Assert(t, sent <= 5, "%d requests with the part were sent", sent)
+	assert.Equal(t, sent, 3)
 }
 
 // Guards against sound requests that are refused because upstreams in service cut their responses.
@@ -88,7 +83,6 @@
 	for i := range 6 {
 		before := countWithParts(upstreams, "rare")
 		f.call(t.Context(), t, http.MethodPost, "/stream/x", http.Header{desired.HeaderParts: {"rare"}})
-		time.Sleep(crashProbeTime)
 		assert.Assert(t, countWithParts(upstreams, "rare") > before, "request %d was not sent", i)
 	}
 }
