--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -207,7 +207,7 @@
 		sent++
 		r, err := standin.Request(entry, http.MethodPost, standin.Path+"x", fmt.Sprint("r", sent))
 		assert.NilError(t, err)
-		r.Header.Set("X-Oriolehub-Prefix-Hash", parts)
+		standin.SetParts(r, parts)
 		response, err := http.DefaultClient.Do(r)
 		assert.NilError(t, err)
 		defer response.Body.Close()
