--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	x.runs++
-	x.verdict = quarantine.Verdict{}
+	x.decision = quarantine.Decision{}
 	if err != nil {
 		x.upstreamFailed(c)
 		err = x.brokenError(ctx, err)
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -75,8 +75,8 @@
 	tried []directory.Key
 	// relay is the state of the response stream, nil until the first event has been forwarded.
 	relay *relay
-	// verdict is that of the quarantine on the request.
-	verdict quarantine.Verdict
+	// decision is that of the quarantine on the request.
+	decision quarantine.Decision
 	// reserved is the memory reserved for bodies of responses, in bytes.
 	reserved int64
 	// errorResponse is the latest 5xx response to a retryable request. It is forwarded if no further attempt succeeds.
@@ -91,7 +91,7 @@
 	defer cancel()
 	defer func() { x.handler.bodies.used.Add(-x.reserved) }()
 	for {
-		if x.verdict = x.judge(); x.verdict.Blocked() {
+		if x.decision = x.checkQuarantine(); x.decision.Blocked() {
 			x.giveUp(ctx, errQuarantined)
 			return
 		}
@@ -113,12 +113,12 @@
 	}
 }
 
-// judge returns the verdict of the quarantine on the request. A trial stays one until it has been sent.
-func (x *exchange) judge() quarantine.Verdict {
-	if x.verdict.Trial() {
-		return x.verdict
+// checkQuarantine returns the decision of the quarantine on the request. A probe stays one until it has been sent.
+func (x *exchange) checkQuarantine() quarantine.Decision {
+	if x.decision.Probe() {
+		return x.decision
 	}
-	return x.handler.options.Quarantine.Judge(x.caller.SharedParts)
+	return x.handler.options.Quarantine.Check(x.caller.SharedParts)
 }
 
 // pickTarget chooses a service at random in proportion to the weights of targets, the first if all weights are 0.
@@ -160,7 +160,7 @@
 	if err != nil {
 		return choice, err
 	}
-	if x.verdict = x.judge(); x.verdict.Blocked() {
+	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
 		choice.Release()
 		return choice, errQuarantined
 	}
@@ -246,7 +246,7 @@
 // long if no upstream serves the request.
 func (x *exchange) retryAfter(err error) time.Duration {
 	if errors.Is(err, errQuarantined) {
-		return x.verdict.Left
+		return x.decision.Left
 	}
 	if errors.Is(err, placement.ErrNoUpstream) {
 		return fraction(max(busyRetryAfter, time.Until(x.deadline)), noUpstreamRetryFraction)
--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -89,7 +89,7 @@
 		added = q.mergeQuarantined(s, now) || added
 	}
 	if added {
-		q.convict(now)
+		q.quarantineSuspects(now)
 		q.notify()
 	}
 }
@@ -103,7 +103,7 @@
 	}
 	for _, p := range considered(c.Parts) {
 		if q.isSound(p, now) {
-			q.clear(p, q.sound[p])
+			q.announceSound(p, q.sound[p])
 			continue
 		}
 		r.parts = append(r.parts, p)
@@ -117,7 +117,7 @@
 		return false
 	}
 	if q.isSound(in.Part, now) {
-		q.clear(in.Part, q.sound[in.Part])
+		q.announceSound(in.Part, q.sound[in.Part])
 		return false
 	}
 	until := now.Add(min(age(in.LeftMilliseconds), 2*maxQuarantine))
@@ -126,13 +126,13 @@
 		if len(q.quarantined) >= maxQuarantined {
 			return false
 		}
-		q.quarantined[in.Part] = &sentence{until: until, count: in.Count}
+		q.quarantined[in.Part] = &period{until: until, count: in.Count}
 		q.publish()
 		q.options.Log.Warn().Str("Part", in.Part).Time("Until", until).Msg("part quarantined by another process")
 		return true
 	}
 	if in.Count > known.count {
-		*known = sentence{until: until, count: in.Count}
+		*known = period{until: until, count: in.Count}
 		q.publish()
 		return true
 	}
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -55,10 +55,10 @@
 	options  Options
 	refusals *metrics.Counter
 	started  time.Time
-	// blocked maps the parts in quarantine to the end of their quarantine. It is replaced at each change, so that Judge
+	// blocked maps the parts in quarantine to the end of their quarantine. It is replaced at each change, so that Check
 	// needs no lock.
 	blocked atomic.Pointer[map[string]time.Time]
-	// settled is true once the parts that were suspected during settleTime have been judged.
+	// settled is true once the parts that were suspected during settleTime have been counted.
 	settled atomic.Bool
 
 	mu sync.Mutex
@@ -68,7 +68,7 @@
 	sound map[string]time.Time
 	// cleared maps parts that other processes suspect to the time of the last complete response seen here.
 	cleared     map[string]time.Time
-	quarantined map[string]*sentence
+	quarantined map[string]*period
 	// changed is closed when there is something new to tell other processes.
 	changed chan struct{}
 }
@@ -81,8 +81,8 @@
 	at    time.Time
 }
 
-// sentence is the quarantine of one part.
-type sentence struct {
+// period is the current quarantine of one part.
+type period struct {
 	until time.Time
 	// count is the number of quarantines of the part in a row.
 	count int
@@ -96,7 +96,7 @@
 		refusals:    o.Metrics.NewCounter("oriolehub_quarantine_refusals_total"),
 		sound:       map[string]time.Time{},
 		cleared:     map[string]time.Time{},
-		quarantined: map[string]*sentence{},
+		quarantined: map[string]*period{},
 		changed:     make(chan struct{}),
 	}
 	q.publish()
@@ -106,7 +106,7 @@
 	return q
 }
 
-// publish makes the parts in quarantine visible to Judge.
+// publish makes the parts in quarantine visible to Check.
 func (q *Quarantine) publish() {
 	blocked := make(map[string]time.Time, len(q.quarantined))
 	for part, s := range q.quarantined {
@@ -115,45 +115,45 @@
 	q.blocked.Store(&blocked)
 }
 
-// Verdict tells whether a request may be sent.
-type Verdict struct {
+// Decision tells whether a request may be sent.
+type Decision struct {
 	// Part is the quarantined part of the request, empty if it has none.
 	Part string
-	// Left is the time until the quarantine ends, 0 if the request is let through as a trial.
+	// Left is the time until the quarantine ends, 0 if the request is let through as a probe.
 	Left time.Duration
 }
 
 // Blocked reports whether the request must not be sent.
-func (v Verdict) Blocked() bool { return v.Left > 0 }
+func (v Decision) Blocked() bool { return v.Left > 0 }
 
-// Trial reports whether the request is sent to find out whether its part still crashes upstreams.
-func (v Verdict) Trial() bool { return v.Part != "" && v.Left == 0 }
+// Probe reports whether the request is sent to find out whether its part still crashes upstreams.
+func (v Decision) Probe() bool { return v.Part != "" && v.Left == 0 }
 
-// Judge returns the verdict on a request with the given parts. Once the quarantine of a part has ended, one request is
-// let through as a trial, and the quarantine starts anew for twice the time unless the trial gets a complete response.
-func (q *Quarantine) Judge(parts []string) Verdict {
+// Check returns the decision on a request with the given parts. Once the quarantine of a part has ended, one request is
+// let through as a probe, and the quarantine starts anew for twice the time unless the probe gets a complete response.
+func (q *Quarantine) Check(parts []string) Decision {
 	now := time.Now()
 	if !q.settled.Load() && now.Sub(q.started) >= settleTime {
 		q.settle(now)
 	}
 	blocked := *q.blocked.Load()
 	if len(blocked) == 0 {
-		return Verdict{}
+		return Decision{}
 	}
 	ended := ""
 	for _, p := range considered(parts) {
 		until, ok := blocked[p]
 		if ok && now.Before(until) {
-			return Verdict{Part: p, Left: until.Sub(now)}
+			return Decision{Part: p, Left: until.Sub(now)}
 		}
 		if ok {
 			ended = p
 		}
 	}
 	if ended == "" {
-		return Verdict{}
+		return Decision{}
 	}
-	return q.startTrial(ended, now)
+	return q.startProbe(ended, now)
 }
 
 // settle quarantines the parts that were suspected during settleTime.
@@ -161,32 +161,32 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.settled.Store(true)
-	q.convict(now)
+	q.quarantineSuspects(now)
 }
 
-// startTrial lets a request through and starts the next quarantine of its part, unless another request has just done so.
-func (q *Quarantine) startTrial(part string, now time.Time) Verdict {
+// startProbe lets a request through and starts the next quarantine of its part, unless another request has just done so.
+func (q *Quarantine) startProbe(part string, now time.Time) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.quarantined[part]
 	if s == nil {
-		return Verdict{}
+		return Decision{}
 	}
 	if now.Before(s.until) {
-		return Verdict{Part: part, Left: s.until.Sub(now)}
+		return Decision{Part: part, Left: s.until.Sub(now)}
 	}
 	q.extend(s, now)
 	q.publish()
 	q.options.Log.Info().Str("Part", part).Int("Quarantines", s.count).Msg("quarantine ended, letting one request through")
-	return Verdict{Part: part}
+	return Decision{Part: part}
 }
 
-// Refused counts a request that was not sent because of its verdict.
+// Refused counts a request that was not sent because of its decision.
 func (q *Quarantine) Refused() { q.refusals.Inc() }
 
-// extend starts the next quarantine. Its duration is random, so that processes let trials through at
+// extend starts the next quarantine. Its duration is random, so that processes let probes through at
 // different times and the crash of one extends the quarantine at the others.
-func (q *Quarantine) extend(s *sentence, now time.Time) {
+func (q *Quarantine) extend(s *period, now time.Time) {
 	d := min(maxQuarantine, firstQuarantine<<min(s.count, 8))
 	s.count++
 	s.until = now.Add(d + rand.N(d/2))
@@ -208,7 +208,7 @@
 	suspected := slices.DeleteFunc(slices.Clone(considered(parts)), func(p string) bool { return q.isSound(p, now) })
 	if q.add(record{upstream: upstream, parts: suspected, at: now}, now) {
 		q.options.Log.Warn().Str("Upstream", upstream.Id).Strs("Parts", suspected).Msg("upstream lost under a request with parts that no upstream has answered")
-		q.convict(now)
+		q.quarantineSuspects(now)
 		q.notify()
 	}
 }
@@ -240,8 +240,8 @@
 		q.publish()
 		q.options.Log.Info().Str("Part", part).Msg("part answered completely, quarantine lifted")
 	}
-	q.withdraw(part)
-	q.clear(part, at)
+	q.removeSuspicion(part)
+	q.announceSound(part, at)
 }
 
 // dropSound makes room in sound: it removes the expired parts, or any parts if none has expired.
@@ -259,8 +259,8 @@
 	}
 }
 
-// clear tells other processes that a part is sound.
-func (q *Quarantine) clear(part string, at time.Time) {
+// announceSound tells other processes that a part is sound.
+func (q *Quarantine) announceSound(part string, at time.Time) {
 	_, known := q.cleared[part]
 	if known || len(q.cleared) < maxQuarantined {
 		q.cleared[part] = at
@@ -279,8 +279,8 @@
 	return slices.ContainsFunc(q.records, func(r record) bool { return slices.Contains(r.parts, part) })
 }
 
-// withdraw removes a part from the suspected parts of all records.
-func (q *Quarantine) withdraw(part string) {
+// removeSuspicion removes a part from the suspected parts of all records.
+func (q *Quarantine) removeSuspicion(part string) {
 	for i := range q.records {
 		q.records[i].parts = slices.DeleteFunc(q.records[i].parts, func(p string) bool { return p == part })
 	}
@@ -321,14 +321,14 @@
 	}
 }
 
-// convict quarantines the parts under which enough upstreams have crashed, unless the process has just started.
-func (q *Quarantine) convict(now time.Time) {
+// quarantineSuspects quarantines the parts under which enough upstreams have crashed, unless the process has just started.
+func (q *Quarantine) quarantineSuspects(now time.Time) {
 	for now.Sub(q.started) >= settleTime && len(q.quarantined) < maxQuarantined {
-		part, upstreams := q.worst()
+		part, upstreams := q.mostCrashes()
 		if upstreams < minCrashes {
 			return
 		}
-		s := &sentence{}
+		s := &period{}
 		q.extend(s, now)
 		q.quarantined[part] = s
 		q.publish()
@@ -336,9 +336,9 @@
 	}
 }
 
-// worst returns the suspected part with the most upstreams that crashed under requests without a quarantined part. Of
+// mostCrashes returns the suspected part with the most upstreams that crashed under requests without a quarantined part. Of
 // parts with the same number, it returns the one that is last in its prompt.
-func (q *Quarantine) worst() (part string, upstreams int) {
+func (q *Quarantine) mostCrashes() (part string, upstreams int) {
 	crashed := map[string]map[directory.Key]bool{}
 	position := map[string]int{}
 	for _, r := range q.records {
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -48,10 +48,10 @@
 		q := newQuarantine()
 		crash(q, 2, "first", "deadly")
 		crash(q, 2, "first", "deadly")
-		assert.Assert(t, !q.Judge([]string{"first", "deadly"}).Blocked())
+		assert.Assert(t, !q.Check([]string{"first", "deadly"}).Blocked())
 		crash(q, 3, "first", "deadly")
-		assert.Equal(t, q.Judge([]string{"other", "deadly", "more"}).Part, "deadly")
-		assert.Assert(t, q.Judge([]string{"other", "deadly", "more"}).Blocked())
+		assert.Equal(t, q.Check([]string{"other", "deadly", "more"}).Part, "deadly")
+		assert.Assert(t, q.Check([]string{"other", "deadly", "more"}).Blocked())
 	})
 }
 
@@ -71,7 +71,7 @@
 				tc.observe(q)
 				crash(q, 9, "first", "deadly")
 				assert.DeepEqual(t, q.Parts(), []string{"deadly"})
-				assert.Assert(t, !q.Judge([]string{"first"}).Blocked())
+				assert.Assert(t, !q.Check([]string{"first"}).Blocked())
 			})
 		})
 	}
@@ -90,21 +90,21 @@
 }
 
 // Guards against a part that stays refused although upstreams answer it again, and against one that is let through often.
-func TestQuarantineEndsWithATrial(t *testing.T) {
+func TestQuarantineEndsWithAProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuarantine()
 		crash(q, 3, "deadly")
 		time.Sleep(50 * time.Second)
-		assert.Assert(t, q.Judge([]string{"deadly"}).Blocked())
+		assert.Assert(t, q.Check([]string{"deadly"}).Blocked())
 		time.Sleep(45 * time.Second)
-		assert.Assert(t, q.Judge([]string{"deadly"}).Trial())
-		assert.Assert(t, q.Judge([]string{"deadly"}).Blocked())
+		assert.Assert(t, q.Check([]string{"deadly"}).Probe())
+		assert.Assert(t, q.Check([]string{"deadly"}).Blocked())
 		time.Sleep(100 * time.Second)
-		assert.Assert(t, q.Judge([]string{"deadly"}).Blocked())
+		assert.Assert(t, q.Check([]string{"deadly"}).Blocked())
 		time.Sleep(85 * time.Second)
-		assert.Assert(t, q.Judge([]string{"deadly"}).Trial())
+		assert.Assert(t, q.Check([]string{"deadly"}).Probe())
 		q.Completed([]string{"deadly"})
-		assert.Equal(t, q.Judge([]string{"deadly"}), quarantine.Verdict{})
+		assert.Equal(t, q.Check([]string{"deadly"}), quarantine.Decision{})
 		assert.Equal(t, len(q.Parts()), 0)
 	})
 }
@@ -118,10 +118,10 @@
 		c.Crashed(upstream(3), []string{"deadly"})
 		tell(a, b)
 		tell(b, c)
-		assert.Assert(t, c.Judge([]string{"deadly"}).Blocked())
+		assert.Assert(t, c.Check([]string{"deadly"}).Blocked())
 		restarted := startQuarantine()
 		tell(c, restarted)
-		assert.Assert(t, restarted.Judge([]string{"deadly"}).Blocked())
+		assert.Assert(t, restarted.Check([]string{"deadly"}).Blocked())
 	})
 }
 
@@ -131,11 +131,11 @@
 		old, started := newQuarantine(), newQuarantine()
 		old.Completed([]string{"first"})
 		crash(started, 3, "first")
-		assert.Assert(t, started.Judge([]string{"first"}).Blocked())
+		assert.Assert(t, started.Check([]string{"first"}).Blocked())
 		tell(started, old)
-		assert.Assert(t, !old.Judge([]string{"first"}).Blocked())
+		assert.Assert(t, !old.Check([]string{"first"}).Blocked())
 		tell(old, started)
-		assert.Assert(t, !started.Judge([]string{"first"}).Blocked())
+		assert.Assert(t, !started.Check([]string{"first"}).Blocked())
 	})
 }
 
@@ -161,10 +161,10 @@
 		q := startQuarantine()
 		crash(q, 9, "shared")
 		crash(q, 9, "shared", "deadly")
-		assert.Assert(t, !q.Judge([]string{"shared", "deadly"}).Blocked())
+		assert.Assert(t, !q.Check([]string{"shared", "deadly"}).Blocked())
 		q.Completed([]string{"shared"})
 		time.Sleep(settleTime)
-		assert.Assert(t, !q.Judge([]string{"shared"}).Blocked())
-		assert.Assert(t, q.Judge([]string{"shared", "deadly"}).Blocked())
+		assert.Assert(t, !q.Check([]string{"shared"}).Blocked())
+		assert.Assert(t, q.Check([]string{"shared", "deadly"}).Blocked())
 	})
 }
