--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -193,8 +193,7 @@
 	assert.NilError(t, <-done)
 }
 
-// Guards against entry processes that each learn of a part by crashes of their own, and against a restarted one that
-// has to learn it again.
+// Guards against entry processes that each learn of a deadly part by crashes of their own.
 func TestPartThatCrashesEnginesIsRefusedByAllEntries(t *testing.T) {
 	const deadly = "bad"
 	f := startTestFleet(t, 5, 0)
