route/quarantine: limit the figures of received notices

What would have been seen: a datagram with a negative count ended each process that received it, as soon as that quarantine ended; a huge age gave a crash a time to come, so that it never expired. Evidence: TestSenselessNoticesDoNoHarm panicked before (negative shift amount). Why it works: counts are between 1 and 16, ages between 0 and an hour. A sound part that finds no place among those announced no longer causes notices.

--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -9,6 +9,13 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
+const (
+	// maxAge limits the times in received notices.
+	maxAge = time.Hour
+	// maxCount limits the number of quarantines in received notices.
+	maxCount = 16
+)
+
 // maxPerNotice is the number of items of each kind in one notice, so that it fits into a datagram.
 const maxPerNotice = 4
 
@@ -120,19 +127,20 @@
 		q.announceSound(in.Part, q.sound[in.Part])
 		return false
 	}
+	count := max(1, min(in.Count, maxCount))
 	until := now.Add(min(age(in.LeftMilliseconds), 2*maxQuarantine))
 	known := q.quarantined[in.Part]
 	if known == nil {
 		if len(q.quarantined) >= maxQuarantined {
 			return false
 		}
-		q.quarantined[in.Part] = &period{until: until, count: in.Count}
+		q.quarantined[in.Part] = &period{until: until, count: count}
 		q.publish()
 		q.options.Log.Warn().Str("Part", in.Part).Time("Until", until).Msg("part quarantined by another process")
 		return true
 	}
-	if in.Count > known.count {
-		*known = period{until: until, count: in.Count}
+	if count > known.count {
+		*known = period{until: until, count: count}
 		q.publish()
 		return true
 	}
@@ -146,6 +154,7 @@
 	return slices.Sorted(maps.Keys(q.quarantined))
 }
 
+// age returns the duration of a time in a received notice, between 0 and maxAge.
 func age(milliseconds int64) time.Duration {
-	return time.Duration(max(0, milliseconds)) * time.Millisecond
+	return time.Duration(max(0, min(milliseconds, maxAge.Milliseconds()))) * time.Millisecond
 }
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -262,9 +262,10 @@
 // announceSound tells other processes that a part is sound.
 func (q *Quarantine) announceSound(part string, at time.Time) {
 	_, known := q.cleared[part]
-	if known || len(q.cleared) < maxQuarantined {
-		q.cleared[part] = at
+	if !known && len(q.cleared) >= maxQuarantined {
+		return
 	}
+	q.cleared[part] = at
 	if !known {
 		q.notify()
 	}
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -155,6 +155,28 @@
 	})
 }
 
+// Guards against notices with senseless figures that end the process or stay for ever.
+func TestSenselessNoticesDoNoHarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		for _, n := range []int64{-1 << 63, -1, 0, 1 << 62, 1<<63 - 1} {
+			q.Merge(hub.QuarantineNotice{
+				Crashes:     []hub.UpstreamCrash{{Upstream: "u", Parts: []string{"a"}, AgeMilliseconds: n}, {AgeMilliseconds: n}},
+				Quarantined: []hub.QuarantinedPart{{Part: fmt.Sprint("p", n), LeftMilliseconds: n, Count: int(n)}, {}},
+				Sound:       []hub.SoundPart{{Part: "s", AgeMilliseconds: n}, {}},
+			})
+			time.Sleep(time.Minute)
+			q.Check([]string{fmt.Sprint("p", n)})
+		}
+		time.Sleep(25 * time.Minute)
+		for _, part := range q.Parts() {
+			q.Check([]string{part})
+		}
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, len(q.Notices()), 0)
+	})
+}
+
 // Guards against processes that restart while many upstreams crash and refuse the parts that most requests share.
 func TestNothingIsQuarantinedBeforeSoundPartsAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
