process/node: news for the quarantine between two notices is not missed

The channel of changes was taken after the notices had been sent, so that a change between the two waited for the next repetition, up to 0.6 s. It is taken before.

--- a/internal/process/node/notices.go
+++ b/internal/process/node/notices.go
@@ -27,8 +27,12 @@
 // shareNotices tells other processes what the quarantine knows until ctx is done: entry processes at once when there is
 // news, all processes periodically.
 func (n *node) shareNotices(ctx context.Context) {
+	var news <-chan struct{}
 	for ctx.Err() == nil {
-		entries := n.waitNews(ctx)
+		entries := n.waitNews(ctx, news)
+		if n.role == hub.RoleEntry {
+			news = n.quarantine.Changed()
+		}
 		notices := n.quarantine.Notices()
 		if len(notices) == 0 || ctx.Err() != nil {
 			continue
@@ -45,14 +49,11 @@
 // QuarantinedParts returns the number of parts of prompts in quarantine.
 func (n *node) QuarantinedParts() int { return len(n.quarantine.Parts()) }
 
-// waitNews waits for the next time to send notices and returns the number of entry processes that receive them.
-func (n *node) waitNews(ctx context.Context) int {
+// waitNews waits until news is closed or a repetition is due, and returns the number of entry processes that receive the
+// notices.
+func (n *node) waitNews(ctx context.Context, news <-chan struct{}) int {
 	timer := time.NewTimer(noticeInterval/2 + rand.N(noticeInterval))
 	defer timer.Stop()
-	var news <-chan struct{}
-	if n.role == hub.RoleEntry {
-		news = n.quarantine.Changed()
-	}
 	select {
 	case <-news:
 		_ = hub.Sleep(ctx, noticeDelay)
