state/catalog: limit the kept deltas of a document

Every revision that another process named left an entry, whole values included, until the document changed: memory that grows with what others send. Deltas only now, 64 at most. Found on reading.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -12,6 +12,9 @@
 	"github.com/oriolehub/oriolehub/internal/state/listing"
 )
 
+// maxCachedDeltas is the number of deltas to the current revision of a document that are kept.
+const maxCachedDeltas = 64
+
 // maxBaseRevisions is the number of earlier revisions of a document that are kept as bases for deltas.
 const maxBaseRevisions = 4
 
@@ -71,7 +74,7 @@
 	earlier []hub.Document
 	// list is the history of a document that is a list.
 	list listing.History
-	// deltas caches the encodings of the current revision, by what they are based on.
+	// deltas caches up to maxCachedDeltas deltas to the current revision, by what they are based on.
 	deltas map[deltaKey]Encoding
 	// inconsistent is true if changes received from another process did not fit the current revision.
 	inconsistent bool
@@ -171,6 +174,8 @@
 	e, ok := h.deltas[key]
 	if !ok {
 		e = h.encode(base, entries)
+	}
+	if !ok && e.Base != 0 && len(h.deltas) < maxCachedDeltas {
 		h.deltas[key] = e
 	}
 	return e
