route/dispatch: a request that may have run is never refused as not run

What callers saw: 503 not-run for an idempotent request whose first attempt may have run, when no upstream had room for its retry, its rule was gone, or every further upstream refused it. Cause: only the last attempt decided. Evidence: TestRefusalAfterAnAttemptThatMayHaveRunIsUnknown failed before (not-run for unknown). Why it works: attempts that may have run are counted, and a refusal after one says unknown. A request whose rule stops calling it idempotent meanwhile is not sent again.

--- a/internal/route/dispatch/claim.go
+++ b/internal/route/dispatch/claim.go
@@ -67,8 +67,12 @@
 	s.claim = nil
 }
 
-// refuse responds that the request has not run. It first releases the claim, so that the caller may use the key again.
+// refuse responds that the request has not run, or that this is unknown if an attempt may have run. It first releases the claim, so that the caller may use the key again.
 func (s *requestState) refuse(status int, reason string, retryAfter time.Duration) call.Outcome {
+	if s.runs > 0 {
+		respondUnknown(s.writer, s.request.id, reason)
+		return call.Unknown
+	}
 	s.releaseClaim()
 	refuse(s.writer, s.request.id, status, reason, retryAfter)
 	return call.NotRun
--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -148,7 +148,9 @@
 	// deadline is the time until which the request waits for an upstream with free capacity.
 	deadline time.Time
 	// attempts is the number of attempts made.
-	attempts   int
+	attempts int
+	// runs is the number of attempts that may have run and whose response is lost.
+	runs       int
 	idempotent bool
 	// lastReason is the reason for which the last attempt or the queue rejected the request.
 	lastReason string
@@ -176,6 +178,9 @@
 			return s.refuseUnknownGroup(t)
 		}
 		s.idempotent = g.Rule.IsIdempotent(s.request.method, s.request.path)
+		if s.runs > 0 && !s.idempotent {
+			return s.refuse(http.StatusServiceUnavailable, s.lastReason, 0)
+		}
 		u := s.nextUpstream(ctx, t, g)
 		if u == nil {
 			return s.refuseNoCapacity(g)
@@ -345,6 +350,9 @@
 		return true, call.Answered
 	case call.NotRun:
 		s.avoid(u, r)
+		if ctx.Err() != nil && s.runs > 0 {
+			return true, call.Unknown
+		}
 		if ctx.Err() != nil {
 			s.releaseClaim()
 			return true, call.NotRun
@@ -355,6 +363,7 @@
 		return false, call.NotRun
 	case call.Unknown:
 		u.ObserveFailure()
+		s.runs++
 		if s.idempotent && ctx.Err() == nil && s.dispatcher.retries.withdraw() {
 			s.dispatcher.counters.retried.Inc()
 			return false, call.Unknown
--- /dev/null
+++ b/internal/route/dispatch/result_test.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/route/table"
+)
+
+// withTestState returns the state of an idempotent request and the recorder of its response. The retry budget is full.
+func withTestState(t *testing.T) (*requestState, *httptest.ResponseRecorder) {
+	t.Helper()
+	d := New(Options{Metrics: metrics.NewSet()})
+	for range 1000 {
+		d.retries.deposit()
+	}
+	w := httptest.NewRecorder()
+	return &requestState{dispatcher: d, writer: w, request: &request{id: "r"}, deadline: time.Now().Add(time.Hour), idempotent: true}, w
+}
+
+// Guards against a refusal as not run although an earlier attempt of the request may have run.
+func TestRefusalAfterAnAttemptThatMayHaveRunIsUnknown(t *testing.T) {
+	s, w := withTestState(t)
+	done, _ := s.handleResult(t.Context(), &table.Upstream{}, call.Result{Outcome: call.Unknown})
+	assert.Assert(t, !done)
+	assert.Equal(t, s.refuseNoCapacity(&table.Group{}), call.Unknown)
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Equal(t, w.Header().Get(HeaderOutcome), "unknown")
+}
