--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -35,6 +35,9 @@
 	// maxUnqueuedAttempts is the number of attempts that a request may make without queuing. Before each further
 	// attempt, it joins the end of the queue.
 	maxUnqueuedAttempts = 3
+	// maxRuns is the number of attempts of an idempotent request that may run. A request whose upstreams are lost may be
+	// the reason for that.
+	maxRuns = 2
 	// refusalBackoff is the time for which an upstream is avoided after it has refused a request for
 	// a reason other than its concurrency limit.
 	refusalBackoff = 500 * time.Millisecond
@@ -364,7 +367,7 @@
 	case call.Unknown:
 		u.ObserveFailure()
 		s.runs++
-		if s.idempotent && ctx.Err() == nil && s.dispatcher.retries.withdraw() {
+		if s.idempotent && s.runs < maxRuns && ctx.Err() == nil && s.dispatcher.retries.withdraw() {
 			s.dispatcher.counters.retried.Inc()
 			return false, call.Unknown
 		}
--- a/internal/route/dispatch/result_test.go
+++ b/internal/route/dispatch/result_test.go
@@ -33,3 +33,18 @@
 	assert.Equal(t, w.Code, http.StatusBadGateway)
 	assert.Equal(t, w.Header().Get(HeaderOutcome), "unknown")
 }
+
+// Guards against a request that crashes one upstream after the other as long as the retry budget lasts.
+func TestRequestThatLosesItsUpstreamsIsRetriedOnce(t *testing.T) {
+	s, _ := withTestState(t)
+	runs := 1
+	for {
+		done, outcome := s.handleResult(t.Context(), &table.Upstream{}, call.Result{Outcome: call.Unknown})
+		if done {
+			assert.Equal(t, outcome, call.Unknown)
+			break
+		}
+		runs++
+	}
+	assert.Equal(t, runs, 2)
+}
