--- /dev/null
+++ b/internal/upstream/attempt/outside_test.go
@@ -0,0 +1,42 @@
+package attempt
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// Guards against a head without end that fills the memory of the side process.
+func TestHeadWithoutEndEndsTheAttempt(t *testing.T) {
+	const enough = 9 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	var written atomic.Int64
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for line := "A: " + strings.Repeat("b", 1000) + "\r\n"; err == nil; written.Add(int64(len(line))) {
+			_, err = io.WriteString(c, line)
+		}
+	}()
+	base, err := url.Parse("http://" + listener.Addr().String())
+	assert.NilError(t, err)
+	a := newAttempt("a", "r", true, func(error) {})
+	NewRunner(base, false, func(int) {}).Run(t.Context(), a, &message.RunRequest{Method: http.MethodGet, Target: "/", Idempotent: true})
+	assert.Equal(t, a.State(), StateBroken)
+	assert.Assert(t, written.Load() < enough, "%d bytes", written.Load())
+}
--- a/internal/upstream/attempt/runner.go
+++ b/internal/upstream/attempt/runner.go
@@ -21,6 +21,8 @@
 	connectTimeout = 2 * time.Second
 	// readBufferBytes is the size of the buffer for reads from the upstream.
 	readBufferBytes = 16 << 10
+	// maxHeadBytes limits the header of a response.
+	maxHeadBytes = 256 << 10
 )
 
 // errWrongWeights means that the response was not produced by the weights with the attempt's root digest.
@@ -54,6 +56,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerUpstream,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
