upstream/attempt: an offset beyond the response is an error

An offset above the largest signed number became a negative one and ended the side process with a panic. It is checked before it is converted; TestOffsetBeyondTheResponseIsAnError. Found on reading every reader of bytes from outside.

--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -177,8 +177,11 @@
 
 // Send passes the response to send as frames, starting at the given offset of the body and preceded by the status and
 // header unless headSeen is set. It returns when the response ends, ctx is done or send fails.
-func (a *Attempt) Send(ctx context.Context, offset int, headSeen bool, send func(*message.AnswerFrame) error) error {
-	r := &reader{offset: offset}
+func (a *Attempt) Send(ctx context.Context, offset uint64, headSeen bool, send func(*message.AnswerFrame) error) error {
+	if offset > maxResponseBytes {
+		return fmt.Errorf("offset %d exceeds the limit of an answer, %d bytes", offset, maxResponseBytes)
+	}
+	r := &reader{offset: int(offset)}
 	a.attach(r)
 	defer a.detach(r)
 	for {
--- a/internal/upstream/attempt/outside_test.go
+++ b/internal/upstream/attempt/outside_test.go
@@ -1,7 +1,9 @@
 package attempt
 
 import (
+	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -40,3 +42,14 @@
 	assert.Equal(t, a.State(), StateBroken)
 	assert.Assert(t, written.Load() < enough, "%d bytes", written.Load())
 }
+
+// Guards against an offset from another process that is taken for a negative one and ends the process.
+func TestOffsetBeyondTheResponseIsAnError(t *testing.T) {
+	for _, offset := range []uint64{3, math.MaxInt64, math.MaxInt64 + 1, math.MaxUint64} {
+		a := newAttempt("a", "r", true, func(error) {})
+		assert.NilError(t, a.SetHead(200, nil))
+		assert.NilError(t, a.Append(context.Background(), []byte("ab")))
+		assert.NilError(t, a.End())
+		assert.Assert(t, a.Send(t.Context(), offset, true, func(*message.AnswerFrame) error { return nil }) != nil)
+	}
+}
--- a/internal/upstream/attempt/server.go
+++ b/internal/upstream/attempt/server.go
@@ -130,7 +130,7 @@
 	a, ran := s.ledger.FindOrReject(r.GetAttemptId())
 	switch {
 	case a != nil:
-		return a.Send(stream.Context(), int(r.GetOffset()), r.GetHeadSeen(), stream.Send)
+		return a.Send(stream.Context(), r.GetOffset(), r.GetHeadSeen(), stream.Send)
 	case ran:
 		return stream.Send(broken(r.GetAttemptId(), "the answer is no longer kept"))
 	default:
