route/quarantine: identify a part by a short key with its service

Found on reading, three faults with one cause, the part's own text as its identity: - a part quarantined for one service was refused for others, whose engines answer it; - parts of over 64 bytes, and those before the last eight, were passed over, so that a caller could hide a deadly one; - four crashes with long parts made a datagram of over 1,400 bytes, which receivers can't read. Why it works: a key is SERVICE/PART or a hash, 48 bytes at most and without characters that JSON escapes; a crash records up to eight suspected parts, those suspected already first; a notice has items of one kind, few enough for a datagram.

--- a/internal/hub/quarantine.go
+++ b/internal/hub/quarantine.go
@@ -1,6 +1,6 @@
 package hub
 
-// QuarantineNotice tells other processes which parts of prompts crash upstreams. Times are ages, because the clocks of
+// QuarantineNotice tells other processes which parts of prompts crash upstreams. Parts are given by their keys. Times are ages, because the clocks of
 // processes differ.
 type QuarantineNotice struct {
 	Crashes     []UpstreamCrash   `json:",omitempty"`
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -113,8 +113,8 @@
 	return b.Bytes()
 }
 
-// readHeader reads the header of the response to call, up to maxHeadBytes. It discards late responses to earlier calls; the connection is
-// not reused after one.
+// readHeader reads the header of the response to call, up to maxHeadBytes. It discards late responses to earlier calls;
+// the connection is not reused after one.
 func (r *Response) readHeader(call *Call) error {
 	r.conn.limit.left = maxHeadBytes
 	defer func() { r.conn.limit.left = noLimit }()
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -145,7 +145,7 @@
 		c.Load.Succeeded()
 	}
 	if success && !response.CloseDelimited {
-		x.handler.options.Quarantine.Completed(x.caller.SharedParts)
+		x.handler.options.Quarantine.Completed(x.parts)
 	}
 	x.writeResponse(buffered)
 	return nil
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -15,18 +15,18 @@
 const crashProbeDelay = 20 * time.Millisecond
 
 // reportCrash reports an attempt to the quarantine if its connection was lost because the upstream has crashed. An
-// upstream that cuts a response but accepts connections is in service. For requests with suspected parts this takes
-// time, so that a part is in quarantine before the request is sent to another upstream.
+// upstream that cuts a response but accepts connections is in service. It returns when that is known, so that a part is
+// in quarantine before the request is sent to another upstream; requests whose parts are all sound do not wait.
 func (x *exchange) reportCrash(c *placement.Choice, err error) {
 	o := &x.handler.options
-	if !connectionLost(err) || !o.Quarantine.Suspects(x.caller.SharedParts) {
+	if !connectionLost(err) || !o.Quarantine.Suspects(x.parts) {
 		return
 	}
 	// The caller may leave meanwhile, but the upstream has crashed all the same.
 	ctx := context.WithoutCancel(x.r.Context())
 	_ = hub.Sleep(ctx, crashProbeDelay)
 	if o.Pool.Probe(ctx, c.Upstream.Address) != nil {
-		o.Quarantine.Crashed(c.Upstream.Key(), x.caller.SharedParts)
+		o.Quarantine.Crashed(c.Upstream.Key(), x.parts)
 	}
 }
 
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -75,7 +75,9 @@
 	tried []directory.Key
 	// relay is the state of the response stream, nil until the first event has been forwarded.
 	relay *relay
-	// decision is that of the quarantine on the request.
+	// parts are the keys under which the quarantine knows the shared parts of the prompt.
+	parts []string
+	// decision is the decision of the quarantine whether the request may be sent.
 	decision quarantine.Decision
 	// reserved is the memory reserved for bodies of responses, in bytes.
 	reserved int64
@@ -86,6 +88,7 @@
 // run makes attempts until the caller has received a response or no further attempt is allowed.
 func (x *exchange) run() {
 	x.service = pickTarget(x.route.Targets)
+	x.parts = quarantine.Keys(x.service, x.caller.SharedParts)
 	x.handler.options.RetryBudget.CountRequest(x.service)
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimedOut)
 	defer cancel()
@@ -113,12 +116,13 @@
 	}
 }
 
-// checkQuarantine returns the decision of the quarantine on the request. A probe stays one until it has been sent.
+// checkQuarantine returns the decision of the quarantine whether the request may be sent. A request that is a probe stays
+// one until it has been sent.
 func (x *exchange) checkQuarantine() quarantine.Decision {
 	if x.decision.Probe() {
 		return x.decision
 	}
-	return x.handler.options.Quarantine.Check(x.caller.SharedParts)
+	return x.handler.options.Quarantine.Check(x.parts)
 }
 
 // pickTarget chooses a service at random in proportion to the weights of targets, the first if all weights are 0.
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -19,8 +19,8 @@
 	// which a stream is resumed at another upstream.
 	stallTimeoutFactor = 3
 	minStallTimeout    = 700 * time.Millisecond
-	// maxEventsBeforeCrash is the number of events of a stream after which a lost connection is not put down to the
-	// request: an upstream that crashes under a request does so when it begins to answer it.
+	// maxEventsBeforeCrash is the number of events of a stream after which a lost connection is not attributed to
+	// the request: an upstream that crashes under a request does so when it begins to answer it.
 	maxEventsBeforeCrash = 1
 )
 
@@ -52,7 +52,7 @@
 		if err == io.EOF && x.relay != nil {
 			c.Load.Succeeded()
 			if !response.CloseDelimited {
-				x.handler.options.Quarantine.Completed(x.caller.SharedParts)
+				x.handler.options.Quarantine.Completed(x.parts)
 			}
 			x.finish("answered", http.StatusOK, "")
 			return nil
--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -16,8 +16,13 @@
 	maxCount = 16
 )
 
-// maxPerNotice is the number of items of each kind in one notice, so that it fits into a datagram.
-const maxPerNotice = 4
+const (
+	// maxCrashesPerNotice and maxPartsPerNotice are the numbers of items in one notice, so that it fits into a datagram.
+	maxCrashesPerNotice = 2
+	maxPartsPerNotice   = 8
+	// maxUpstreamIdBytes is the maximum length of the ID of an upstream in a notice.
+	maxUpstreamIdBytes = 64
+)
 
 // Changed returns a channel that is closed when the quarantine has something new to tell other processes.
 func (q *Quarantine) Changed() <-chan struct{} {
@@ -37,42 +42,34 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	q.expire(now)
-	var all hub.QuarantineNotice
-	for part, s := range q.quarantined {
-		all.Quarantined = append(all.Quarantined, hub.QuarantinedPart{Part: part, LeftMilliseconds: s.until.Sub(now).Milliseconds(), Count: s.count})
+	var crashes []hub.UpstreamCrash
+	for _, r := range q.records {
+		if len(r.upstream.Id) <= maxUpstreamIdBytes {
+			crashes = append(crashes, hub.UpstreamCrash{Upstream: r.upstream.Id, Born: r.upstream.Born, Parts: slices.Clone(r.parts), AgeMilliseconds: now.Sub(r.at).Milliseconds()})
+		}
 	}
-	for part, at := range q.cleared {
-		all.Sound = append(all.Sound, hub.SoundPart{Part: part, AgeMilliseconds: now.Sub(at).Milliseconds()})
+	var quarantined []hub.QuarantinedPart
+	for part, p := range q.quarantined {
+		quarantined = append(quarantined, hub.QuarantinedPart{Part: part, LeftMilliseconds: p.until.Sub(now).Milliseconds(), Count: p.count})
 	}
-	for _, r := range q.records {
-		all.Crashes = append(all.Crashes, hub.UpstreamCrash{Upstream: r.upstream.Id, Born: r.upstream.Born, Parts: slices.Clone(r.parts), AgeMilliseconds: now.Sub(r.at).Milliseconds()})
+	var sound []hub.SoundPart
+	for part, at := range q.cleared {
+		sound = append(sound, hub.SoundPart{Part: part, AgeMilliseconds: now.Sub(at).Milliseconds()})
 	}
-	return split(&all)
+	return notices(crashes, quarantined, sound)
 }
 
-// split returns notices with up to maxPerNotice items of each kind.
-func split(n *hub.QuarantineNotice) []hub.QuarantineNotice {
+// notices returns notices of one kind of items each that fit into a datagram.
+func notices(crashes []hub.UpstreamCrash, quarantined []hub.QuarantinedPart, sound []hub.SoundPart) []hub.QuarantineNotice {
 	var out []hub.QuarantineNotice
-	at := func(i int) *hub.QuarantineNotice {
-		if i == len(out) {
-			out = append(out, hub.QuarantineNotice{})
-		}
-		return &out[i]
-	}
-	i := 0
-	for items := range slices.Chunk(n.Quarantined, maxPerNotice) {
-		at(i).Quarantined = items
-		i++
+	for items := range slices.Chunk(quarantined, maxPartsPerNotice) {
+		out = append(out, hub.QuarantineNotice{Quarantined: items})
 	}
-	i = 0
-	for items := range slices.Chunk(n.Sound, maxPerNotice) {
-		at(i).Sound = items
-		i++
+	for items := range slices.Chunk(sound, maxPartsPerNotice) {
+		out = append(out, hub.QuarantineNotice{Sound: items})
 	}
-	i = 0
-	for items := range slices.Chunk(n.Crashes, maxPerNotice) {
-		at(i).Crashes = items
-		i++
+	for items := range slices.Chunk(crashes, maxCrashesPerNotice) {
+		out = append(out, hub.QuarantineNotice{Crashes: items})
 	}
 	return out
 }
@@ -84,7 +81,7 @@
 	now := time.Now()
 	q.expire(now)
 	for _, s := range n.Sound {
-		if at := now.Add(-age(s.AgeMilliseconds)); !tooLong(s.Part) && now.Sub(at) <= soundTTL {
+		if at := now.Add(-age(s.AgeMilliseconds)); isKey(s.Part) && now.Sub(at) <= soundTTL {
 			q.setSound(s.Part, at)
 		}
 	}
@@ -108,7 +105,10 @@
 	if now.Sub(r.at) > crashTTL {
 		return false
 	}
-	for _, p := range considered(c.Parts) {
+	for _, p := range c.Parts[:min(len(c.Parts), maxSuspected)] {
+		if !isKey(p) {
+			continue
+		}
 		if q.isSound(p, now) {
 			q.announceSound(p, q.sound[p])
 			continue
@@ -120,7 +120,7 @@
 
 // mergeQuarantined adopts another process's quarantine of a part and returns whether that is new here.
 func (q *Quarantine) mergeQuarantined(in hub.QuarantinedPart, now time.Time) bool {
-	if in.LeftMilliseconds <= 0 || tooLong(in.Part) {
+	if in.LeftMilliseconds <= 0 || !isKey(in.Part) {
 		return false
 	}
 	if q.isSound(in.Part, now) {
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -32,10 +33,8 @@
 	maxRecords     = 128
 	maxSound       = 4096
 	maxQuarantined = 64
-	// maxParts is the number of parts of one request that are considered, the last ones.
-	maxParts = 8
-	// maxPartBytes is the maximum length of a part that is considered.
-	maxPartBytes = 64
+	// maxSuspected is the maximum number of parts in one record.
+	maxSuspected = 8
 )
 
 // Options are the dependencies of a Quarantine.
@@ -45,7 +44,7 @@
 }
 
 // Quarantine keeps the crashes of upstreams with the parts of the requests that they had begun, and the parts that are
-// quarantined. It is safe for concurrent use.
+// quarantined. Parts are identified by the keys that Keys returns. It is safe for concurrent use.
 //
 // A part that crashes upstreams never gets a complete response, so parts that got one lately are not suspected. A part
 // is quarantined once minCrashes upstreams have crashed under requests that contain it and none of the quarantined
@@ -124,10 +123,10 @@
 }
 
 // Blocked reports whether the request must not be sent.
-func (v Decision) Blocked() bool { return v.Left > 0 }
+func (d Decision) Blocked() bool { return d.Left > 0 }
 
 // Probe reports whether the request is sent to find out whether its part still crashes upstreams.
-func (v Decision) Probe() bool { return v.Part != "" && v.Left == 0 }
+func (d Decision) Probe() bool { return d.Part != "" && d.Left == 0 }
 
 // Check returns the decision on a request with the given parts. Once the quarantine of a part has ended, one request is
 // let through as a probe, and the quarantine starts anew for twice the time unless the probe gets a complete response.
@@ -141,7 +140,7 @@
 		return Decision{}
 	}
 	ended := ""
-	for _, p := range considered(parts) {
+	for _, p := range parts {
 		until, ok := blocked[p]
 		if ok && now.Before(until) {
 			return Decision{Part: p, Left: until.Sub(now)}
@@ -184,8 +183,8 @@
 // Refused counts a request that was not sent because of its decision.
 func (q *Quarantine) Refused() { q.refusals.Inc() }
 
-// extend starts the next quarantine. Its duration is random, so that processes let probes through at
-// different times and the crash of one extends the quarantine at the others.
+// extend starts the next quarantine. Its duration is random, so that processes let probes through at different times and
+// the crash of one extends the quarantine at the others.
 func (q *Quarantine) extend(s *period, now time.Time) {
 	d := min(maxQuarantine, firstQuarantine<<min(s.count, 8))
 	s.count++
@@ -197,7 +196,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	return slices.ContainsFunc(considered(parts), func(p string) bool { return !q.isSound(p, now) })
+	return slices.ContainsFunc(parts, func(p string) bool { return !q.isSound(p, now) })
 }
 
 // Crashed records that an upstream crashed before it had answered a request with the given parts.
@@ -205,7 +204,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	suspected := slices.DeleteFunc(slices.Clone(considered(parts)), func(p string) bool { return q.isSound(p, now) })
+	suspected := q.selectSuspected(slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return q.isSound(p, now) }))
 	if q.add(record{upstream: upstream, parts: suspected, at: now}, now) {
 		q.options.Log.Warn().Str("Upstream", upstream.Id).Strs("Parts", suspected).Msg("upstream lost under a request with parts that no upstream has answered")
 		q.quarantineSuspects(now)
@@ -213,12 +212,38 @@
 	}
 }
 
+// selectSuspected returns up to maxSuspected of the parts in the order of the prompt: those that are suspected already,
+// then random ones.
+func (q *Quarantine) selectSuspected(parts []string) []string {
+	if len(parts) <= maxSuspected {
+		return parts
+	}
+	order := rand.Perm(len(parts))
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(boolToInt(q.isSuspected(parts[b])), boolToInt(q.isSuspected(parts[a])))
+	})
+	order = order[:maxSuspected]
+	slices.Sort(order)
+	out := make([]string, len(order))
+	for i, at := range order {
+		out[i] = parts[at]
+	}
+	return out
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Completed records a complete response to a request with the given parts, which ends the suspicion of them.
 func (q *Quarantine) Completed(parts []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	for _, p := range considered(parts) {
+	for _, p := range parts {
 		q.setSound(p, now)
 	}
 }
@@ -361,14 +386,3 @@
 	}
 	return part, upstreams
 }
-
-// considered returns the parts of a request that are considered.
-func considered(parts []string) []string {
-	parts = parts[max(0, len(parts)-maxParts):]
-	if slices.ContainsFunc(parts, tooLong) {
-		parts = slices.DeleteFunc(slices.Clone(parts), tooLong)
-	}
-	return parts
-}
-
-func tooLong(part string) bool { return len(part) > maxPartBytes }
--- a/internal/state/beacon/beacon.go
+++ b/internal/state/beacon/beacon.go
@@ -18,8 +18,8 @@
 	sendInterval = 60 * time.Millisecond
 	// repeatInterval is the interval at which an unchanged report is sent again, because datagrams may be lost.
 	repeatInterval = 480 * time.Millisecond
-	// maxDatagramBytes is the maximum size of a received datagram in bytes; longer ones are truncated.
-	maxDatagramBytes = 1400
+	// MaxDatagramBytes is the maximum size of a received datagram in bytes; longer ones are truncated.
+	MaxDatagramBytes = 1400
 )
 
 // Beacon is the content of a datagram, encoded as JSON: the report of one upstream or a notice.
@@ -84,7 +84,7 @@
 func Receive(ctx context.Context, conn *net.UDPConn, l *log.Logger, handle func(Beacon)) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	buf := make([]byte, maxDatagramBytes)
+	buf := make([]byte, MaxDatagramBytes)
 	for ctx.Err() == nil {
 		n, from, err := conn.ReadFromUDP(buf)
 		if errors.Is(err, net.ErrClosed) {
