--- a/internal/state/listing/changes.go
+++ b/internal/state/listing/changes.go
@@ -16,7 +16,7 @@
 	// windowBytes is the window size of the compression; a larger one costs memory and gains little on a few entries.
 	windowBytes = 64 << 10
 	// maxChangesBytes is the maximum size of decoded changes.
-	maxChangesBytes = 64 << 20
+	maxChangesBytes = 16 << 20
 )
 
 // changes are the differences of a list from an earlier revision.
--- a/internal/state/roster/client.go
+++ b/internal/state/roster/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +16,8 @@
 	Path = "/v1/vms"
 	// callTimeout is the timeout of one request for the list.
 	callTimeout = 3 * time.Second
+	// maxListBytes limits the list of VMs.
+	maxListBytes = 16 << 20
 )
 
 // Client reads the VM list over HTTP.
@@ -45,7 +48,7 @@
 		return nil, fmt.Errorf("get VM list: %w: status %d", hub.ErrUnavailable, resp.StatusCode)
 	}
 	var vms []hub.VM
-	if err := json.NewDecoder(resp.Body).Decode(&vms); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&vms); err != nil {
 		return nil, fmt.Errorf("decode VM list: %w: %w", hub.ErrUnavailable, err)
 	}
 	return vms, nil
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -5,14 +5,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 )
 
-// callTimeout limits the duration of one control request.
-const callTimeout = 5 * time.Second
+const (
+	// callTimeout limits the duration of one control request.
+	callTimeout = 5 * time.Second
+	// maxStatusBytes limits the status that an engine sends.
+	maxStatusBytes = 64 << 10
+)
 
 // Client is the HTTP client of one engine's control endpoints.
 type Client struct {
@@ -46,7 +51,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return status, fmt.Errorf("engine status: %w: status %d", hub.ErrUnavailable, resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status); err != nil {
 		return status, fmt.Errorf("engine status: %w: %w", hub.ErrUnavailable, err)
 	}
 	return status, nil
