route/forward: a body that does not arrive in time ends its request

A caller that never sent the rest of its body held a goroutine and up to the limit of a body for as long as its connection lasted; the path through the side process had a limit for that (Requests.BodyTimeout). Found on reading every reader of bytes from outside. Why it works: the body is read until the deadline of the request, then 408: it has not run and the connection ends; the limit is removed before the request is sent on.

--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -129,15 +130,28 @@
 	return x.r.URL.RequestURI()
 }
 
-// readBody reads the request body. If it is too large or can't be read, it responds with an error and returns false.
+// readBody reads the request body until the deadline of the request. If it is too large, late or can't be read, it
+// responds with an error and returns false.
 func (x *exchange) readBody() bool {
+	if x.r.ContentLength == 0 {
+		return true
+	}
 	limit := x.snapshot.Configuration.Limits.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
+	c := http.NewResponseController(x.w)
+	if err := c.SetReadDeadline(x.deadline); err != nil {
+		x.fail(http.StatusInternalServerError, "cannot limit the time for the body: "+err.Error())
+		return false
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.w.Header().Set("Connection", "close")
+		x.fail(http.StatusRequestTimeout, "body not received in time")
+		return false
 	case errors.As(err, &tooLarge):
 		x.fail(http.StatusRequestEntityTooLarge, "body over "+strconv.FormatInt(limit, 10)+" bytes")
 		return false
@@ -145,6 +159,10 @@
 		x.fail(http.StatusBadRequest, "body not readable: "+err.Error())
 		return false
 	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		x.fail(http.StatusInternalServerError, "cannot remove the time limit of the body: "+err.Error())
+		return false
+	}
 	x.body = body
 	return true
 }
