state/beacon: limit the rate of load reports to a twentieth of the VM's link

Why it works: after a report the next one waits until the bytes sent fit the rate; with the entry processes of today's deployments the interval is as before.

--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -24,6 +24,8 @@
 	// weightsLinkFraction is the fraction of the VM's bandwidth that weights may use in each direction; the rest is
 	// reserved for responses to callers.
 	weightsLinkFraction = 0.85
+	// reportLinkFraction is the fraction of the VM's bandwidth that reports to the entry processes may use.
+	reportLinkFraction = 0.05
 	// receiversTTL is the time for which the list of report receivers is cached.
 	receiversTTL = 250 * time.Millisecond
 	// storeFallbackInterval is the interval at which a side process without a configuration reads the store itself.
@@ -68,7 +70,7 @@
 		return nil, err
 	}
 	e.metrics.NewGauge("oriolehub_chunk_bytes_sent_total", func() float64 { return float64(e.ChunkBytesSent()) })
-	e.sender = beacon.NewSender(e.reports, s.Upstream)
+	e.sender = beacon.NewSender(e.reports, s.Upstream, reportLinkFraction*s.LinkMegabits*1e6/8)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.run(ctx)
--- a/internal/state/beacon/beacon.go
+++ b/internal/state/beacon/beacon.go
@@ -32,14 +32,15 @@
 
 // SendNotice sends a notice from conn to all receivers and returns the last error.
 func SendNotice(conn *net.UDPConn, n hub.QuarantineNotice, receivers []*net.UDPAddr) error {
-	return send(conn, Beacon{Notice: &n}, receivers)
+	_, err := send(conn, Beacon{Notice: &n}, receivers)
+	return err
 }
 
-// send sends a beacon to all receivers and returns the last error.
-func send(conn *net.UDPConn, b Beacon, receivers []*net.UDPAddr) error {
+// send sends a beacon to all receivers and returns the number of bytes and the last error.
+func send(conn *net.UDPConn, b Beacon, receivers []*net.UDPAddr) (int, error) {
 	data, err := json.Marshal(b)
 	if err != nil {
-		return fmt.Errorf("encode beacon: %w", err)
+		return 0, fmt.Errorf("encode beacon: %w", err)
 	}
 	var failed error
 	for _, to := range receivers {
@@ -47,36 +48,46 @@
 			failed = fmt.Errorf("send beacon to %s: %w", to, err)
 		}
 	}
-	return failed
+	return len(data) * len(receivers), failed
 }
 
 // Sender sends the beacons of one upstream.
 type Sender struct {
 	conn    *net.UDPConn
 	address string
+	// bytesPerSecond limits the mean rate of the beacons, 0 for no limit.
+	bytesPerSecond float64
+	// pausedUntil is the time until which bytesPerSecond allows no further beacon.
+	pausedUntil time.Time
 	// sent is the report that was last sent, at sentAt.
 	sent   hub.UpstreamReport
 	sentAt time.Time
 }
 
-// NewSender returns a sender of the beacons of the upstream at address, which sends them from conn.
-func NewSender(conn *net.UDPConn, address string) *Sender {
-	return &Sender{conn: conn, address: address}
+// NewSender returns a sender of the beacons of the upstream at address, which sends them from conn. It sends up to
+// bytesPerSecond on average, to all receivers together; 0 means no limit.
+func NewSender(conn *net.UDPConn, address string, bytesPerSecond float64) *Sender {
+	return &Sender{conn: conn, address: address, bytesPerSecond: bytesPerSecond}
 }
 
 // Send sends r to all receivers, unless the last beacon was sent less than sendInterval ago, or less than
-// repeatInterval ago with the same report. receivers is called only if a beacon is sent. Send tries all receivers and
+// repeatInterval ago with the same report, or the limit of the rate does not allow it yet. receivers is called only if a beacon is sent. Send tries all receivers and
 // returns the last error.
 func (s *Sender) Send(r hub.UpstreamReport, receivers func() []*net.UDPAddr) error {
 	wait := repeatInterval
 	if r != s.sent {
 		wait = sendInterval
 	}
-	if time.Since(s.sentAt) < wait {
+	now := time.Now()
+	if now.Sub(s.sentAt) < wait || now.Before(s.pausedUntil) {
 		return nil
 	}
-	s.sent, s.sentAt = r, time.Now()
-	return send(s.conn, Beacon{Address: s.address, Report: r}, receivers())
+	s.sent, s.sentAt = r, now
+	n, err := send(s.conn, Beacon{Address: s.address, Report: r}, receivers())
+	if s.bytesPerSecond > 0 {
+		s.pausedUntil = now.Add(time.Duration(float64(n) / s.bytesPerSecond * float64(time.Second)))
+	}
+	return err
 }
 
 // Receive calls handle with each beacon received on conn until ctx is done, then closes conn. Invalid datagrams are
