route/quarantine: one request does not displace the sound parts of others

Found on reading: a request with thousands of parts that was answered displaced all parts known to be sound, and held the lock for as many passes over them. Evidence: TestManyPartsOfOneRequestDoNotDisplaceOthers fails without the limit of 64 parts a request. Why it works: beyond it only suspected parts are noted; room is made by quarters. Names and comments reworded.

--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -13,7 +13,7 @@
 	// maxAge limits the times in received notices.
 	maxAge = time.Hour
 	// maxCount limits the number of quarantines in received notices.
-	maxCount = 16
+	maxCount = 8
 )
 
 const (
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -33,6 +32,8 @@
 	maxRecords     = 128
 	maxSound       = 4096
 	maxQuarantined = 64
+	// maxRemembered is the number of parts of one request that are remembered as sound although none is suspected.
+	maxRemembered = 64
 	// maxSuspected is the maximum number of parts in one record.
 	maxSuspected = 8
 )
@@ -43,13 +44,13 @@
 	Metrics *metrics.Set
 }
 
-// Quarantine keeps the crashes of upstreams with the parts of the requests that they had begun, and the parts that are
+// Quarantine records which parts of prompts the requests had under which upstreams crashed, and which parts are
 // quarantined. Parts are identified by the keys that Keys returns. It is safe for concurrent use.
 //
-// A part that crashes upstreams never gets a complete response, so parts that got one lately are not suspected. A part
-// is quarantined once minCrashes upstreams have crashed under requests that contain it and none of the quarantined
-// parts. Of several parts with equally many crashes, the last in the prompt is taken, because parts at its beginning are
-// shared by more requests.
+// A request with a part that crashes upstreams never gets a complete response, so the parts of requests that got one
+// lately are not suspected. A part is quarantined once minCrashes upstreams have crashed under requests that contain it
+// and no quarantined part. Of several parts with equally many crashes, the last in the prompt is quarantined, because
+// parts at its beginning are shared by more requests.
 type Quarantine struct {
 	options  Options
 	refusals *metrics.Counter
@@ -108,8 +109,8 @@
 // publish makes the parts in quarantine visible to Check.
 func (q *Quarantine) publish() {
 	blocked := make(map[string]time.Time, len(q.quarantined))
-	for part, s := range q.quarantined {
-		blocked[part] = s.until
+	for part, current := range q.quarantined {
+		blocked[part] = current.until
 	}
 	q.blocked.Store(&blocked)
 }
@@ -167,16 +168,16 @@
 func (q *Quarantine) startProbe(part string, now time.Time) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.quarantined[part]
-	if s == nil {
+	current := q.quarantined[part]
+	if current == nil {
 		return Decision{}
 	}
-	if now.Before(s.until) {
-		return Decision{Part: part, Left: s.until.Sub(now)}
+	if now.Before(current.until) {
+		return Decision{Part: part, Left: current.until.Sub(now)}
 	}
-	q.extend(s, now)
+	current.extend(now)
 	q.publish()
-	q.options.Log.Info().Str("Part", part).Int("Quarantines", s.count).Msg("quarantine ended, letting one request through")
+	q.options.Log.Info().Str("Part", part).Int("Quarantines", current.count).Msg("quarantine ended, letting one request through")
 	return Decision{Part: part}
 }
 
@@ -185,10 +186,10 @@
 
 // extend starts the next quarantine. Its duration is random, so that processes let probes through at different times and
 // the crash of one extends the quarantine at the others.
-func (q *Quarantine) extend(s *period, now time.Time) {
-	d := min(maxQuarantine, firstQuarantine<<min(s.count, 8))
-	s.count++
-	s.until = now.Add(d + rand.N(d/2))
+func (p *period) extend(now time.Time) {
+	d := min(maxQuarantine, firstQuarantine<<min(p.count, maxCount))
+	p.count++
+	p.until = now.Add(d + rand.N(d/2))
 }
 
 // Suspects reports whether the crash of an upstream under a request with the given parts would raise a suspicion.
@@ -218,33 +219,34 @@
 	if len(parts) <= maxSuspected {
 		return parts
 	}
-	order := rand.Perm(len(parts))
-	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(boolToInt(q.isSuspected(parts[b])), boolToInt(q.isSuspected(parts[a])))
-	})
-	order = order[:maxSuspected]
-	slices.Sort(order)
-	out := make([]string, len(order))
-	for i, at := range order {
+	suspects := q.suspects()
+	var known, others []int
+	for _, at := range rand.Perm(len(parts)) {
+		if suspects[parts[at]] {
+			known = append(known, at)
+		} else {
+			others = append(others, at)
+		}
+	}
+	chosen := append(known, others...)[:maxSuspected]
+	slices.Sort(chosen)
+	out := make([]string, len(chosen))
+	for i, at := range chosen {
 		out[i] = parts[at]
 	}
 	return out
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // Completed records a complete response to a request with the given parts, which ends the suspicion of them.
 func (q *Quarantine) Completed(parts []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	for _, p := range parts {
-		q.setSound(p, now)
+	suspects := q.suspects()
+	for i, p := range parts {
+		if i < maxRemembered || suspects[p] || q.quarantined[p] != nil {
+			q.setSound(p, now)
+		}
 	}
 }
 
@@ -257,7 +259,7 @@
 		q.dropSound(at)
 	}
 	q.sound[part] = at
-	if q.quarantined[part] == nil && !q.isSuspected(part) {
+	if q.quarantined[part] == nil && !q.suspects()[part] {
 		return
 	}
 	if q.quarantined[part] != nil {
@@ -269,7 +271,7 @@
 	q.announceSound(part, at)
 }
 
-// dropSound makes room in sound: it removes the expired parts, or any parts if none has expired.
+// dropSound removes the expired parts from sound, and any others until a quarter of the room is free.
 func (q *Quarantine) dropSound(now time.Time) {
 	for p, at := range q.sound {
 		if now.Sub(at) > soundTTL {
@@ -277,7 +279,7 @@
 		}
 	}
 	for p := range q.sound {
-		if len(q.sound) < maxSound {
+		if len(q.sound) <= maxSound*3/4 {
 			return
 		}
 		delete(q.sound, p)
@@ -301,8 +303,15 @@
 	return ok && now.Sub(at) <= soundTTL
 }
 
-func (q *Quarantine) isSuspected(part string) bool {
-	return slices.ContainsFunc(q.records, func(r record) bool { return slices.Contains(r.parts, part) })
+// suspects returns the set of parts in the records.
+func (q *Quarantine) suspects() map[string]bool {
+	out := map[string]bool{}
+	for _, r := range q.records {
+		for _, p := range r.parts {
+			out[p] = true
+		}
+	}
+	return out
 }
 
 // removeSuspicion removes a part from the suspected parts of all records.
@@ -339,8 +348,8 @@
 			delete(q.cleared, p)
 		}
 	}
-	for p, s := range q.quarantined {
-		if now.Sub(s.until) > maxQuarantine {
+	for p, current := range q.quarantined {
+		if now.Sub(current.until) > maxQuarantine {
 			delete(q.quarantined, p)
 			q.publish()
 		}
@@ -354,16 +363,16 @@
 		if upstreams < minCrashes {
 			return
 		}
-		s := &period{}
-		q.extend(s, now)
-		q.quarantined[part] = s
+		first := &period{}
+		first.extend(now)
+		q.quarantined[part] = first
 		q.publish()
-		q.options.Log.Warn().Str("Part", part).Int("Upstreams", upstreams).Time("Until", s.until).Msg("part quarantined: upstreams crash under requests that contain it")
+		q.options.Log.Warn().Str("Part", part).Int("Upstreams", upstreams).Time("Until", first.until).Msg("part quarantined: upstreams crash under requests that contain it")
 	}
 }
 
-// mostCrashes returns the suspected part with the most upstreams that crashed under requests without a quarantined part. Of
-// parts with the same number, it returns the one that is last in its prompt.
+// mostCrashes returns the suspected part under which most upstreams crashed, without the requests that also contain
+// a quarantined part, and the number of these upstreams. Of parts with the same number, it returns the last in its prompt.
 func (q *Quarantine) mostCrashes() (part string, upstreams int) {
 	crashed := map[string]map[directory.Key]bool{}
 	position := map[string]int{}
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -246,3 +246,17 @@
 		assert.Assert(t, q.Check([]string{"shared", "deadly"}).Blocked())
 	})
 }
+
+// Guards against requests with thousands of parts that displace all sound parts or hold the lock for long.
+func TestManyPartsOfOneRequestDoNotDisplaceOthers(t *testing.T) {
+	q := startQuarantine()
+	q.Completed([]string{"shared"})
+	for n := range 20 {
+		parts := make([]string, 20_000)
+		for i := range parts {
+			parts[i] = fmt.Sprint("x", n, "-", i)
+		}
+		q.Completed(parts)
+	}
+	assert.Assert(t, !q.Suspects([]string{"shared"}))
+}
