route/placement, platform: what a response says about its upstream

Cause: an upstream that leaves says so in each response, and one that refuses with status 503 may ask for a pause; both headers were ignored. The list of upstreams may show the leaving later, and the store may be away.

Leaving ends with the run, also while its entry is away from the list (at most 1,024 such entries are kept). If all upstreams have asked for a longer pause than the request may wait, Acquire returns ErrPaused at once. Side processes pass the leaving on in their load reports.

Also: the search goes beyond 48 upstreams while none with room is found, and passes over cold ones at their limit.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -154,6 +154,8 @@
 	Fetched uint64
 	// Busy is true while the upstream carries out a load order.
 	Busy bool
+	// Leaving is true if the upstream states that it is leaving.
+	Leaving bool `json:",omitempty"`
 	// Orders is the number of load orders accepted since Born.
 	Orders uint64
 	// Waiting and Running are the numbers of queued and of running requests.
--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -81,6 +81,10 @@
 	WrongInstance bool
 	// Signed is true if the response carries the upstream's signature.
 	Signed bool
+	// Leaving is true if the upstream states that it is leaving; it serves no new requests for the rest of its lifetime.
+	Leaving bool
+	// Pause is the time for which the upstream asks not to be sent any request, 0 if it does not.
+	Pause time.Duration
 }
 
 // CallFormat translates the headers of requests and responses.
--- a/internal/route/allowance/budget.go
+++ b/internal/route/allowance/budget.go
@@ -62,6 +62,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.windowOf(service)
+	if !r.allows(w) {
+		return false
+	}
+	w.retries[w.step%windowSteps]++
+	return true
+}
+
+// Allows reports whether Take would allow a retry to a service.
+func (r *RetryBudget) Allows(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.allows(r.windowOf(service))
+}
+
+// allows reports whether w has room for one more retry.
+func (r *RetryBudget) allows(w *window) bool {
 	requests, retries := 0, 0
 	for i := range windowSteps {
 		requests += w.requests[i]
@@ -69,11 +85,7 @@
 	}
 	b := r.bounds()
 	allowed := safetyFactor * (b.Ratio*float64(requests) + b.Slack/float64(max(1, r.entries())))
-	if float64(retries+1) > allowed {
-		return false
-	}
-	w.retries[w.step%windowSteps]++
-	return true
+	return float64(retries+1) <= allowed
 }
 
 // windowOf returns the window of a service after it has cleared the steps that have expired.
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -36,6 +36,9 @@
 	Body   []byte
 	// Mismatched reports whether a response with the given status and header belongs to another call. It may be nil.
 	Mismatched func(status int, h http.Header) bool
+	// OnHeader is called with each response that is read for the call, including those that belong to other calls. It
+	// may be nil.
+	OnHeader func(status int, h http.Header)
 	// NewConnection requires a connection on which no call has been sent before.
 	NewConnection bool
 	// Trace, if not nil, records how the call was sent.
@@ -124,6 +127,9 @@
 		if err != nil {
 			return err
 		}
+		if call.OnHeader != nil {
+			call.OnHeader(resp.StatusCode, resp.Header)
+		}
 		if call.Mismatched != nil && call.Mismatched(resp.StatusCode, resp.Header) {
 			r.close = true
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -36,6 +36,9 @@
 	maxWaiting = 256
 	// defaultPlainSlots is the limit of concurrent requests at an upstream of a plain service that sets none.
 	defaultPlainSlots = 8
+	// maxUnlistedLoads limits the upstreams that are no longer listed and whose Load is kept because they are leaving
+	// or have asked for a pause: an entry may come back to the list.
+	maxUnlistedLoads = 1024
 )
 
 // Options are the settings and dependencies of a Placement.
@@ -104,6 +107,9 @@
 	Candidates int
 	// ReportAge is the age of the upstream's last report, -1 if it has sent none.
 	ReportAge time.Duration
+	// PauseLeft is the time until the first of the upstreams that have asked for a pause may run the request, 0 if
+	// there is none. It is set only if no upstream was chosen.
+	PauseLeft time.Duration
 
 	placement *Placement
 	// pendingTokens is the number of prompt tokens that the Load counts until the response starts.
@@ -146,9 +152,24 @@
 		}
 		defer p.wake(name)
 	}
+	keepUnlisted(next, known)
 	p.loads.Store(&next)
 }
 
+// keepUnlisted copies up to maxUnlistedLoads entries of known that must not be forgotten to next.
+func keepUnlisted(next, known map[directory.Key]*Load) {
+	left := maxUnlistedLoads
+	for key, l := range known {
+		if left == 0 {
+			return
+		}
+		if next[key] == nil && (l.leaving.Load() || l.pauseLeft() > 0) {
+			next[key] = l
+			left--
+		}
+	}
+}
+
 // Report updates the load of the engine at address. It ignores a report of an instance that is not listed.
 func (p *Placement) Report(address string, r hub.UpstreamReport) {
 	s := p.options.Directory.Current()
@@ -171,47 +192,26 @@
 }
 
 // Choose chooses the upstream with the lowest score among those with room and reserves a slot there.
-// If none has room, or the chosen one is cold and has reached its rate limit, it returns false and sets only Candidates.
+// If none has room, it returns false and sets only Candidates and PauseLeft.
 func (p *Placement) Choose(r *Requirements) (Choice, bool) {
 	snapshot := p.options.Directory.Current()
 	service := snapshot.Service(r.Service)
 	if service == nil || len(service.Upstreams) == 0 {
 		return Choice{}, false
 	}
-	loads := *p.loads.Load()
-	now := time.Now()
-	oldest := p.oldestVersions(service, loads, now)
-	best, bestScore, candidates := -1, time.Duration(0), 0
-	first := rand.IntN(len(service.Upstreams))
-	for i := range min(maxSampled, len(service.Upstreams)) {
-		at := (first + i) % len(service.Upstreams)
-		u := service.Upstreams[at]
-		l := loads[u.Key()]
-		if l == nil || !p.usable(snapshot, service, u, l, r, oldest.at(l)) {
-			continue
-		}
-		candidates++
-		total := l.total()
-		if total >= p.limit(service, u) || l.inRefusalPause() || p.backlogged(service, l, r) {
-			continue
-		}
-		if score := p.score(service, u, l, total); best < 0 || score < bestScore {
-			best, bestScore = at, score
-		}
-	}
-	if best < 0 {
-		return Choice{Candidates: candidates}, false
+	search := p.search(snapshot, service, r)
+	if search.best == nil {
+		return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft}, false
 	}
-	u := service.Upstreams[best]
-	l := loads[u.Key()]
-	if now.Before(u.ColdUntil) && service.ColdPerSecond > 0 && !l.cold.take(service.ColdPerSecond/float64(max(1, p.options.Entries())), now) {
-		return Choice{Candidates: candidates}, false
+	u, l := search.best, search.bestLoad
+	if search.isCold(u) && !l.cold.take(search.coldRate, search.now) {
+		return Choice{Candidates: search.candidates}, false
 	}
 	running := l.total()
 	l.running.Add(1)
 	held := l.held(u)
 	c := Choice{
-		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: candidates, ReportAge: l.reportAge(), placement: p,
+		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: search.candidates, ReportAge: l.reportAge(), placement: p,
 	}
 	if service.Engine != nil {
 		c.pendingTokens = int64(cmp.Or(r.PromptTokens, service.Engine.UsualPrompt, 1))
@@ -221,6 +221,13 @@
 	return c, true
 }
 
+// HasRoom reports whether Choose would find an upstream.
+func (p *Placement) HasRoom(r *Requirements) bool {
+	snapshot := p.options.Directory.Current()
+	service := snapshot.Service(r.Service)
+	return service != nil && len(service.Upstreams) > 0 && p.search(snapshot, service, r).best != nil
+}
+
 // ResponseStarted must be called when the response has started: its prompt no longer counts as waiting. Further calls
 // have no effect.
 func (c *Choice) ResponseStarted() {
@@ -246,7 +253,7 @@
 // usable reports whether a request may be sent to an upstream, apart from its load. oldest is the oldest version that
 // the upstream may serve.
 func (p *Placement) usable(snapshot *directory.Snapshot, s *directory.Service, u *directory.Upstream, l *Load, r *Requirements, oldest uint64) bool {
-	if u.Leaving || l.misdirected() || snapshot.Evacuated[u.Domain] || slices.Contains(r.Tried, u.Key()) {
+	if u.Leaving || l.leaving.Load() || l.misdirected() || snapshot.Evacuated[u.Domain] || slices.Contains(r.Tried, u.Key()) {
 		return false
 	}
 	for _, regions := range r.Regions {
--- /dev/null
+++ b/internal/route/placement/search.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+)
+
+// search is the search for the best upstream of a service for one request.
+type search struct {
+	now     time.Time
+	service *directory.Service
+	// coldRate is the rate at which this process may send requests to a cold upstream, in requests per second; 0 means
+	// no limit.
+	coldRate float64
+
+	// best is the upstream with the lowest score among those with room, nil if none has room.
+	best      *directory.Upstream
+	bestLoad  *Load
+	bestScore time.Duration
+	// candidates is the number of compared upstreams that may run the request and have not asked for a pause, with or
+	// without room.
+	candidates int
+	// pauseLeft is the shortest time after which an upstream that has asked for a pause may run the request, 0 if there
+	// is none.
+	pauseLeft time.Duration
+}
+
+// search compares maxSampled upstreams from a random one on, and further ones only until one with room is found.
+func (p *Placement) search(snapshot *directory.Snapshot, service *directory.Service, r *Requirements) *search {
+	f := &search{now: time.Now(), service: service, coldRate: service.ColdPerSecond / float64(max(1, p.options.Entries()))}
+	loads := *p.loads.Load()
+	oldest := p.oldestVersions(service, loads, f.now)
+	first := rand.IntN(len(service.Upstreams))
+	for i := range service.Upstreams {
+		if i >= maxSampled && f.best != nil {
+			break
+		}
+		u := service.Upstreams[(first+i)%len(service.Upstreams)]
+		l := loads[u.Key()]
+		if l == nil || !p.usable(snapshot, service, u, l, r, oldest.at(l)) {
+			continue
+		}
+		if left := l.pauseLeft(); left > 0 {
+			f.addPaused(left)
+			continue
+		}
+		f.candidates++
+		total := l.total()
+		if total >= p.limit(service, u) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
+			continue
+		}
+		if score := p.score(service, u, l, total); f.best == nil || score < f.bestScore {
+			f.best, f.bestLoad, f.bestScore = u, l, score
+		}
+	}
+	return f
+}
+
+// addPaused counts an upstream that has asked for a pause, which ends after left.
+func (f *search) addPaused(left time.Duration) {
+	if f.pauseLeft == 0 || left < f.pauseLeft {
+		f.pauseLeft = left
+	}
+}
+
+// isCold reports whether the rate of the requests to u is limited because it is cold.
+func (f *search) isCold(u *directory.Upstream) bool {
+	return f.now.Before(u.ColdUntil) && f.coldRate > 0
+}
+
+// coldLimited reports whether u is cold and has reached its rate limit.
+func (f *search) coldLimited(u *directory.Upstream, l *Load) bool {
+	return f.isCold(u) && !l.cold.available(f.coldRate, f.now)
+}
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -15,6 +15,9 @@
 	ErrNoRoom = errors.New("no upstream has room")
 	// ErrNoUpstream means that no upstream may run the request, whatever its load.
 	ErrNoUpstream = errors.New("no upstream may run the request")
+	// ErrPaused means that all upstreams that may run the request have asked not to be sent any for a longer time than
+	// the request may wait. Choice.PauseLeft is the time until the first pause ends.
+	ErrPaused = errors.New("upstreams have asked for a pause")
 )
 
 // recheckInterval is the maximum time between two attempts to choose an upstream, because the end of a pause or a
@@ -22,14 +25,18 @@
 const recheckInterval = 25 * time.Millisecond
 
 // Acquire chooses an upstream and reserves a slot there. If none has room, it waits for up to timeout, in the order of
-// priorities and fairly between client accounts. It returns ErrNoRoom, ErrNoUpstream or the cause of ctx.
+// priorities and fairly between client accounts. It returns ErrNoRoom, ErrNoUpstream, ErrPaused or the cause of
+// ctx.
 func (p *Placement) Acquire(ctx context.Context, r *Requirements, timeout time.Duration) (Choice, error) {
 	q := p.queue(r)
-	c, ok := Choice{}, false
 	if q.Empty() && !p.higherPriorityWaits(r) {
-		if c, ok = p.Choose(r); ok {
+		c, ok := p.Choose(r)
+		if ok {
 			return c, nil
 		}
+		if c.paused() && c.PauseLeft > timeout {
+			return c, ErrPaused
+		}
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, timeout, ErrNoRoom)
 	defer cancel()
@@ -37,7 +44,7 @@
 	if err != nil {
 		return Choice{}, fmt.Errorf("%w: %w", ErrNoRoom, err)
 	}
-	c, err = p.wait(ctx, r, ticket)
+	c, err := p.wait(ctx, r, ticket)
 	if err != nil {
 		q.Leave(ticket)
 		return c, err
@@ -60,9 +67,13 @@
 	for {
 		room := p.roomNotification(r.Service)
 		if !p.higherPriorityWaits(r) {
-			if c, ok := p.Choose(r); ok {
+			c, ok := p.Choose(r)
+			if ok {
 				return c, nil
 			}
+			if c.paused() && c.outlasts(ctx) {
+				return c, ErrPaused
+			}
 		}
 		timer.Reset(recheckInterval)
 		select {
@@ -76,8 +87,17 @@
 	}
 }
 
-// waitEnded makes a last attempt to choose an upstream after the wait has timed out, and returns ErrNoUpstream or
-// ErrNoRoom if it fails. If ctx was cancelled by the caller, it returns the cause.
+// paused reports whether all upstreams that may run the request have asked for a pause.
+func (c *Choice) paused() bool { return c.Candidates == 0 && c.PauseLeft > 0 }
+
+// outlasts reports whether the pause ends after the deadline of ctx.
+func (c *Choice) outlasts(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < c.PauseLeft
+}
+
+// waitEnded makes a last attempt to choose an upstream after the wait has timed out, and returns ErrNoUpstream,
+// ErrPaused or ErrNoRoom if it fails. If ctx was cancelled by the caller, it returns the cause.
 func (p *Placement) waitEnded(ctx context.Context, r *Requirements) (Choice, error) {
 	if cause := context.Cause(ctx); !errors.Is(cause, ErrNoRoom) {
 		return Choice{}, cause
@@ -86,6 +106,8 @@
 	switch {
 	case ok:
 		return c, nil
+	case c.paused():
+		return c, ErrPaused
 	case c.Candidates == 0:
 		return c, ErrNoUpstream
 	default:
--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -33,6 +33,7 @@
 	HeaderNotRun    = "Not-Run"
 	HeaderKey       = "Key"
 	HeaderLastEvent = "Last-Event-Id"
+	HeaderLeaving   = "Leaving"
 	// HeaderParts lists the shared parts of the prompt.
 	HeaderParts = "Parts"
 )
@@ -122,12 +123,17 @@
 // ParseResponse extracts the values in the status and header of an upstream's response.
 func (CallFormat) ParseResponse(status int, h http.Header) hub.ResponseInfo {
 	wrongInstance := status == http.StatusMisdirectedRequest
-	return hub.ResponseInfo{
+	info := hub.ResponseInfo{
 		RequestId:     h.Get(HeaderRequestId),
 		NotRun:        wrongInstance || h.Get(HeaderNotRun) != "",
 		WrongInstance: wrongInstance,
 		Signed:        h.Get(HeaderSignature) != "",
+		Leaving:       h.Get(HeaderLeaving) != "",
 	}
+	if status == http.StatusServiceUnavailable {
+		info.Pause = hub.RetryAfter(h)
+	}
+	return info
 }
 
 // CallerHeader copies the header of an upstream's response to dst.
