route/forward, route/stream: believe a refusal only where it can belong to the request, continue streams only with their events

Tests that failed first (go test ./internal/route/forward): - TestUpstreamThatSaysItLeavesReceivesNoRequests: 3 requests after the statement where 1 was allowed; TestPausedUpstreamReceivesNoRequests: 4 arrivals instead of 1. - TestRefusalWrittenOnceMoreIsNotBelieved (/many/, /stream/): refused as not run after 3 runs; TestRefusalWithoutIdOnUsedConnectionIsNotBelieved; TestLateCopyOfAnotherAnswerIsNotForwarded without an ID: body 'other'. - TestBrokenStreamGoesOnOnlyWithItsEvents, 8 of 13 cases: empty continuation, plain text, a whole answer, events without IDs, no content looked complete or arrived in the caller's stream; TestStreamWithoutIdsIsNotContinued: sent twice; TestSuccessThatIsNoStreamIsForwardedUnchanged: cut. - TestSlowStreamIsNotCutWithoutAnotherUpstream: cut after the first event.

Change: a request that an upstream refused goes there again only on a new connection; a response without an ID is taken only from a new connection. stream.Sequence is the one definition of what may follow an event. A stream is continued only by an event stream that has at least one event. A late attempt ends early only if another upstream has room.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -34,7 +35,7 @@
 	x.trace = channel.Trace{}
 	x.logChoice(c, remaining)
 	timer := x.startTimer(c, cancel)
-	defer timer.Stop()
+	defer timer.stop()
 	response, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
 		x.upstreamFailed(c)
@@ -54,18 +55,25 @@
 	return x.handleResponse(ctx, c, response, timer)
 }
 
-// startTimer returns a timer that cancels the attempt if its response takes too long and the request may be retried,
-// or if the upstream's version is due to be replaced before the first event of a stream or the end of another response.
-func (x *exchange) startTimer(c *placement.Choice, cancel context.CancelCauseFunc) *time.Timer {
-	// By default the deadline ends the attempt before this timer fires, as for requests that must not be retried.
-	limit := time.Until(x.deadline) + time.Second
+// startTimer starts a timer that cancels the attempt if its response takes too long and another upstream can take the
+// request, or if the upstream's version is due to be replaced before the first event of a stream or the end of another
+// response.
+func (x *exchange) startTimer(c *placement.Choice, cancel context.CancelCauseFunc) *attemptTimer {
+	t := newAttemptTimer(func() { cancel(errSlow) }, x.othersHaveRoom(c))
+	t.limit(c.StartBy)
 	if x.route.Retryable() && x.runs+1 < x.route.MaxAttempts {
-		limit = min(limit, max(minWait, attemptTimeoutFactor*x.route.Objective))
+		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective))
 	}
-	if !c.StartBy.IsZero() {
-		limit = min(limit, time.Until(c.StartBy))
-	}
-	return time.AfterFunc(limit, func() { cancel(errSlow) })
+	return t
+}
+
+// othersHaveRoom returns a function that reports whether the request may be sent once more and an upstream that has not
+// been tried has room for it. The function may be called from any goroutine.
+func (x *exchange) othersHaveRoom(c *placement.Choice) func() bool {
+	o := &x.handler.options
+	service, requirements := x.service, x.requirements()
+	requirements.Tried = append(slices.Clone(x.tried), c.Upstream.Key())
+	return func() bool { return o.RetryBudget.Allows(service) && o.Placement.HasRoom(requirements) }
 }
 
 // call returns the call that sends the request to the chosen upstream. A resumed stream continues after the last event
@@ -76,7 +84,7 @@
 		a.Account = x.account.Name
 	}
 	if x.relay != nil {
-		a.LastEvent, a.Priority = x.relay.lastId, highestUpstreamPriority
+		a.LastEvent, a.Priority = x.relay.sequence.Last(), highestUpstreamPriority
 	}
 	return &channel.Call{
 		Method:        x.r.Method,
@@ -85,24 +93,51 @@
 		Header:        x.handler.options.Format.UpstreamHeader(x.r.Header, a),
 		Body:          x.body,
 		Mismatched:    x.mismatched,
-		NewConnection: !x.route.Retryable(),
+		OnHeader:      func(status int, h http.Header) { x.observe(c, status, h) },
+		NewConnection: x.needsNewConnection(c),
 		Trace:         &x.trace,
 	}
 }
 
-// mismatched reports whether a response carries the ID of another request.
+// needsNewConnection reports whether the attempt must not use a connection on which other requests have been sent. On a
+// new one no other response can be taken for that to the request: not a second copy of the response to an earlier request
+// or to an earlier attempt of the same one, which has the same ID, and not a response without an ID.
+func (x *exchange) needsNewConnection(c *placement.Choice) bool {
+	return !x.route.Retryable() || x.caller.RequestId == "" || slices.Contains(x.refusedBy, c.Upstream.Key())
+}
+
+// observe records what the header of a response says about the upstream. It applies to responses that belong to other
+// requests too, since they come from the same run of the upstream.
+func (x *exchange) observe(c *placement.Choice, status int, h http.Header) {
+	info := x.handler.options.Format.ParseResponse(status, h)
+	if info.Leaving {
+		x.logLeaving(c)
+		c.Load.Leaves()
+	}
+	if info.Pause > 0 {
+		x.logPause(c, info.Pause)
+		c.Load.Pause(info.Pause)
+	}
+}
+
+// mismatched reports whether a response carries the ID of another request, or none on a connection on which other
+// requests have been sent.
 func (x *exchange) mismatched(status int, h http.Header) bool {
 	id := x.handler.options.Format.ParseResponse(status, h).RequestId
-	return id != "" && id != x.caller.RequestId
+	if id == "" {
+		return x.trace.Reused
+	}
+	return id != x.caller.RequestId
 }
 
 // handleResponse forwards a response to the caller, or returns the reason why the attempt failed.
-func (x *exchange) handleResponse(ctx context.Context, c *placement.Choice, response *channel.Response, timer *time.Timer) error {
+func (x *exchange) handleResponse(ctx context.Context, c *placement.Choice, response *channel.Response, timer *attemptTimer) error {
 	info := x.handler.options.Format.ParseResponse(response.Status, response.Header)
 	if info.NotRun {
 		x.runs--
 		discardRefusal(response)
 		c.Load.Refused()
+		x.refusedBy = append(x.refusedBy, c.Upstream.Key())
 		if info.WrongInstance {
 			c.Load.Misdirected()
 			x.tried = append(x.tried, c.Upstream.Key())
@@ -114,7 +149,7 @@
 		x.upstreamFailed(c)
 		return fmt.Errorf("%w: success without a signature", errFailed)
 	}
-	if success && x.route.Kind == hub.Stream {
+	if success && x.route.Kind == hub.Stream && isEventStream(response.Header) {
 		return x.relayStream(ctx, c, response, timer)
 	}
 	return x.forwardBuffered(ctx, c, response, success)
@@ -131,9 +166,9 @@
 		return err
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
-	if !success && x.relay != nil {
+	if x.relay != nil {
 		x.upstreamFailed(c)
-		return fmt.Errorf("%w: status %d to a stream that goes on", errFailed, response.Status)
+		return fmt.Errorf("%w: status %d and %q to a stream that goes on", errFailed, response.Status, response.Header.Get("Content-Type"))
 	}
 	if response.Status >= 500 {
 		x.upstreamFailed(c)
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -36,6 +36,9 @@
 	// attemptTimeoutFactor times the objective is the time after which a retryable request is sent to another
 	// upstream.
 	attemptTimeoutFactor = 3
+	// pauseSpread is the fraction of the pause that upstreams have asked for over which the return of the refused
+	// callers is spread.
+	pauseSpread = 0.25
 	// minRemaining is the minimum time before the deadline at which a request is still sent.
 	minRemaining = 20 * time.Millisecond
 )
@@ -73,12 +76,17 @@
 	trace channel.Trace
 	// tried lists the upstreams that must not be chosen again.
 	tried []directory.Key
+	// refusedBy lists the upstreams that refused the request.
+	refusedBy []directory.Key
 	// relay is the state of the response stream, nil until the first event has been forwarded.
 	relay *relay
 	// parts are the keys under which the quarantine knows the shared parts of the prompt.
 	parts []string
 	// decision is the decision of the quarantine whether the request may be sent.
 	decision quarantine.Decision
+	// pauseLeft is the time until an upstream may take the request after the pause that it has asked for, set if all
+	// have asked for one.
+	pauseLeft time.Duration
 	// reserved is the memory reserved for bodies of responses, in bytes.
 	reserved int64
 	// errorResponse is the latest 5xx response to a retryable request. It is forwarded if no further attempt succeeds.
@@ -143,25 +151,31 @@
 	return targets[len(targets)-1].Service
 }
 
-// acquire chooses an upstream and reserves a slot there, waiting for up to queueTimeout. It returns errDenied if the
-// desired state has changed meanwhile and no longer allows the request.
-func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
-	requirements := placement.Requirements{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, Backlog: fraction(x.route.Objective, backlogFraction)}
+// requirements returns the requirements of the request on its upstream.
+func (x *exchange) requirements() *placement.Requirements {
+	r := &placement.Requirements{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, Backlog: fraction(x.route.Objective, backlogFraction)}
 	if x.account != nil {
-		requirements.Account = x.account.Name
-		requirements.Regions = append(requirements.Regions, x.account.Regions)
+		r.Account = x.account.Name
+		r.Regions = append(r.Regions, x.account.Regions)
 		if x.account.HasPriority {
-			requirements.Priority = x.account.Priority
+			r.Priority = x.account.Priority
 		}
 	}
 	switch {
 	case x.relay != nil:
-		requirements.Priority, requirements.Backlog = resumedPriority, 0
+		r.Priority, r.Backlog = resumedPriority, 0
 	case x.missedObjective():
-		requirements.Priority += missedObjectivePriority
+		r.Priority += missedObjectivePriority
 	}
-	choice, err := x.handler.options.Placement.Acquire(ctx, &requirements, x.queueTimeout())
+	return r
+}
+
+// acquire chooses an upstream and reserves a slot there, waiting for up to queueTimeout. It returns errDenied if the
+// desired state has changed meanwhile and no longer allows the request.
+func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
+	choice, err := x.handler.options.Placement.Acquire(ctx, x.requirements(), x.queueTimeout())
 	if err != nil {
+		x.pauseLeft = choice.PauseLeft
 		return choice, err
 	}
 	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
@@ -214,6 +228,10 @@
 	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) {
 		return false
 	}
+	if x.relay != nil && x.relay.sequence.Last() == "" {
+		// A second run would repeat the events that were forwarded.
+		return false
+	}
 	ran := !errors.Is(err, errRefused) && !errors.Is(err, channel.ErrNotSent)
 	if ran && !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
 		return false
@@ -247,11 +265,14 @@
 }
 
 // retryAfter returns the time after which an upstream is likely to have room: short if upstreams are at their limits,
-// long if no upstream serves the request.
+// long if no upstream serves the request, and the end of the pause if upstreams have asked for one.
 func (x *exchange) retryAfter(err error) time.Duration {
 	if errors.Is(err, errQuarantined) {
 		return x.decision.Left
 	}
+	if errors.Is(err, placement.ErrPaused) {
+		return x.pauseLeft + rand.N(max(busyRetryAfter, fraction(x.pauseLeft, pauseSpread)))
+	}
 	if errors.Is(err, placement.ErrNoUpstream) {
 		return fraction(max(busyRetryAfter, time.Until(x.deadline)), noUpstreamRetryFraction)
 	}
@@ -276,6 +297,17 @@
 		Msg("upstream chosen")
 }
 
+// logLeaving logs the first response in which the upstream says that it is leaving.
+func (x *exchange) logLeaving(c *placement.Choice) {
+	if !c.Load.Leaving() {
+		x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int64("Born", c.Upstream.Born).Msg("upstream says that it is leaving")
+	}
+}
+
+func (x *exchange) logPause(c *placement.Choice, pause time.Duration) {
+	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Dur("Pause", pause).Msg("upstream asks for a pause")
+}
+
 func (x *exchange) logFailure(c *placement.Choice, err error) {
 	line := x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", x.sent)
 	if !x.trace.SentAt.IsZero() {
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/route/channel"
@@ -16,7 +16,7 @@
 
 const (
 	// stallTimeoutFactor times the route's MaxPause, but at least minStallTimeout, is the time without an event after
-	// which a stream is resumed at another upstream.
+	// which a stream is resumed at another upstream if one has room.
 	stallTimeoutFactor = 3
 	minStallTimeout    = 700 * time.Millisecond
 	// maxEventsBeforeCrash is the number of events of a stream after which a lost connection is not attributed to
@@ -27,9 +27,9 @@
 // relay is the state of a response stream since its first event was forwarded.
 type relay struct {
 	exchange *exchange
-	// lastId is the ID of the last forwarded event that has one, or at first the Last-Event-ID of the caller.
-	lastId string
-	events int
+	// sequence checks that the forwarded events follow each other.
+	sequence *stream.Sequence
+	events   int
 	// firstAt is the time at which the first event was forwarded.
 	firstAt time.Time
 	// resumed is the number of times that the stream was resumed at another upstream.
@@ -41,7 +41,7 @@
 
 // relayStream forwards the events of an upstream's response. It sends the header to the caller with the first event
 // of the stream; when the stream is resumed, it continues the same response.
-func (x *exchange) relayStream(ctx context.Context, c *placement.Choice, response *channel.Response, timer *time.Timer) error {
+func (x *exchange) relayStream(ctx context.Context, c *placement.Choice, response *channel.Response, timer *attemptTimer) error {
 	events := stream.NewReader(response)
 	forwarded := 0
 	if x.relay != nil {
@@ -49,7 +49,7 @@
 	}
 	for {
 		e, err := events.Next()
-		if err == io.EOF && x.relay != nil {
+		if err == io.EOF && forwarded > 0 {
 			c.Load.Succeeded()
 			if !response.CloseDelimited {
 				x.handler.options.Quarantine.Completed(x.parts)
@@ -66,22 +66,32 @@
 			}
 			return err
 		}
-		timer.Stop()
+		timer.stop()
 		c.ResponseStarted()
 		if err := x.writeEvent(e, response); err != nil {
 			x.upstreamFailed(c)
 			return err
 		}
-		forwarded++
+		if !e.Comment {
+			forwarded++
+		}
 		if !events.Buffered() {
 			if err := x.flush(); err != nil {
 				return fmt.Errorf("%w: %w", errGone, err)
 			}
 		}
-		timer.Reset(x.stallTimeout())
+		if limit, ok := x.stallTimeout(); ok {
+			timer.start(limit)
+		}
 	}
 }
 
+// isEventStream reports whether the media type in the header h of a response is that of a stream of events.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // flush sends the buffered part of the response to the caller.
 func (x *exchange) flush() error {
 	if x.relay == nil {
@@ -96,11 +106,11 @@
 	if x.relay == nil {
 		x.handler.options.Format.CallerHeader(x.w.Header(), response.Header)
 		x.w.WriteHeader(response.Status)
-		x.relay = &relay{exchange: x, firstAt: time.Now(), lastId: x.caller.LastEvent}
+		x.relay = &relay{exchange: x, firstAt: time.Now(), sequence: stream.NewSequence(x.caller.LastEvent)}
 		x.handler.firstPart.Update(time.Since(x.started).Seconds())
 	}
-	if !follows(x.relay.lastId, e.Id) {
-		return fmt.Errorf("%w: event %q after %q", channel.ErrBroken, e.Id, x.relay.lastId)
+	if err := x.relay.sequence.Add(e); err != nil {
+		return fmt.Errorf("%w: %w", channel.ErrBroken, err)
 	}
 	if _, err := x.w.Write(e.Data); err != nil {
 		return fmt.Errorf("%w: %w", errGone, err)
@@ -110,35 +120,17 @@
 		x.relay.longestPause = max(x.relay.longestPause, now.Sub(x.relay.lastAt))
 	}
 	x.relay.lastAt = now
-	if e.Id != "" {
-		x.relay.lastId = e.Id
-	}
 	x.relay.events++
 	return nil
 }
 
-// follows reports whether an event with the given ID may be forwarded after the last one. If last is a number, id must
-// be the next one; an empty or non-numeric last and an empty id allow any order.
-func follows(last, id string) bool {
-	if last == "" || id == "" {
-		return true
-	}
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	now, err := strconv.ParseInt(id, 10, 64)
-	return err == nil && now == before+1
-}
-
-// stallTimeout returns the time for which a stream that has begun may pause before the attempt is cancelled. If the
-// stream can't be resumed, it is the time left until the deadline.
-func (x *exchange) stallTimeout() time.Duration {
-	left := time.Until(x.deadline)
-	if !x.route.Retryable() || x.runs >= x.route.MaxAttempts || x.relay.lastId == "" {
-		return left
+// stallTimeout returns the time for which a stream that has begun may pause before it is continued at another upstream,
+// or false if it can't be continued.
+func (x *exchange) stallTimeout() (time.Duration, bool) {
+	if !x.route.Retryable() || x.runs >= x.route.MaxAttempts || x.relay.sequence.Last() == "" {
+		return 0, false
 	}
-	return min(left, max(minStallTimeout, stallTimeoutFactor*x.route.MaxPause))
+	return max(minStallTimeout, stallTimeoutFactor*x.route.MaxPause), true
 }
 
 // abort logs err and aborts the caller's connection, so that the caller recognizes the stream as incomplete.
--- a/internal/route/stream/reader.go
+++ b/internal/route/stream/reader.go
@@ -20,6 +20,8 @@
 	Data []byte
 	// Id is the event's ID, empty if it has none.
 	Id string
+	// Comment is true if all lines are comments.
+	Comment bool
 }
 
 // Reader reads the events of a stream.
@@ -35,7 +37,7 @@
 // Next returns the next event, io.EOF after the last one, or ErrPartial if the stream ends within an event. Blank lines
 // before an event are skipped. It is an error if an event or the blank lines before it exceed maxEventBytes.
 func (r *Reader) Next() (Event, error) {
-	var e Event
+	e := Event{Comment: true}
 	read := 0
 	for {
 		start := len(e.Data)
@@ -56,7 +58,9 @@
 		}
 		if blank {
 			e.Data = e.Data[:0]
+			continue
 		}
+		e.Comment = e.Comment && line[0] == ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.Id = string(bytes.TrimSpace(id))
 		}
