process/node, state/directory: ask the store before serving after a start; planned stops keep open connections

Operators' reports: requests cut during a planned stop; a server that had left or a withdrawn key in use after a restart.

Tests that failed first: - TestPlannedStopAnswersOnOpenConnections: EOF on an open connection at the begin of the stop, since idle connections were closed at once. They are now served for the whole drain delay, with Connection: close. - TestRestartedEntryAsksTheStoreBeforeItServes: ready by what peers knew. A process now waits until it has asked the store for both prefixes and the directory shows the result, at most 0.6 s. - TestUnreadableListKeepsUpstreams: an undecodable list emptied the services.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/justinas/alice"
@@ -18,6 +19,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/forward"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/state/beacon"
+	"github.com/oriolehub/oriolehub/internal/state/mirror"
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
@@ -30,6 +32,9 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// storeGrace is the time after the start for which a process does not serve by what it has heard from its peers only.
+	// They may have missed changes that the store has.
+	storeGrace = 600 * time.Millisecond
 	// sweepInterval is the interval at which expired idle connections to upstreams are closed.
 	sweepInterval = time.Second
 	// drainDelay is the time for which a stopping process still accepts connections. The load balancer checks readiness
@@ -43,6 +48,9 @@
 // Entry is a running entry process.
 type Entry struct {
 	*node
+	started   time.Time
+	// synchronized is true once the directory has shown what the store had when this process first asked it.
+	synchronized atomic.Bool
 	placement *placement.Placement
 	pool      *channel.Pool
 	callers   *http.Server
@@ -51,7 +59,7 @@
 
 // StartEntry starts an entry process, which runs until Stop.
 func StartEntry(s settings.Node, j *journal.Journal, p Platform) (*Entry, error) {
-	e := &Entry{pool: channel.NewPool(socket.Dialer(upstreamDialTimeout))}
+	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout))}
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
@@ -100,13 +108,35 @@
 	switch {
 	case e.leaving.Load():
 		return errors.New("process is stopping")
-	case !e.directory.Current().Ready():
+	case !e.stateKnown():
 		return errors.New("desired state or upstreams not known yet")
 	default:
 		return nil
 	}
 }
 
+// stateKnown reports whether requests can be served by the desired state and the list of upstreams that this process
+// has: it has asked the store for both, or has waited for it in vain. So a process that restarts does not use upstreams
+// that have left or keys that were withdrawn because a peer has missed that.
+func (e *Entry) stateKnown() bool {
+	s := e.directory.Current()
+	switch {
+	case !s.Ready():
+		return false
+	case e.synchronized.Load() || time.Since(e.started) > storeGrace:
+		return true
+	case !e.mirror.Asked():
+		return false
+	}
+	for _, name := range mirror.Documents {
+		if s.Revisions[name] < e.catalog.Document(name).Revision {
+			return false
+		}
+	}
+	e.synchronized.Store(true)
+	return true
+}
+
 // serve opens the listeners for callers and for readiness checks and starts to serve on them.
 func (e *Entry) serve() error {
 	s := &e.settings
@@ -120,6 +150,7 @@
 	}
 	handler := forward.New(forward.Options{
 		Directory:   e.directory,
+		Ready:       e.stateKnown,
 		Placement:   e.placement,
 		Pool:        e.pool,
 		RetryBudget: allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
@@ -129,7 +160,7 @@
 		Metrics:     e.metrics,
 	})
 	e.callers = &http.Server{
-		Handler:           handler,
+		Handler:           alice.New(e.closeWhileLeaving).Then(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -155,6 +186,16 @@
 	})
 }
 
+// closeWhileLeaving asks callers to use their connections no longer once the process is leaving.
+func (e *Entry) closeWhileLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // handleReady answers the load balancer's readiness check.
 func (e *Entry) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if err := e.checkReady(); err != nil {
@@ -173,10 +214,13 @@
 
 // Stop announces that the process is leaving, waits until the requests in progress have finished and ends the process.
 // Requests that have not finished shortly before the deadline of ctx are interrupted.
+//
+// For drainDelay it serves requests as before, on new and on open connections; open ones that are idle are closed only
+// afterwards, since callers send requests on them until they know of the stop.
 func (e *Entry) Stop(ctx context.Context) {
-	e.callers.SetKeepAlivesEnabled(false)
 	e.announceLeaving(ctx)
 	_ = hub.Sleep(ctx, drainDelay)
+	e.callers.SetKeepAlivesEnabled(false)
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -1,9 +1,11 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -193,6 +195,56 @@
 	assert.NilError(t, <-done)
 }
 
+// Callers keep using their open connections while a process stops. Guards against connections that are closed without
+// an answer to a request which crosses the begin of the stop.
+func TestPlannedStopAnswersOnOpenConnections(t *testing.T) {
+	f := startTestFleet(t, 2, 0)
+	f.waitUntilServing(t)
+	const connections = 20
+	var open []net.Conn
+	for range connections {
+		c, err := net.Dial("tcp", f.callers[0])
+		assert.NilError(t, err)
+		defer c.Close()
+		open = append(open, c)
+		resp := sendOn(t, c, f.callers[0], "before")
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Assert(t, !resp.Close)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() { f.entries[0].Stop(ctx); close(stopped) }()
+	waitUntil(t, "the readiness check fails", func() bool {
+		resp, err := http.Get("http://" + f.ready[0] + "/")
+		if err != nil {
+			return true
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	for _, c := range open {
+		resp := sendOn(t, c, f.callers[0], "during")
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Assert(t, resp.Close, "the answer does not announce that the connection is closed")
+	}
+	<-stopped
+}
+
+// sendOn sends a request on an open connection and returns the response after its whole body has been read.
+func sendOn(t *testing.T, c net.Conn, entry, id string) *http.Response {
+	t.Helper()
+	r, err := standin.Request(entry, http.MethodPost, standin.Path+"x", id)
+	assert.NilError(t, err)
+	assert.NilError(t, r.Write(c))
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	return resp
+}
+
 // Guards against entry processes that each learn of a deadly part by crashes of their own.
 func TestPartThatCrashesEnginesIsRefusedByAllEntries(t *testing.T) {
 	const deadly = "bad"
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -173,6 +173,7 @@
 	handler := forward.New(forward.Options{
 		Quarantine:  f.quarantine,
 		Directory:   f.directory,
+		Ready:       func() bool { return f.directory.Current().Ready() },
 		Placement:   f.placement,
 		Pool:        channel.NewPool(socket.Dialer(testTimeout)),
 		RetryBudget: allowance.NewRetryBudget(10*time.Second, func() allowance.Bounds { return allowance.Bounds{Ratio: 0.2, Slack: 10} }, func() int { return 1 }),
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -37,6 +37,8 @@
 // Options are the dependencies of a Handler.
 type Options struct {
 	Directory *directory.Directory
+	// Ready reports whether requests can be served by the current state of the directory.
+	Ready     func() bool
 	Placement *placement.Placement
 	Pool      *channel.Pool
 	// RetryBudget limits the retries to each service.
@@ -80,7 +82,7 @@
 // responds with an error and returns false.
 func (x *exchange) admit() bool {
 	s := x.handler.options.Directory.Current()
-	if !s.Ready() {
+	if !x.handler.options.Ready() {
 		x.refuse("desired state or upstreams not known yet", notReadyRetryAfter)
 		return false
 	}
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -1,7 +1,10 @@
 package directory
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +111,7 @@
 		return
 	}
 	old := d.current.Load()
-	next := &Snapshot{Configuration: old.Configuration, Revision: old.Revision, UpstreamsRevision: upstreams.Revision}
+	next := &Snapshot{Configuration: old.Configuration, Revision: old.Revision, UpstreamsRevision: upstreams.Revision, Revisions: maps.Clone(d.revisions)}
 	d.applyConfiguration(next, configuration)
 	d.applyDirectives(next, directives)
 	next.targets = d.targets
@@ -189,11 +192,14 @@
 	}
 }
 
-// applyUpstreams adds the listed upstreams to the services of next. Entries that cannot be decoded are skipped.
+// applyUpstreams adds the listed upstreams to the services of next. Entries that cannot be decoded are skipped;
+// if the list cannot be decoded, the upstreams of the last rebuild are kept.
 func (d *Directory) applyUpstreams(next *Snapshot, doc hub.Document) {
 	entries, err := listing.Decode(doc.Value)
 	if err != nil {
-		d.options.Log.Error().Str("Document", doc.Name).Uint64("Revision", doc.Revision).Err(err).Msg("cannot decode list of upstreams, using an empty list")
+		d.options.Log.Error().Str("Document", doc.Name).Uint64("Revision", doc.Revision).Err(err).Msg("cannot decode list of upstreams, keeping the previous one")
+		d.keepUpstreams(next)
+		return
 	}
 	listed := make(map[Key]*Upstream, len(entries))
 	for _, e := range entries {
@@ -214,11 +220,20 @@
 		}
 	}
 	d.upstreams = listed
-	for _, service := range next.services {
-		if service.Engine != nil && service.Target.Version == 0 {
-			service.Target.Version = defaultVersion
+	next.setDefaultTargets()
+}
+
+// keepUpstreams adds the upstreams of the last rebuild to the services of next.
+func (d *Directory) keepUpstreams(next *Snapshot) {
+	for _, u := range d.upstreams {
+		if service := next.services[u.Service]; service != nil {
+			service.Upstreams = append(service.Upstreams, u)
 		}
 	}
+	for _, service := range next.services {
+		slices.SortFunc(service.Upstreams, func(a, b *Upstream) int { return cmp.Compare(a.Id, b.Id) })
+	}
+	next.setDefaultTargets()
 }
 
 // upstream returns the Upstream of an instance; if the instance has not changed, that is the one of the last rebuild.
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -155,3 +155,16 @@
 	f.put(mirror.DocumentDirectives, 3, []listing.Entry{})
 	assert.Assert(t, !f.directory.Current().Evacuated["a"])
 }
+
+// A list that cannot be decoded must not take all upstreams out of service.
+func TestUnreadableListKeepsUpstreams(t *testing.T) {
+	f := withTestDirectory(t)
+	f.configure(5, 1)
+	instance := hub.Instance{Id: "i", Service: "engine", Address: "10.0.0.1:80", Domain: "a", Born: 1}
+	f.put(mirror.DocumentUpstreams, 6, []listing.Entry{{Key: desired.UpstreamPrefix + "i", Value: encoded(t, instance), Revision: 6}})
+	f.put(mirror.DocumentUpstreams, 7, []byte("no list"))
+	f.configure(8, 2)
+	s := f.directory.Current().Service("engine")
+	assert.Equal(t, len(s.Upstreams), 1)
+	assert.Equal(t, s.Target.Version, uint64(1))
+}
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -17,6 +17,8 @@
 	Revision uint64
 	// UpstreamsRevision is the store revision of the list of upstreams, 0 until it is known.
 	UpstreamsRevision uint64
+	// Revisions holds the revision of each document from which the snapshot was built, by name.
+	Revisions map[string]uint64
 	// Evacuated is the set of failure domains that receive no new requests.
 	Evacuated map[string]bool
 
@@ -184,3 +186,12 @@
 		s.services[service.Name] = service
 	}
 }
+
+// setDefaultTargets sets the target version of the engines for which the operator has set none.
+func (s *Snapshot) setDefaultTargets() {
+	for _, service := range s.services {
+		if service.Engine != nil && service.Target.Version == 0 {
+			service.Target.Version = defaultVersion
+		}
+	}
+}
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -25,6 +25,8 @@
 	relistInterval = 8 * time.Second
 	// meanRetryDelay is the mean delay before a failed call is retried.
 	meanRetryDelay = 300 * time.Millisecond
+	// prefixCount is the number of mirrored key prefixes.
+	prefixCount = 2
 )
 
 // Options configures a Mirror.
@@ -47,6 +49,8 @@
 	upstreams string
 	operator  string
 	reachable atomic.Bool
+	// asked counts the prefixes for which the first call to the store has ended.
+	asked atomic.Int32
 }
 
 // New returns a mirror; call Run to start it.
@@ -59,6 +63,9 @@
 // Reachable reports whether the store responded to the last call.
 func (m *Mirror) Reachable() bool { return m.reachable.Load() }
 
+// Asked reports whether the store has been asked for all keys once, successfully or not.
+func (m *Mirror) Asked() bool { return m.asked.Load() == prefixCount }
+
 // Run mirrors both prefixes until ctx is done.
 func (m *Mirror) Run(ctx context.Context) {
 	var running sync.WaitGroup
@@ -85,11 +92,16 @@
 func (m *Mirror) follow(ctx context.Context, prefix string) {
 	k := &keys{items: map[string]hub.Item{}}
 	var listed time.Time
+	asked := false
 	for ctx.Err() == nil {
 		err := m.step(ctx, prefix, k, &listed)
 		if ctx.Err() != nil {
 			return
 		}
+		if !asked {
+			asked = true
+			m.asked.Add(1)
+		}
 		m.updateReachable(prefix, err)
 		if err != nil {
 			listed = time.Time{}
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -13,6 +13,9 @@
 	DocumentUpstreams     = "Upstreams"
 )
 
+// Documents lists the names of the documents that a Mirror publishes.
+var Documents = []string{DocumentConfiguration, DocumentDirectives, DocumentUpstreams}
+
 // keys is the state of all keys with one prefix at a revision of the store.
 type keys struct {
 	items map[string]hub.Item
