state/delegate, state/mirror, state/beacon: two entry processes of a failure domain read the store and collect reports

Change: delegates, chosen by rank among the known members of a failure domain. Readers follow the store; changes of the upstreams that come within 500 ms are read together. One that does not reach the store publishes that (state detached) and the next takes over; a process that hears of no other for 2 to 4 s reads the store itself. Every process lists all keys once when it starts. Side processes send reports to the two collectors of each domain, which pass them on to the others every 80 ms, many in a datagram. Reports are looked up by address, member records are sorted once a change.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -1,6 +1,9 @@
 package hub
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // RouteKind determines whether the requests of a route may be retried.
 type RouteKind int
@@ -167,6 +170,17 @@
 	Born int64
 }
 
+// SentReport is an UpstreamReport as it is sent to other processes, perhaps over several of them.
+type SentReport struct {
+	UpstreamReport
+	// Address is the address of the upstream.
+	Address netip.AddrPort
+	// Epoch is the start of the side process that sent the report, in Unix milliseconds. Number increases with each of
+	// its reports.
+	Epoch  uint64
+	Number uint64
+}
+
 // LoadOrder is a command to an upstream to load the staged chunks of a version.
 type LoadOrder struct {
 	Model   string
--- a/internal/hub/types.go
+++ b/internal/hub/types.go
@@ -17,6 +17,8 @@
 	StateStarting = "starting"
 	StateServing  = "serving"
 	StateLoading  = "loading"
+	// StateDetached is the state of a process that serves but does not reach the platform's store.
+	StateDetached = "detached"
 	StateLeaving  = "leaving"
 	StateGone     = "gone"
 )
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -19,6 +19,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/forward"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/state/beacon"
+	"github.com/oriolehub/oriolehub/internal/state/delegate"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
@@ -37,6 +38,8 @@
 	storeGrace = 600 * time.Millisecond
 	// sweepInterval is the interval at which expired idle connections to upstreams are closed.
 	sweepInterval = time.Second
+	// digestInterval is the interval at which reports of upstreams are passed on.
+	digestInterval = 80 * time.Millisecond
 	// drainDelay is the time for which a stopping process still accepts connections. The load balancer checks readiness
 	// once a second and stops sending connections after two failed checks.
 	drainDelay = 2500 * time.Millisecond
@@ -48,18 +51,20 @@
 // Entry is a running entry process.
 type Entry struct {
 	*node
-	started   time.Time
+	started time.Time
 	// synchronized is true once the directory has shown what the store had when this process first asked it.
 	synchronized atomic.Bool
-	placement *placement.Placement
-	pool      *channel.Pool
+	placement    *placement.Placement
+	pool         *channel.Pool
+	// collector holds the reports to pass on.
+	collector *beacon.Collector
 	callers   *http.Server
 	ready     *http.Server
 }
 
 // StartEntry starts an entry process, which runs until Stop.
 func StartEntry(s settings.Node, j *journal.Journal, p Platform) (*Entry, error) {
-	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout))}
+	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout)), collector: beacon.NewCollector()}
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
@@ -81,26 +86,60 @@
 	e.running.Go(func() { e.placement.Run(ctx) })
 	e.running.Go(func() { e.sweep(ctx) })
 	e.running.Go(func() {
-		beacon.Receive(ctx, e.reports, j.Logger(journal.State), e.receive)
+		beacon.Receive(ctx, e.reports, j.Logger(journal.State), beacon.Handler{Report: e.receiveReport, Notice: e.quarantine.Merge})
 	})
+	e.running.Go(func() { e.passOnReports(ctx) })
 	return e, nil
 }
 
-// receive handles a beacon from another process.
-func (e *Entry) receive(b beacon.Beacon) {
-	if b.Notice != nil {
-		e.quarantine.Merge(*b.Notice)
-		return
+// receiveReport uses a report of an upstream. If its side process chose this process to receive it, it is passed on to
+// the other entry processes of the failure domain.
+func (e *Entry) receiveReport(r hub.SentReport, direct bool) {
+	e.placement.Report(r)
+	if direct {
+		e.collector.Add(r)
 	}
-	e.placement.Report(b.Address, b.Report)
+}
+
+// passOnReports periodically sends the reports received from side processes to the entry processes of the failure domain
+// that do not receive them directly, until ctx is done.
+func (e *Entry) passOnReports(ctx context.Context) {
+	for hub.Sleep(ctx, digestInterval) == nil {
+		datagrams := e.collector.Take()
+		if len(datagrams) == 0 {
+			continue
+		}
+		receivers := e.reportAddressesOf(e.indirectReceivers())
+		for _, data := range datagrams {
+			if err := beacon.Send(e.node.reports, data, receivers); err != nil && ctx.Err() == nil {
+				e.journal.Logger(journal.State).Debug().Err(err).Msg("cannot pass reports on to all entry processes; trying again with the next reports")
+			}
+		}
+	}
+}
+
+// indirectReceivers returns the entry processes of the failure domain to which side processes send no reports.
+func (e *Entry) indirectReceivers() []hub.Member {
+	collectors := e.delegates.Of(delegate.CollectReports, e.settings.Domain)
+	var out []hub.Member
+	for _, m := range e.aliveMembers(hub.RoleEntry) {
+		if m.Domain == e.settings.Domain && !delegate.Chosen(collectors, m.Id) {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // record returns the current member record of this process.
 func (e *Entry) record() hub.Member {
-	if e.leaving.Load() {
+	switch {
+	case e.leaving.Load():
 		return e.member(hub.StateLeaving)
+	case e.mirror.Detached():
+		return e.member(hub.StateDetached)
+	default:
+		return e.member(hub.StateServing)
 	}
-	return e.member(hub.StateServing)
 }
 
 // checkReady returns the reason why the process is not ready for requests, or nil.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"runtime/debug"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
+	"github.com/oriolehub/oriolehub/internal/state/delegate"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/state/exchange"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
@@ -44,6 +46,10 @@
 	// entriesPerPeer is the number of entry processes that is assumed for each peer in the settings while fewer are
 	// known.
 	entriesPerPeer = 2
+	// silenceLimit is the time without a response of any other process after which a process reads the store itself, up
+	// to silenceSpread more for each, so that not all begin at once.
+	silenceLimit  = 2 * time.Second
+	silenceSpread = 2 * time.Second
 	// memoryLimitFraction is the fraction of the configured memory that is set as the memory limit of the Go runtime;
 	// close to that limit the garbage collector runs more often.
 	memoryLimitFraction = 0.6
@@ -91,6 +97,10 @@
 	admin      *admin.Server
 	metrics    *metrics.Set
 
+	delegates *delegate.Chooser
+	// silenceLimit is the time without a response of another process after which this one reads the store.
+	silenceLimit time.Duration
+
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	leaving atomic.Bool
@@ -113,15 +123,18 @@
 		incarnation: uint64(time.Now().UnixMilli()),
 		dial:        socket.Dialer(peerDialTimeout),
 		metrics:     metrics.NewSet(),
+
+		silenceLimit: silenceLimit + rand.N(silenceSpread),
 	}
 	n.Reload(s)
 	stateLog := j.Logger(journal.State)
 	n.catalog = catalog.New(n.incarnation)
+	n.delegates = delegate.NewChooser(n.catalog)
 	n.directory = directory.New(directory.Options{
 		Catalog: n.catalog, Decoder: p.Decoder, Regions: domainRegions(&s),
 		InitialTargetAge: max(0, s.Bounds.Switch.Std()-s.Bounds.StartGrace.Std()), Log: stateLog,
 	})
-	n.mirror = mirror.New(mirror.Options{Source: p.Store(s.Store, n.dial), Decoder: p.Decoder, Catalog: n.catalog, Log: stateLog})
+	n.mirror = mirror.New(mirror.Options{Source: p.Store(s.Store, n.dial), Decoder: p.Decoder, Catalog: n.catalog, Reads: n.readsStore, Log: stateLog})
 	n.presence = presence.New(n.catalog, record)
 	n.quarantine = quarantine.New(quarantine.Options{Log: j.Logger(journal.Routing), Metrics: n.metrics})
 	n.link = link.NewClient(n.traffic.Dial(link.DialFunc(n.dial)))
@@ -267,6 +280,17 @@
 	return out
 }
 
+// readsStore reports whether this process reads the store: as one of the delegates of its failure domain, or because it
+// hears of no other process.
+func (n *node) readsStore() bool {
+	return n.isDelegate(delegate.ReadStore) || n.exchange.SinceHeard() > n.silenceLimit
+}
+
+// isDelegate reports whether this process is a delegate of its failure domain for a duty.
+func (n *node) isDelegate(duty delegate.Duty) bool {
+	return delegate.Chosen(n.delegates.Of(duty, n.settings.Domain), n.settings.Id)
+}
+
 // aliveMembers returns the records of the other processes with a role that are alive.
 func (n *node) aliveMembers(role string) []hub.Member {
 	var out []hub.Member
@@ -291,26 +315,16 @@
 	return max(known, entriesPerPeer*len(*n.peers.Load()))
 }
 
-// reportAddresses returns the UDP addresses on which the entry processes receive reports.
-func (n *node) reportAddresses() []*net.UDPAddr {
-	return n.reportAddressesOf(n.aliveMembers(hub.RoleEntry))
-}
-
 // reportAddressesOf returns the UDP addresses on which members receive reports and notices.
-func (n *node) reportAddressesOf(members []hub.Member) []*net.UDPAddr {
-	_, portText, err := net.SplitHostPort(n.settings.ReportListen)
-	if err != nil {
-		return nil
-	}
-	port, err := strconv.Atoi(portText)
+func (n *node) reportAddressesOf(members []hub.Member) []netip.AddrPort {
+	own, err := netip.ParseAddrPort(n.settings.ReportListen)
 	if err != nil {
 		return nil
 	}
-	var out []*net.UDPAddr
-	for _, m := range members {
-		host, _, err := net.SplitHostPort(m.Address)
-		if err == nil {
-			out = append(out, &net.UDPAddr{IP: net.ParseIP(host), Port: port})
+	var out []netip.AddrPort
+	for i := range members {
+		if address, err := netip.ParseAddrPort(members[i].Address); err == nil {
+			out = append(out, netip.AddrPortFrom(address.Addr(), own.Port()))
 		}
 	}
 	return out
--- a/internal/process/node/notices.go
+++ b/internal/process/node/notices.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
+	"net/netip"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -39,13 +39,21 @@
 		}
 		receivers := append(n.pickReceivers(hub.RoleEntry, entries), n.pickReceivers(hub.RoleSide, sideReceivers)...)
 		for _, notice := range notices {
-			if err := beacon.SendNotice(n.reports, notice, receivers); err != nil && ctx.Err() == nil {
+			if err := n.sendNotice(notice, receivers); err != nil && ctx.Err() == nil {
 				n.journal.Logger(journal.State).Debug().Err(err).Msg("cannot send quarantine notice to all receivers; repeating it later")
 			}
 		}
 	}
 }
 
+func (n *node) sendNotice(notice hub.QuarantineNotice, receivers []netip.AddrPort) error {
+	data, err := beacon.EncodeNotice(notice)
+	if err != nil {
+		return err
+	}
+	return beacon.Send(n.reports, data, receivers)
+}
+
 // QuarantinedParts returns the number of parts of prompts in quarantine.
 func (n *node) QuarantinedParts() int { return len(n.quarantine.Parts()) }
 
@@ -65,7 +73,7 @@
 }
 
 // pickReceivers returns the addresses of up to count random processes with a role.
-func (n *node) pickReceivers(role string, count int) []*net.UDPAddr {
+func (n *node) pickReceivers(role string, count int) []netip.AddrPort {
 	members := n.aliveMembers(role)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	return n.reportAddressesOf(members[:min(count, len(members))])
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"net"
+	"fmt"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/state/beacon"
+	"github.com/oriolehub/oriolehub/internal/state/delegate"
 	"github.com/oriolehub/oriolehub/internal/upstream/stager"
 	"github.com/oriolehub/oriolehub/internal/weights/pace"
 	"github.com/oriolehub/oriolehub/internal/weights/replica"
@@ -39,7 +41,7 @@
 	sender      *beacon.Sender
 	chunkServer *transfer.Server
 
-	cachedReceivers   []*net.UDPAddr
+	cachedReceivers   []netip.AddrPort
 	receiversCachedAt time.Time
 }
 
@@ -70,18 +72,18 @@
 		return nil, err
 	}
 	e.metrics.NewGauge("oriolehub_chunk_bytes_sent_total", func() float64 { return float64(e.ChunkBytesSent()) })
-	e.sender = beacon.NewSender(e.reports, s.Upstream, reportLinkFraction*s.LinkMegabits*1e6/8)
+	upstream, err := netip.ParseAddrPort(s.Upstream)
+	if err != nil {
+		return nil, fmt.Errorf("parse address of the upstream: %w", err)
+	}
+	e.sender = beacon.NewSender(e.reports, upstream, e.incarnation, reportLinkFraction*s.LinkMegabits*1e6/8)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	e.run(ctx)
 	e.running.Go(func() { e.stager.Run(ctx) })
 	e.running.Go(func() { e.readStoreFallback(ctx) })
 	e.running.Go(func() {
-		beacon.Receive(ctx, e.reports, j.Logger(journal.State), func(b beacon.Beacon) {
-			if b.Notice != nil {
-				e.quarantine.Merge(*b.Notice)
-			}
-		})
+		beacon.Receive(ctx, e.reports, j.Logger(journal.State), beacon.Handler{Notice: e.quarantine.Merge})
 	})
 	return e, nil
 }
@@ -100,18 +102,18 @@
 	return int64(weightsMemoryFraction * float64(s.MemoryMegabytes) * (1 << 20))
 }
 
-// sendReport sends the state and load of the engine to the entry processes.
+// sendReport sends the state and load of the engine to the entry processes that collect reports.
 func (e *Side) sendReport(r hub.UpstreamReport) {
 	if err := e.sender.Send(r, e.receivers); err != nil {
 		e.journal.Logger(journal.State).Debug().Err(err).Msg("cannot send the upstream report to all entry processes; trying again with the next report")
 	}
 }
 
-// receivers returns the UDP addresses of the entry processes, which are cached for receiversTTL. It is not safe for
+// receivers returns the UDP addresses of the entry processes that collect reports, which are cached for receiversTTL. It is not safe for
 // concurrent use; only the stager's goroutine calls it.
-func (e *Side) receivers() []*net.UDPAddr {
+func (e *Side) receivers() []netip.AddrPort {
 	if time.Since(e.receiversCachedAt) >= receiversTTL {
-		e.cachedReceivers, e.receiversCachedAt = e.reportAddresses(), time.Now()
+		e.cachedReceivers, e.receiversCachedAt = e.reportAddressesOf(e.delegates.Everywhere(delegate.CollectReports)), time.Now()
 	}
 	return e.cachedReceivers
 }
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -36,21 +36,26 @@
 
 // timedReport is a report with the time at which it was received.
 type timedReport struct {
-	hub.UpstreamReport
+	hub.SentReport
 	at time.Time
 }
 
 func newLoad() *Load { return &Load{availability: availability{created: time.Now()}} }
 
-// Report stores an upstream's report and estimates the load of other processes from it.
-func (l *Load) Report(r hub.UpstreamReport) {
+// Report stores an upstream's report and estimates the load of other processes from it. It returns false if r is not
+// newer than the last report of the same side process, as a copy that came over another process.
+func (l *Load) Report(r hub.SentReport) bool {
+	if last := l.report.Load(); last != nil && last.Epoch == r.Epoch && last.Number >= r.Number {
+		return false
+	}
 	l.others.Store(max(0, int64(r.Running+r.Waiting)-l.running.Load()))
 	l.othersWaiting.Store(max(0, int64(r.Waiting)-l.pendingRequests.Load()))
-	l.report.Store(&timedReport{UpstreamReport: r, at: time.Now()})
+	l.report.Store(&timedReport{SentReport: r, at: time.Now()})
 	l.reportedAt.Store(l.now())
 	if r.Leaving {
 		l.Leaves()
 	}
+	return true
 }
 
 // recentReport returns the last report, or nil if there is none or it is older than maxReportAge.
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -58,6 +59,8 @@
 type Placement struct {
 	options Options
 	loads   atomic.Pointer[map[directory.Key]*Load]
+	// engines holds the listed engines by address.
+	engines atomic.Pointer[map[netip.AddrPort]listedEngine]
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -65,6 +68,13 @@
 	room map[string]chan struct{}
 }
 
+// listedEngine is a listed run of an engine.
+type listedEngine struct {
+	service string
+	born    int64
+	load    *Load
+}
+
 // queueKey identifies a queue. Requests with the same key share a queue.
 type queueKey struct {
 	service  string
@@ -121,6 +131,7 @@
 func New(o Options) *Placement {
 	p := &Placement{options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{}}
 	p.loads.Store(&map[directory.Key]*Load{})
+	p.engines.Store(&map[netip.AddrPort]listedEngine{})
 	return p
 }
 
@@ -141,6 +152,7 @@
 func (p *Placement) Refresh() {
 	known := *p.loads.Load()
 	next := make(map[directory.Key]*Load, len(known))
+	engines := make(map[netip.AddrPort]listedEngine, len(known))
 	s := p.options.Directory.Current()
 	for name, service := range s.Services() {
 		for _, u := range service.Upstreams {
@@ -149,11 +161,15 @@
 				l = newLoad()
 			}
 			next[u.Key()] = l
+			if address, err := netip.ParseAddrPort(u.Address); err == nil && service.Engine != nil {
+				engines[address] = listedEngine{service: name, born: u.Born, load: l}
+			}
 		}
 		defer p.wake(name)
 	}
 	keepUnlisted(next, known)
 	p.loads.Store(&next)
+	p.engines.Store(&engines)
 }
 
 // keepUnlisted copies up to maxUnlistedLoads entries of known that must not be forgotten to next.
@@ -170,25 +186,14 @@
 	}
 }
 
-// Report updates the load of the engine at address. It ignores a report of an instance that is not listed.
-func (p *Placement) Report(address string, r hub.UpstreamReport) {
-	s := p.options.Directory.Current()
-	loads := *p.loads.Load()
-	for name, service := range s.Services() {
-		if service.Engine == nil {
-			continue
-		}
-		for _, u := range service.Upstreams {
-			if u.Address != address || u.Born != r.Born {
-				continue
-			}
-			if l := loads[u.Key()]; l != nil {
-				l.Report(r)
-				p.wake(name)
-			}
-			return
-		}
+// Report updates the load of the engine that sent r. It ignores a report of an instance that is not listed, and one that
+// is not newer than the last.
+func (p *Placement) Report(r hub.SentReport) {
+	e, ok := (*p.engines.Load())[r.Address]
+	if !ok || e.born != r.Born || !e.load.Report(r) {
+		return
 	}
+	p.wake(e.service)
 }
 
 // Choose chooses the upstream with the lowest score among those with room and reserves a slot there.
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,8 @@
 	publisher desired.Publisher
 	directory *directory.Directory
 	placement *placement.Placement
+	// reports is the number of reports delivered.
+	reports uint64
 }
 
 func withTestPlacement(t testing.TB) *fixture {
@@ -67,6 +70,12 @@
 	f.placement.Refresh()
 }
 
+// report delivers a report of the engine with index i.
+func (f *fixture) report(i int, r hub.UpstreamReport) {
+	f.reports++
+	f.placement.Report(hub.SentReport{UpstreamReport: r, Address: netip.MustParseAddrPort(address(i)), Number: f.reports})
+}
+
 func address(i int) string { return fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1) }
 
 func requirements() *placement.Requirements {
@@ -86,7 +95,7 @@
 	f := withTestPlacement(t)
 	f.engines(2, 0)
 	for i := range 2 {
-		f.placement.Report(address(i), hub.UpstreamReport{Held: 1, Born: 1, Running: 3 * i})
+		f.report(i, hub.UpstreamReport{Held: 1, Born: 1, Running: 3 * i})
 	}
 	counts := map[string]int{}
 	for range 2 {
@@ -106,7 +115,7 @@
 		f.directives(hub.Directives{Targets: []hub.ModelTarget{{Model: "m", Version: 2}}})
 		report := func(fetched ...uint64) {
 			for i, version := range fetched {
-				f.placement.Report(address(i), hub.UpstreamReport{Held: 1, Born: 1, Fetched: version})
+				f.report(i, hub.UpstreamReport{Held: 1, Born: 1, Fetched: version})
 			}
 		}
 		candidates := func() int {
@@ -169,10 +178,10 @@
 func TestLoadingEnginesReceiveNoRequests(t *testing.T) {
 	f := withTestPlacement(t)
 	f.engines(1, 0)
-	f.placement.Report(address(0), hub.UpstreamReport{Held: 1, Busy: true, Born: 1})
+	f.report(0, hub.UpstreamReport{Held: 1, Busy: true, Born: 1})
 	_, ok := f.placement.Choose(requirements())
 	assert.Assert(t, !ok)
-	f.placement.Report(address(0), hub.UpstreamReport{Held: 2, Born: 1})
+	f.report(0, hub.UpstreamReport{Held: 2, Born: 1})
 	c := f.choose(t, requirements())
 	assert.Equal(t, c.Held, uint64(2))
 }
@@ -191,7 +200,7 @@
 		time.Sleep(switchBound - 100*time.Millisecond)
 		_, ok := f.placement.Choose(requirements())
 		assert.Assert(t, !ok)
-		f.placement.Report(address(0), hub.UpstreamReport{Held: 2, Born: 1})
+		f.report(0, hub.UpstreamReport{Held: 2, Born: 1})
 		f.choose(t, requirements())
 	})
 }
@@ -222,7 +231,7 @@
 func TestReportOfAnotherInstanceIsIgnored(t *testing.T) {
 	f := withTestPlacement(t)
 	f.engines(1, 0)
-	f.placement.Report(address(0), hub.UpstreamReport{Held: 0, Born: 99})
+	f.report(0, hub.UpstreamReport{Held: 0, Born: 99})
 	f.choose(t, requirements())
 }
 
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -1,7 +1,6 @@
 package quarantine_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -177,7 +176,7 @@
 		}
 		kinds := map[bool]int{}
 		for _, n := range q.Notices() {
-			data, err := json.Marshal(beacon.Beacon{Notice: &n})
+			data, err := beacon.EncodeNotice(n)
 			assert.NilError(t, err)
 			assert.Assert(t, len(data) <= beacon.MaxDatagramBytes, "%d bytes: %s", len(data), data)
 			kinds[len(n.Crashes) > 0]++
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"container/list"
 	"maps"
 	"slices"
@@ -45,6 +46,8 @@
 	members   map[string]*list.Element
 	// changes holds one *entry for each member, from the oldest change to the newest.
 	changes *list.List
+	// sorted caches the result of Members, nil after a change.
+	sorted  []Record
 	buckets Buckets
 	// changed is closed when a document or a member record changes.
 	changed chan struct{}
@@ -245,6 +248,7 @@
 	}
 	c.buckets.toggle(&m)
 	c.members[m.Id] = c.changes.PushBack(e)
+	c.sorted = nil
 	c.notify()
 	return true
 }
@@ -261,6 +265,7 @@
 			c.buckets.toggle(&known.Member)
 			c.changes.Remove(element)
 			delete(c.members, known.Id)
+			c.sorted = nil
 		}
 		element = next
 	}
@@ -287,21 +292,19 @@
 	return out
 }
 
-// Members returns the records of all members, sorted by ID.
+// Members returns the records of all members, sorted by ID. The result must not be modified.
 func (c *Catalog) Members() []Record {
 	c.mu.Lock()
-	out := make([]Record, 0, len(c.members))
-	for element := c.changes.Front(); element != nil; element = element.Next() {
-		out = append(out, element.Value.(*entry).record)
-	}
-	c.mu.Unlock()
-	slices.SortFunc(out, func(a, b Record) int {
-		if a.Id < b.Id {
-			return -1
+	defer c.mu.Unlock()
+	if c.sorted == nil {
+		out := make([]Record, 0, len(c.members))
+		for element := c.changes.Front(); element != nil; element = element.Next() {
+			out = append(out, element.Value.(*entry).record)
 		}
-		return 1
-	})
-	return out
+		slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Id, b.Id) })
+		c.sorted = out
+	}
+	return c.sorted
 }
 
 // Member returns the record of one member, or false if there is none.
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -63,6 +64,10 @@
 // refutes the suspicion by publishing one with a higher sequence.
 type Client struct {
 	options Options
+	// created is the time to which heardAt refers.
+	created time.Time
+	// heardAt is the time of the last response of another process, in nanoseconds since created.
+	heardAt atomic.Int64
 
 	mu sync.Mutex
 	// inProgress is the set of addresses with which an exchange is in progress.
@@ -92,7 +97,12 @@
 	if o.SeedInterval == 0 {
 		o.SeedInterval = defaultSeedInterval
 	}
-	return &Client{options: o, inProgress: map[string]bool{}, peers: map[string]*peerState{}}
+	return &Client{options: o, created: time.Now(), inProgress: map[string]bool{}, peers: map[string]*peerState{}}
+}
+
+// SinceHeard returns the time since the last response of another process, or since the start if there was none.
+func (c *Client) SinceHeard() time.Duration {
+	return time.Since(c.created) - time.Duration(c.heardAt.Load())
 }
 
 // Run performs rounds of exchanges until ctx is done.
@@ -286,6 +296,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.heardAt.Store(int64(time.Since(c.created)))
 	merge(c.options.Catalog, id, reply.GetDocuments(), reply.GetMembers())
 	return reply, nil
 }
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -23,6 +23,13 @@
 	// relistInterval is the interval between two listings of all keys, which repair changes that a watch has missed
 	// without an error.
 	relistInterval = 8 * time.Second
+	// joinInterval is the minimum interval between two calls that follow the upstreams, so that changes in quick
+	// succession are read together.
+	joinInterval = 500 * time.Millisecond
+	// dutyCheckInterval is the interval at which a process that does not read the store checks whether it must.
+	dutyCheckInterval = 100 * time.Millisecond
+	// detachAfter is the time for which calls must fail before this process leaves the reading to others.
+	detachAfter = 500 * time.Millisecond
 	// meanRetryDelay is the mean delay before a failed call is retried.
 	meanRetryDelay = 300 * time.Millisecond
 	// prefixCount is the number of mirrored key prefixes.
@@ -34,7 +41,10 @@
 	Source  hub.StateSource
 	Decoder hub.StateDecoder
 	Catalog *catalog.Catalog
-	Log     *log.Logger
+	// Reads reports whether this process reads the store. Others publish nothing; they rely on the documents that the
+	// readers publish. Every process lists all keys once when it starts. nil means that it always reads.
+	Reads func() bool
+	Log   *log.Logger
 }
 
 // Mirror watches the keys in the store and publishes them as documents in the catalog.
@@ -49,20 +59,35 @@
 	upstreams string
 	operator  string
 	reachable atomic.Bool
+	// failingSince holds, for each prefix, the time of the first of the calls that have failed since the last success,
+	// in nanoseconds since created; 0 if the last call succeeded.
+	failingSince map[string]*atomic.Int64
+	created      time.Time
 	// asked counts the prefixes for which the first call to the store has ended.
 	asked atomic.Int32
 }
 
 // New returns a mirror; call Run to start it.
 func New(o Options) *Mirror {
-	m := &Mirror{options: o}
+	m := &Mirror{options: o, created: time.Now()}
 	m.upstreams, m.operator = o.Decoder.Prefixes()
+	m.failingSince = map[string]*atomic.Int64{m.upstreams: {}, m.operator: {}}
 	return m
 }
 
 // Reachable reports whether the store responded to the last call.
 func (m *Mirror) Reachable() bool { return m.reachable.Load() }
 
+// Detached reports whether the calls to the store have failed for longer than detachAfter.
+func (m *Mirror) Detached() bool {
+	for _, since := range m.failingSince {
+		if at := since.Load(); at != 0 && time.Since(m.created)-time.Duration(at) > detachAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // Asked reports whether the store has been asked for all keys once, successfully or not.
 func (m *Mirror) Asked() bool { return m.asked.Load() == prefixCount }
 
@@ -94,6 +119,11 @@
 	var listed time.Time
 	asked := false
 	for ctx.Err() == nil {
+		if asked && !m.reads() {
+			_ = hub.Sleep(ctx, dutyCheckInterval)
+			continue
+		}
+		started := time.Now()
 		err := m.step(ctx, prefix, k, &listed)
 		if ctx.Err() != nil {
 			return
@@ -109,9 +139,15 @@
 		if err != nil && !errors.Is(err, hub.ErrHistoryLost) {
 			_ = hub.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
 		}
+		if err == nil && prefix == m.upstreams {
+			_ = hub.Sleep(ctx, joinInterval-time.Since(started))
+		}
 	}
 }
 
+// reads reports whether this process reads the store.
+func (m *Mirror) reads() bool { return m.options.Reads == nil || m.options.Reads() }
+
 // step lists all keys of the prefix if that is due, otherwise it waits for changes, and publishes the result.
 func (m *Mirror) step(ctx context.Context, prefix string, k *keys, listed *time.Time) error {
 	if time.Since(*listed) >= relistInterval {
@@ -138,6 +174,13 @@
 
 // updateReachable updates the reachability of the store after a call that returned err and logs the changes.
 func (m *Mirror) updateReachable(prefix string, err error) {
+	failing := m.failingSince[prefix]
+	switch {
+	case err == nil || errors.Is(err, hub.ErrHistoryLost):
+		failing.Store(0)
+	case failing.Load() == 0:
+		failing.Store(int64(time.Since(m.created)))
+	}
 	switch {
 	case errors.Is(err, hub.ErrHistoryLost):
 		m.options.Log.Warn().Str("Prefix", prefix).Msg("store no longer keeps the requested changes, listing all keys again")
