state/listing, state/catalog, state/directory: a change of a list costs what its entries cost

Change: listing.List keeps its entries with their encoded forms; changes are merged into it. The catalog keeps lists, the directory decodes only entries with a new revision. A reader that saw no change publishes nothing.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -115,6 +115,24 @@
 
 // PutDocument stores d and returns true if its revision is higher than the stored one.
 func (c *Catalog) PutDocument(d hub.Document) bool {
+	if c.Document(d.Name).Revision >= d.Revision {
+		return false
+	}
+	// A document that is not a list has no changed entries.
+	l, err := listing.Parse(d.Value)
+	if err != nil {
+		l = nil
+	}
+	return c.put(d, l)
+}
+
+// PutList stores a document that is a list and returns true if its revision is higher than the stored one.
+func (c *Catalog) PutList(name string, revision uint64, l *listing.List) bool {
+	return c.put(hub.Document{Name: name, Revision: revision, Value: l.Value()}, l)
+}
+
+// put stores d; l is its list, nil if it is not a list.
+func (c *Catalog) put(d hub.Document, l *listing.List) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.documents[d.Name]
@@ -125,18 +143,29 @@
 		return false
 	}
 	c.documents[d.Name] = h
-	h.put(d)
+	h.put(d, l)
 	close(c.documentsChanged)
 	c.documentsChanged = make(chan struct{})
 	c.notify()
 	return true
 }
 
+// List returns the current revision of a document that is a list, or nil if there is none or it is not a list.
+func (c *Catalog) List(name string) (l *listing.List, revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.documents[name]
+	if h == nil {
+		return nil, 0
+	}
+	return h.list.List(), h.current.Revision
+}
+
 // put replaces the current revision by d.
-func (h *history) put(d hub.Document) {
-	h.list.Update(d.Value, d.Revision)
+func (h *history) put(d hub.Document, l *listing.List) {
+	h.list.Update(l, d.Revision)
 	switch {
-	case h.list.Valid():
+	case l != nil:
 		h.earlier = nil
 	case h.current.Revision != 0:
 		h.earlier = append(h.earlier, h.current)
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -44,7 +44,8 @@
 
 	// revisions holds the revision of each document at the last rebuild.
 	revisions map[string]uint64
-	// upstreams holds the upstreams of the last rebuild.
+	// entries holds the entries of the list of upstreams of the last rebuild by key, upstreams its upstreams.
+	entries   map[string]decodedEntry
 	upstreams map[Key]*Upstream
 	// targets is keyed by model.
 	targets   map[string]Target
@@ -55,6 +56,13 @@
 	directivesApplied bool
 }
 
+// decodedEntry is an entry of the list of upstreams, with the error if it cannot be decoded.
+type decodedEntry struct {
+	revision uint64
+	instance hub.Instance
+	err      error
+}
+
 // New returns a directory with an empty snapshot.
 func New(o Options) *Directory {
 	d := &Directory{
@@ -98,12 +106,14 @@
 // Rebuild publishes a new snapshot if a document in the catalog has changed. It must not be called concurrently.
 func (d *Directory) Rebuild() {
 	configuration := d.options.Catalog.Document(mirror.DocumentConfiguration)
-	directives := d.options.Catalog.Document(mirror.DocumentDirectives)
-	upstreams := d.options.Catalog.Document(mirror.DocumentUpstreams)
+	directives, directivesRevision := d.options.Catalog.List(mirror.DocumentDirectives)
+	upstreams, upstreamsRevision := d.options.Catalog.List(mirror.DocumentUpstreams)
 	modified := false
-	for _, doc := range []hub.Document{configuration, directives, upstreams} {
-		if doc.Revision > d.revisions[doc.Name] {
-			d.revisions[doc.Name] = doc.Revision
+	for name, revision := range map[string]uint64{
+		mirror.DocumentConfiguration: configuration.Revision, mirror.DocumentDirectives: directivesRevision, mirror.DocumentUpstreams: upstreamsRevision,
+	} {
+		if revision > d.revisions[name] {
+			d.revisions[name] = revision
 			modified = true
 		}
 	}
@@ -111,12 +121,12 @@
 		return
 	}
 	old := d.current.Load()
-	next := &Snapshot{Configuration: old.Configuration, Revision: old.Revision, UpstreamsRevision: upstreams.Revision, Revisions: maps.Clone(d.revisions)}
+	next := &Snapshot{Configuration: old.Configuration, Revision: old.Revision, UpstreamsRevision: upstreamsRevision, Revisions: maps.Clone(d.revisions)}
 	d.applyConfiguration(next, configuration)
-	d.applyDirectives(next, directives)
+	d.applyDirectives(next, directives, directivesRevision)
 	next.targets = d.targets
 	next.index()
-	d.applyUpstreams(next, upstreams)
+	d.applyUpstreams(next, upstreams, upstreamsRevision)
 	d.current.Store(next)
 	d.mu.Lock()
 	close(d.changed)
@@ -141,15 +151,14 @@
 
 // applyDirectives sets the evacuated failure domains in next and updates the target versions. The target version of a
 // model never decreases while the directives contain it. Entries that cannot be decoded are skipped.
-func (d *Directory) applyDirectives(next *Snapshot, doc hub.Document) {
-	entries, err := listing.Decode(doc.Value)
-	if err != nil {
-		d.options.Log.Error().Str("Document", doc.Name).Uint64("Revision", doc.Revision).Err(err).Msg("cannot decode directives, keeping the previous ones")
+func (d *Directory) applyDirectives(next *Snapshot, l *listing.List, revision uint64) {
+	if l == nil {
+		d.logUnreadable(mirror.DocumentDirectives, revision)
 		next.Evacuated = d.evacuated
 		return
 	}
 	var directives hub.Directives
-	for _, e := range entries {
+	for _, e := range l.Entries() {
 		if err := d.options.Decoder.Directive(e.Key, e.Value, &directives); err != nil {
 			d.logInvalid(e, err)
 		}
@@ -158,7 +167,7 @@
 	for _, domain := range directives.Evacuated {
 		next.Evacuated[domain] = true
 	}
-	d.logEvacuations(next.Evacuated, doc.Revision)
+	d.logEvacuations(next.Evacuated, revision)
 	d.evacuated = next.Evacuated
 	targets := make(map[string]Target, len(directives.Targets))
 	for _, t := range directives.Targets {
@@ -172,10 +181,10 @@
 			since = since.Add(-d.options.InitialTargetAge)
 		}
 		targets[t.Model] = known.withVersion(t.Version, since)
-		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", doc.Revision).Msg("target version changed")
+		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", revision).Msg("target version changed")
 	}
 	d.targets = targets
-	d.directivesApplied = d.directivesApplied || doc.Revision != 0
+	d.directivesApplied = d.directivesApplied || revision != 0
 }
 
 // logEvacuations logs the failure domains that were evacuated or returned to service since the last rebuild.
@@ -194,35 +203,55 @@
 
 // applyUpstreams adds the listed upstreams to the services of next. Entries that cannot be decoded are skipped;
 // if the list cannot be decoded, the upstreams of the last rebuild are kept.
-func (d *Directory) applyUpstreams(next *Snapshot, doc hub.Document) {
-	entries, err := listing.Decode(doc.Value)
-	if err != nil {
-		d.options.Log.Error().Str("Document", doc.Name).Uint64("Revision", doc.Revision).Err(err).Msg("cannot decode list of upstreams, keeping the previous one")
+func (d *Directory) applyUpstreams(next *Snapshot, l *listing.List, revision uint64) {
+	if l == nil {
+		d.logUnreadable(mirror.DocumentUpstreams, revision)
 		d.keepUpstreams(next)
 		return
 	}
-	listed := make(map[Key]*Upstream, len(entries))
-	for _, e := range entries {
-		i, err := d.options.Decoder.Instance(e.Key, e.Value)
-		if err != nil {
-			d.logInvalid(e, err)
+	entries := make(map[string]decodedEntry, len(l.Entries()))
+	listed := make(map[Key]*Upstream, len(l.Entries()))
+	for _, e := range l.Entries() {
+		decoded := d.decode(e)
+		entries[e.Key] = decoded
+		if decoded.err != nil {
 			continue
 		}
-		u := d.upstream(i)
+		u := d.upstream(decoded.instance)
 		listed[u.Key()] = u
-		if service := next.services[i.Service]; service != nil {
+		if service := next.services[u.Service]; service != nil {
 			service.Upstreams = append(service.Upstreams, u)
 		}
 	}
 	for key, u := range d.upstreams {
 		if listed[key] == nil {
-			d.options.Log.Info().Str("Upstream", u.Id).Str("Service", u.Service).Uint64("Revision", doc.Revision).Msg("upstream no longer listed")
+			d.options.Log.Info().Str("Upstream", u.Id).Str("Service", u.Service).Uint64("Revision", revision).Msg("upstream no longer listed")
 		}
 	}
-	d.upstreams = listed
+	d.entries, d.upstreams = entries, listed
 	next.setDefaultTargets()
 }
 
+// decode returns the decoded entry; one that has not changed since the last rebuild is not decoded again.
+func (d *Directory) decode(e listing.Entry) decodedEntry {
+	if known, ok := d.entries[e.Key]; ok && known.revision == e.Revision {
+		return known
+	}
+	i, err := d.options.Decoder.Instance(e.Key, e.Value)
+	if err != nil {
+		d.logInvalid(e, err)
+	}
+	return decodedEntry{revision: e.Revision, instance: i, err: err}
+}
+
+// logUnreadable logs that a document is not a list; a missing document is not logged.
+func (d *Directory) logUnreadable(name string, revision uint64) {
+	if revision != 0 && d.invalid[name] != revision {
+		d.invalid[name] = revision
+		d.options.Log.Error().Str("Document", name).Uint64("Revision", revision).Msg("document is not a list, keeping the previous one")
+	}
+}
+
 // keepUpstreams adds the upstreams of the last rebuild to the services of next.
 func (d *Directory) keepUpstreams(next *Snapshot) {
 	for _, u := range d.upstreams {
--- a/internal/state/exchange/documents.go
+++ b/internal/state/exchange/documents.go
@@ -7,7 +7,6 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
 	"github.com/oriolehub/oriolehub/internal/state/delta"
-	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
@@ -53,6 +52,10 @@
 // form that can be decoded.
 func merge(c *catalog.Catalog, from string, documents []*message.Document, members []*message.Member) {
 	for _, d := range documents {
+		if d.GetEntries() {
+			applyEntries(c, d)
+			continue
+		}
 		if value, ok := fullValue(c, d); ok {
 			c.PutDocument(hub.Document{Name: d.GetName(), Revision: d.GetRevision(), Value: value})
 		}
@@ -71,8 +74,6 @@
 		return nil, false
 	case d.GetBaseRevision() == 0:
 		return d.GetValue(), delta.Checksum(d.GetValue()) == d.GetChecksum()
-	case d.GetEntries():
-		return applyEntries(c, known, d)
 	case known.Revision != d.GetBaseRevision():
 		return nil, false
 	}
@@ -80,15 +81,17 @@
 	return value, err == nil
 }
 
-// applyEntries returns the list after the received changes. If they do not fit, the list is requested whole.
-func applyEntries(c *catalog.Catalog, known hub.Document, d *message.Document) ([]byte, bool) {
-	if known.Revision < d.GetBaseRevision() {
-		return nil, false
+// applyEntries stores the list after the received changes if they lead to a newer one. If they do not fit, the list is
+// requested whole.
+func applyEntries(c *catalog.Catalog, d *message.Document) {
+	known, revision := c.List(d.GetName())
+	if known == nil || d.GetRevision() <= revision || revision < d.GetBaseRevision() {
+		return
 	}
-	value, err := listing.Apply(known.Value, d.GetValue(), d.GetChecksum())
+	l, err := known.Apply(d.GetValue(), d.GetChecksum())
 	if err != nil {
 		c.SetInconsistent(d.GetName())
-		return nil, false
+		return
 	}
-	return value, true
+	c.PutList(d.GetName(), d.GetRevision(), l)
 }
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -13,7 +13,6 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
-	"github.com/oriolehub/oriolehub/internal/state/listing"
 )
 
 const (
@@ -168,7 +167,9 @@
 		return err
 	}
 	k.apply(changes)
-	m.publish(prefix, k)
+	if len(changes.Items) > 0 {
+		m.publish(prefix, k)
+	}
 	return nil
 }
 
@@ -203,16 +204,14 @@
 // adopt replaces k by the document in the catalog if another process has published a newer one.
 func (m *Mirror) adopt(prefix string, k *keys) {
 	name, include := m.document(prefix)
-	d := m.options.Catalog.Document(name)
-	if d.Revision <= k.revision {
-		return
-	}
-	entries, err := listing.Decode(d.Value)
-	if err != nil {
-		m.options.Log.Error().Str("Document", name).Uint64("Revision", d.Revision).Err(err).Msg("cannot decode copy of another process, keeping the local one")
-		return
+	l, revision := m.options.Catalog.List(name)
+	switch {
+	case revision <= k.revision:
+	case l == nil:
+		m.options.Log.Error().Str("Document", name).Uint64("Revision", revision).Msg("copy of another process is not a list, keeping the local one")
+	default:
+		k.adopt(l.Entries(), revision, include)
 	}
-	k.adopt(entries, d.Revision, include)
 }
 
 // publish puts the documents of a prefix into the catalog if they have changed.
@@ -223,14 +222,14 @@
 		}
 	}
 	name, include := m.document(prefix)
-	value, err := k.encode(include)
+	l, err := k.list(include)
 	if err != nil {
 		m.options.Log.Error().Str("Document", name).Err(err).Msg("cannot encode document, not publishing it")
 		return
 	}
 	known := m.options.Catalog.Document(name)
-	if known.Revision != 0 && bytes.Equal(known.Value, value) {
+	if known.Revision != 0 && bytes.Equal(known.Value, l.Value()) {
 		return
 	}
-	m.options.Catalog.PutDocument(hub.Document{Name: name, Revision: k.revision, Value: value})
+	m.options.Catalog.PutList(name, k.revision, l)
 }
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -47,15 +47,15 @@
 	k.revision = max(k.revision, l.Revision)
 }
 
-// encode returns the list of the keys that include accepts.
-func (k *keys) encode(include func(key string) bool) ([]byte, error) {
+// list returns the list of the keys that include accepts.
+func (k *keys) list(include func(key string) bool) (*listing.List, error) {
 	var out []listing.Entry
 	for _, i := range k.items {
 		if include(i.Key) {
 			out = append(out, listing.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision})
 		}
 	}
-	return listing.Encode(out)
+	return listing.New(out)
 }
 
 // adopt replaces the keys that include accepts by the entries of a document with a higher revision.
