state/exchange, upstream/stager, state/mirror: intervals grow with the deployment; readers of the store wait for different times

Exchanges with seeds, rounds of side processes and polls of an engine that holds its target are less frequent in a large deployment (over 64 processes or upstreams); polls also while the report does not change.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -147,7 +147,7 @@
 	p.roster = roster.New(lister, s.VmList.Interval.Std(), stateLog)
 	p.table = table.NewBuilder(s.Domain, s.Region, p.publisher, p.roster)
 	p.exchange = exchange.NewClient(exchange.Options{
-		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: s.ExchangeInterval.Std(), Seeds: s.Peers, Log: stateLog,
+		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: exchange.Every(s.ExchangeInterval.Std()), Seeds: s.Peers, Log: stateLog,
 	})
 	p.relay = relay.New(kv, p.catalog, stateLog)
 	p.ledger = ledger.New(kv)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -31,12 +31,17 @@
 )
 
 const (
-	// exchangeInterval is the mean interval between two rounds of state exchange while nothing changes.
-	exchangeInterval = time.Second
+	// exchangeInterval is the mean interval between two rounds of state exchange while nothing changes. Changes are sent
+	// at once. Side processes wait longer in a large deployment, up to maxSideExchangeInterval.
+	exchangeInterval        = time.Second
+	maxSideExchangeInterval = 3 * time.Second
 	// seedInterval is the interval between two exchanges with a random seed. After a restart of all processes, groups
 	// that have records only of their own members must find each other before they assign the chunks that each member
-	// fetches from the origin.
-	seedInterval = 700 * time.Millisecond
+	// fetches from the origin. In a large deployment each process waits longer, up to maxSeedInterval.
+	seedInterval    = 700 * time.Millisecond
+	maxSeedInterval = 7 * time.Second
+	// fullRateMembers is the number of processes up to which intervals are not lengthened.
+	fullRateMembers = 64
 	// forgetInterval is the interval at which the records of former members are removed, forgetAfter the time without a
 	// change after which the record of a member that is not alive is removed.
 	forgetInterval = 5 * time.Second
@@ -139,12 +144,26 @@
 	n.quarantine = quarantine.New(quarantine.Options{Log: j.Logger(journal.Routing), Metrics: n.metrics})
 	n.link = link.NewClient(n.traffic.Dial(link.DialFunc(n.dial)))
 	n.exchange = exchange.NewClient(exchange.Options{
-		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: exchangeInterval, MoreSeeds: n.seedAddresses,
-		SeedInterval: seedInterval, Log: stateLog,
+		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: n.exchangeInterval, MoreSeeds: n.seedAddresses,
+		SeedInterval: func() time.Duration { return min(maxSeedInterval, n.scaled(seedInterval)) }, Log: stateLog,
 	})
 	return n
 }
 
+// scaled returns d lengthened so that what all processes together send in it does not grow beyond that of
+// fullRateMembers processes.
+func (n *node) scaled(d time.Duration) time.Duration {
+	return d * time.Duration(max(fullRateMembers, len(n.catalog.Members()))) / fullRateMembers
+}
+
+// exchangeInterval returns the mean interval between two rounds of state exchange.
+func (n *node) exchangeInterval() time.Duration {
+	if n.role == hub.RoleEntry {
+		return exchangeInterval
+	}
+	return min(maxSideExchangeInterval, n.scaled(exchangeInterval))
+}
+
 // domainRegions returns the region of each failure domain in the settings.
 func domainRegions(s *settings.Node) map[string]string {
 	out := map[string]string{s.Domain: s.Region}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -103,7 +103,7 @@
 	p.presence = presence.New(p.catalog, p.Member)
 	p.publisher = view.NewPublisher(p.catalog, j.Logger(journal.State))
 	p.exchange = exchange.NewClient(exchange.Options{
-		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: s.ExchangeInterval.Std(), Seeds: s.Peers, Log: j.Logger(journal.State),
+		Self: s.Id, Catalog: p.catalog, Link: p.link, Interval: exchange.Every(s.ExchangeInterval.Std()), Seeds: s.Peers, Log: j.Logger(journal.State),
 	})
 	p.assemble(base, overrides)
 	if err := p.listen(overrides); err != nil {
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -26,7 +26,7 @@
 	suspectAfter = 3 * time.Second
 	// joinInterval is the upper limit of the mean interval between rounds while no neighbour is known.
 	joinInterval = 100 * time.Millisecond
-	// defaultSeedInterval is the interval between exchanges with a seed if Options.SeedInterval is 0.
+	// defaultSeedInterval is the interval between exchanges with a seed if Options.SeedInterval is nil.
 	defaultSeedInterval = 10 * time.Second
 	// roundTimeout is the maximum time for which a round waits for its exchanges; slower ones continue in the
 	// background.
@@ -44,14 +44,14 @@
 	Self    string
 	Catalog *catalog.Catalog
 	Link    *link.Client
-	// Interval is the mean interval between two rounds of exchanges.
-	Interval time.Duration
+	// Interval returns the mean interval between two rounds of exchanges.
+	Interval func() time.Duration
 	// Seeds are addresses of other processes. One of them, chosen at random, is contacted at startup and every
 	// SeedInterval.
 	Seeds []string
-	// SeedInterval is the interval between two exchanges with a seed. These exchanges reconnect groups of processes
-	// that a network partition or a restart has separated. 0 means the default of 10 s.
-	SeedInterval time.Duration
+	// SeedInterval returns the interval between two exchanges with a seed. These exchanges reconnect groups of processes
+	// that a network partition or a restart has separated. nil means the default of 10 s.
+	SeedInterval func() time.Duration
 	// MoreSeeds returns additional seeds and is called anew for each exchange with a seed; it may be nil.
 	MoreSeeds func() []string
 	Log       *log.Logger
@@ -92,10 +92,13 @@
 	lastResponse time.Time
 }
 
+// Every returns a constant interval for Options.
+func Every(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // NewClient returns a client; call Run to start its exchanges.
 func NewClient(o Options) *Client {
-	if o.SeedInterval == 0 {
-		o.SeedInterval = defaultSeedInterval
+	if o.SeedInterval == nil {
+		o.SeedInterval = Every(defaultSeedInterval)
 	}
 	return &Client{options: o, created: time.Now(), inProgress: map[string]bool{}, peers: map[string]*peerState{}}
 }
@@ -119,7 +122,7 @@
 // after the round that started at the given time. The interval has jitter, so that the rounds of
 // different processes are not synchronised.
 func (c *Client) wait(ctx context.Context, started time.Time, documentsChanged <-chan struct{}) {
-	interval := c.options.Interval
+	interval := c.options.Interval()
 	if c.hasNoNeighbours() {
 		interval = min(interval, joinInterval)
 	}
@@ -237,7 +240,7 @@
 func (c *Client) seed(neighbours int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if neighbours > 0 && time.Since(c.lastSeedExchange) < c.options.SeedInterval {
+	if neighbours > 0 && time.Since(c.lastSeedExchange) < c.options.SeedInterval() {
 		return ""
 	}
 	seeds := c.options.Seeds
--- a/internal/state/exchange/exchange_test.go
+++ b/internal/state/exchange/exchange_test.go
@@ -48,8 +48,8 @@
 	t.Helper()
 	client := link.NewClient(link.Dial)
 	c := exchange.NewClient(exchange.Options{
-		Self: p.id, Catalog: p.catalog, Link: client, Interval: 10 * time.Millisecond,
-		MoreSeeds: func() []string { return seeds }, SeedInterval: interval, Log: journal.Discard().Logger(journal.State),
+		Self: p.id, Catalog: p.catalog, Link: client, Interval: exchange.Every(10 * time.Millisecond),
+		MoreSeeds: func() []string { return seeds }, SeedInterval: exchange.Every(interval), Log: journal.Discard().Logger(journal.State),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -22,7 +22,7 @@
 	// relistInterval is the interval between two listings of all keys, which repair changes that a watch has missed
 	// without an error.
 	relistInterval = 8 * time.Second
-	// joinInterval is the minimum interval between two calls that follow the upstreams, so that changes in quick
+	// joinInterval is the mean of the minimum interval between two calls that follow the upstreams, so that changes in quick
 	// succession are read together.
 	joinInterval = 500 * time.Millisecond
 	// dutyCheckInterval is the interval at which a process that does not read the store checks whether it must.
@@ -122,6 +122,7 @@
 			_ = hub.Sleep(ctx, dutyCheckInterval)
 			continue
 		}
+		listing := m.listingDue(listed)
 		started := time.Now()
 		err := m.step(ctx, prefix, k, &listed)
 		if ctx.Err() != nil {
@@ -138,8 +139,9 @@
 		if err != nil && !errors.Is(err, hub.ErrHistoryLost) {
 			_ = hub.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
 		}
-		if err == nil && prefix == m.upstreams {
-			_ = hub.Sleep(ctx, joinInterval-time.Since(started))
+		if err == nil && prefix == m.upstreams && !listing {
+			// The readers wait for different times, so that one of them soon sees the next change.
+			_ = hub.Sleep(ctx, joinInterval/2+rand.N(joinInterval)-time.Since(started))
 		}
 	}
 }
@@ -147,9 +149,12 @@
 // reads reports whether this process reads the store.
 func (m *Mirror) reads() bool { return m.options.Reads == nil || m.options.Reads() }
 
+// listingDue reports whether all keys must be listed that were last listed at the given time.
+func (m *Mirror) listingDue(listed time.Time) bool { return time.Since(listed) >= relistInterval }
+
 // step lists all keys of the prefix if that is due, otherwise it waits for changes, and publishes the result.
 func (m *Mirror) step(ctx context.Context, prefix string, k *keys, listed *time.Time) error {
-	if time.Since(*listed) >= relistInterval {
+	if m.listingDue(*listed) {
 		listing, err := m.options.Source.List(ctx, prefix)
 		if err != nil {
 			return err
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -21,8 +21,13 @@
 )
 
 const (
-	// pollInterval is the interval at which the engine is polled.
-	pollInterval = 60 * time.Millisecond
+	// pollInterval is the interval at which the engine is polled. If it holds the target version, the interval is
+	// longer in a large service, up to maxPollInterval, and while its reports do not change, up to idlePollInterval.
+	pollInterval     = 60 * time.Millisecond
+	maxPollInterval  = 180 * time.Millisecond
+	idlePollInterval = 180 * time.Millisecond
+	// fullRateUpstreams is the number of upstreams of a service up to which pollInterval applies.
+	fullRateUpstreams = 64
 	// orderGrace is the time after a load order during which the reports of the engine may not show it yet.
 	orderGrace = 400 * time.Millisecond
 	// loadPart is the part of Options.SwitchBound that is reserved for the load of the last engine.
@@ -77,6 +82,9 @@
 
 	// orderedAt is the time of the last load order, zero if none is pending.
 	orderedAt time.Time
+	// lastReport is the last report, unchanged the number of polls since it changed.
+	lastReport hub.UpstreamReport
+	unchanged  int
 	// unreachable is true while the engine does not respond to report requests.
 	unreachable bool
 }
@@ -109,18 +117,31 @@
 
 // Run keeps the engine at the target version until ctx is done.
 func (s *Stager) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		s.poll(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		started := time.Now()
+		s.poll(ctx)
+		timer.Reset(s.nextPoll() - time.Since(started))
 	}
 }
 
+// nextPoll returns the time from the last poll to the next one.
+func (s *Stager) nextPoll() time.Duration {
+	service := s.options.Directory.Current().Service(s.options.Service)
+	if service == nil || s.machine.Current() != StateServing {
+		return pollInterval
+	}
+	d := pollInterval * time.Duration(max(fullRateUpstreams, len(service.Upstreams))) / fullRateUpstreams
+	d = min(d, maxPollInterval)
+	return max(d, min(idlePollInterval, pollInterval*time.Duration(s.unchanged)))
+}
+
 // poll reads one report of the engine and takes the next step towards the target.
 func (s *Stager) poll(ctx context.Context) {
 	report, err := s.options.Engine.Report(ctx)
@@ -140,6 +161,7 @@
 	if f := s.newestComplete(0); f != nil {
 		report.Fetched = f.version
 	}
+	s.countUnchanged(report)
 	s.options.OnReport(report)
 	service := s.options.Directory.Current().Service(s.options.Service)
 	if service == nil || service.Engine == nil {
@@ -148,6 +170,15 @@
 	s.reconcile(ctx, service, report)
 }
 
+// countUnchanged counts the polls since the report of the engine last changed.
+func (s *Stager) countUnchanged(report hub.UpstreamReport) {
+	if report != s.lastReport {
+		s.unchanged = 0
+	}
+	s.unchanged++
+	s.lastReport = report
+}
+
 // engineUnreachable logs the first of several consecutive failed report requests.
 func (s *Stager) engineUnreachable(ctx context.Context, err error) {
 	if ctx.Err() != nil || s.unreachable {
