weights/transfer, route/claim, bench/harness: tests that do not depend on a busy machine

Traced: TestBusyLinkReducesParallelFetches counted a call until its handler had returned, which may be after the client has the last piece and has begun the next; it now ends before that piece is sent. TestSilentConnectionsOfOnceOnlyCalls silenced the connections when the first call ran; a call that has not reached its upstream then is rightly refused as not run. It now waits until all six run.

--- a/internal/bench/harness/requests_test.go
+++ b/internal/bench/harness/requests_test.go
@@ -265,7 +265,16 @@
 	for i := range calls {
 		running.Go(func() { outcomes[i], _ = send(t.Context(), h, i%2, fmt.Sprint("silent-", i), "") })
 	}
-	assert.NilError(t, Await(t.Context(), testTimeout, func() bool { return h.Runs.Of("silent-0") > 0 }))
+	// A request that has not reached its upstream when the traffic stops may be refused as not run.
+	allRun := func() bool {
+		for i := range calls {
+			if h.Runs.Of(fmt.Sprint("silent-", i)) == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	assert.NilError(t, Await(t.Context(), testTimeout, allRun))
 	h.Network.Silence(nil)
 	running.Wait()
 	for i, o := range outcomes {
--- a/internal/route/claim/registry_test.go
+++ b/internal/route/claim/registry_test.go
@@ -1,15 +1,18 @@
 package claim
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/standin/kv"
 	"github.com/oriolehub/oriolehub/internal/state/store"
 )
@@ -60,16 +63,47 @@
 	}
 }
 
-// TestGroupCommit checks that concurrent claims are combined: 200 of them must cost fewer than 100 writes.
+// heldStore is a store whose writes wait until released is closed.
+type heldStore struct {
+	hub.Store
+	released chan struct{}
+}
+
+func (s *heldStore) CompareAndSwap(ctx context.Context, key string, revision uint64, data []byte, lease hub.LeaseID) (uint64, error) {
+	<-s.released
+	return s.Store.CompareAndSwap(ctx, key, revision, data, lease)
+}
+
+// waitCounter is a context that counts how often it is waited for, which a claim does once it has been queued.
+type waitCounter struct {
+	context.Context
+	waits atomic.Int64
+}
+
+func (c *waitCounter) Done() <-chan struct{} {
+	c.waits.Add(1)
+	return c.Context.Done()
+}
+
+// TestGroupCommit checks that concurrent claims are combined: 200 of them must cost fewer than 100 writes. The writes are
+// held until all claims have been made; otherwise a busy machine makes them one after the other.
 func TestGroupCommit(t *testing.T) {
 	const claims = 200
 	registries, s := withTestRegistries(t, 1)
+	r := registries[0]
+	held := &heldStore{Store: r.store, released: make(chan struct{})}
+	r.store = held
+	ctx := &waitCounter{Context: t.Context()}
 	var running sync.WaitGroup
 	for i := range claims {
 		running.Go(func() {
-			assert.Check(t, registries[0].Acquire(t.Context(), testClaim(fmt.Sprint(i), fmt.Sprint(i))))
+			assert.Check(t, r.Acquire(ctx, testClaim(fmt.Sprint(i), fmt.Sprint(i))))
 		})
 	}
+	for ctx.waits.Load() < claims {
+		time.Sleep(time.Millisecond)
+	}
+	close(held.released)
 	running.Wait()
 	writes := s.Counts().Writes
 	assert.Assert(t, writes < claims/2, "%d writes for %d claims", writes, claims)
--- a/internal/weights/transfer/transfer_test.go
+++ b/internal/weights/transfer/transfer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -35,12 +36,12 @@
 	peak    atomic.Int64
 }
 
-func (g *gauge) enter() func() {
+func (g *gauge) enter() (leave func()) {
 	n := g.current.Add(1)
 	for {
 		peak := g.peak.Load()
 		if n <= peak || g.peak.CompareAndSwap(peak, n) {
-			return func() { g.current.Add(-1) }
+			return sync.OnceFunc(func() { g.current.Add(-1) })
 		}
 	}
 }
@@ -52,9 +53,24 @@
 }
 
 func (s *slowServer) Fetch(r *message.FetchRequest, stream message.DRPCWeights_FetchStream) error {
-	defer s.gauge.enter()()
+	leave := s.gauge.enter()
+	defer leave()
 	time.Sleep(fetchDelay)
-	return s.DRPCWeightsServer.Fetch(r, stream)
+	return s.DRPCWeightsServer.Fetch(r, &countedStream{DRPCWeights_FetchStream: stream, leave: leave})
+}
+
+// countedStream ends a call in the gauge before its last piece is sent. The client may start the next call as soon as it
+// has that piece, however late the handler of this one returns.
+type countedStream struct {
+	message.DRPCWeights_FetchStream
+	leave func()
+}
+
+func (s *countedStream) Send(p *message.Piece) error {
+	if p.GetHolding() != nil {
+		s.leave()
+	}
+	return s.DRPCWeights_FetchStream.Send(p)
 }
 
 // fullMesh is a topology in which every participant is a neighbour of all others.
