upstream/stager: decide again before a load is ordered

Operators' reports: a process that was paused acted on a permission that had run out; orders went out twice around a hand-over.

Test that failed first (go test -run TestPausedProcess ./internal/upstream/stager): loaded [2 3], want [3]. The stager decided by the target, then staged all chunks, which a pause may stretch to seconds, and ordered without another look. It now decides again by the current target right before the order.

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -217,8 +217,8 @@
 	if s.machine.Current() == StateLoading {
 		s.fire(EventFailed)
 	}
-	if held == 0 || s.mayLoad(service.Target, held, best) {
-		s.orderLoad(ctx, service, best, report)
+	if s.mayLoad(service.Target, held, best) {
+		s.orderLoad(ctx, service, best, held, report)
 	}
 }
 
@@ -227,9 +227,12 @@
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
 }
 
-// mayLoad reports whether this engine may load the fetched version now. The engines of a service load one after the
+// mayLoad reports whether this engine, which holds version held or none, may load the fetched version now. The engines of a service load one after the
 // other, spread evenly over the time that remains within SwitchBound, so that most of them keep serving.
 func (s *Stager) mayLoad(target directory.Target, held uint64, best *fetch) bool {
+	if held == 0 {
+		return true
+	}
 	oldest, ok := target.After(held)
 	if !ok {
 		return true
@@ -265,7 +268,7 @@
 func fraction(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
 
 // orderLoad stages all chunks again, because staged ones may have become corrupt, and orders the load.
-func (s *Stager) orderLoad(ctx context.Context, service *directory.Service, f *fetch, report hub.UpstreamReport) {
+func (s *Stager) orderLoad(ctx context.Context, service *directory.Service, f *fetch, held uint64, report hub.UpstreamReport) {
 	model := service.Engine.Model
 	began := time.Now()
 	for i := range f.replica.Manifest.Chunks {
@@ -278,6 +281,10 @@
 			return
 		}
 	}
+	if !s.mayStillLoad(f, held) {
+		s.options.Log.Info().Uint64("Version", f.version).Dur("Staging", time.Since(began)).Msg("target changed while chunks were staged; load not ordered")
+		return
+	}
 	s.orderedAt = time.Now()
 	s.fire(EventOrder)
 	err := s.options.Engine.Load(ctx, hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders, AbortRunning: s.resumable()})
@@ -293,6 +300,16 @@
 	}
 }
 
+// mayStillLoad decides again, by the current target, whether the engine may load a version: staging may have taken long, or
+// the process may have been paused meanwhile.
+func (s *Stager) mayStillLoad(f *fetch, held uint64) bool {
+	service := s.options.Directory.Current().Service(s.options.Service)
+	if service == nil || s.newestComplete(held) != f {
+		return false
+	}
+	return s.mayLoad(service.Target, held, f)
+}
+
 // resumable reports whether all requests to the service may be retried or resumed at another upstream, so that a load
 // may abort them.
 func (s *Stager) resumable() bool {
--- a/internal/upstream/stager/stager_test.go
+++ b/internal/upstream/stager/stager_test.go
@@ -111,6 +111,8 @@
 	changed chan struct{}
 	// conflicts is the number of orders still to reject.
 	conflicts int
+	// beforeStage is called once, before a chunk is staged.
+	beforeStage func()
 }
 
 func newEngine(held uint64) *engine {
@@ -124,6 +126,13 @@
 }
 
 func (e *engine) Stage(_ context.Context, _ string, chunk int, data []byte) error {
+	e.mu.Lock()
+	before := e.beforeStage
+	e.beforeStage = nil
+	e.mu.Unlock()
+	if before != nil {
+		before()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.staged[chunk] = slices.Clone(data)
@@ -308,6 +317,39 @@
 	s.engine.waitLoads(t, 1)
 }
 
+// TestTwoSideProcessesOrderOnce guards against load orders that are given twice around a hand-over, when the side process
+// before and the one after it act for the same engine for a moment.
+func TestTwoSideProcessesOrderOnce(t *testing.T) {
+	o, e := &origin{}, newEngine(1)
+	before, after := withTestSide(t, "a", o, e, time.Second), withTestSide(t, "b", o, e, time.Second)
+	for version := uint64(2); version <= 4; version++ {
+		before.setTarget(version)
+		after.setTarget(version)
+		want := []uint64{}
+		for v := uint64(2); v <= version; v++ {
+			want = append(want, v)
+		}
+		e.waitLoads(t, want...)
+	}
+	time.Sleep(time.Second)
+	e.waitLoads(t, 2, 3, 4)
+}
+
+// TestPausedProcessDecidesAnew guards against a load order that follows from what a process knew before it was paused:
+// meanwhile a newer version has become the target, early enough that the engine skips the one before.
+func TestPausedProcessDecidesAnew(t *testing.T) {
+	o, e := &origin{}, newEngine(1)
+	s := withTestSide(t, "a", o, e, 10*time.Second)
+	e.mu.Lock()
+	e.beforeStage = func() {
+		s.setTarget(3)
+		time.Sleep(2 * time.Second)
+	}
+	e.mu.Unlock()
+	s.setTarget(2)
+	e.waitLoads(t, 3)
+}
+
 // TestStagedChunksAreTakenOver starts a side process next to an engine whose chunks are staged already. It must not read
 // them from the origin again.
 func TestStagedChunksAreTakenOver(t *testing.T) {
