--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,10 @@
 .PHONY: spec
 spec: ## Checks the models with spin and verifies that every broken variant violates an invariant.
 	spec/check.sh
+
+.PHONY: soak soak-regressions
+soak: build ## Plays one seed of the soak: processes on this machine while faults befall them.
+	out/oriolehub soak --seed 1 --time 45s
+
+soak-regressions: build ## Plays the plans of all seeds of the soak that have ever failed.
+	out/oriolehub soak --plan internal/soak/plan/_fixtures/regressions
--- a/internal/cli/experiments/soak.go
+++ b/internal/cli/experiments/soak.go
@@ -55,7 +55,7 @@
 			{Name: "seeds", Help: "number of seeds, played one after the other", Target: &o.seeds},
 			{Name: "time", Help: "time of each seed, of which the last 14s are without faults", Target: &o.length},
 			{Name: "processes", Help: fmt.Sprintf("number of processes, from 4 to %d", maxSoakProcesses), Target: &o.processes},
-			{Name: "plan", Help: "file with a plan to play in place of seeds", Target: &o.planFile},
+			{Name: "plan", Help: "file with a plan to play in place of seeds, or folder with several", Target: &o.planFile},
 			{Name: "folder", Help: "folder for plans, logs and reports", Target: &o.folder},
 			{Name: "shrink", Help: "leave out faults of a failed plan as long as it fails", Target: &o.shrink},
 		},
@@ -117,22 +117,35 @@
 	return nil
 }
 
-// plans returns the plan in the file, or those of the seeds.
+// plans returns the plans in the file or folder, or those of the seeds.
 func (o *soakOptions) plans() ([]*plan.Plan, error) {
 	if o.planFile != "" {
-		text, err := os.ReadFile(o.planFile)
+		return readPlans(o.planFile)
+	}
+	var out []*plan.Plan
+	for i := range o.seeds {
+		out = append(out, plan.Generate(uint64(o.seed+i), o.length, o.size()))
+	}
+	return out, nil
+}
+
+// readPlans reads a plan, or all plans in a folder.
+func readPlans(path string) ([]*plan.Plan, error) {
+	files := []string{path}
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		files, _ = filepath.Glob(filepath.Join(path, "*.txt"))
+	}
+	var out []*plan.Plan
+	for _, file := range files {
+		text, err := os.ReadFile(file)
 		if err != nil {
 			return nil, fmt.Errorf("read plan: %w", err)
 		}
 		p, err := plan.Parse(string(text))
 		if err != nil {
-			return nil, table.ExitErrorf(table.ExitUsage, "%s: %w", o.planFile, err)
+			return nil, table.ExitErrorf(table.ExitUsage, "%s: %w", file, err)
 		}
-		return []*plan.Plan{p}, nil
-	}
-	var out []*plan.Plan
-	for i := range o.seeds {
-		out = append(out, plan.Generate(uint64(o.seed+i), o.length, o.size()))
+		out = append(out, p)
 	}
 	return out, nil
 }
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -43,3 +45,16 @@
 	_, err := Parse("Seed 1\n")
 	assert.Assert(t, errors.Is(err, ErrInvalid))
 }
+
+// The plans of seeds that have failed stay playable.
+func TestRegressionsAreReadable(t *testing.T) {
+	files, err := filepath.Glob("_fixtures/regressions/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		_, err = Parse(string(text))
+		assert.NilError(t, err, file)
+	}
+}
--- a/internal/soak/proxy/connection.go
+++ b/internal/soak/proxy/connection.go
@@ -48,21 +48,36 @@
 
 func (c *connection) silence() { c.silenceOnce.Do(func() { close(c.silent) }) }
 
-// copy forwards bytes from src to dst until the connection ends; cut is the mode that holds them back.
+// copy forwards bytes from src to dst until the connection ends; cut is the mode that holds them back. Bytes that are held
+// back are lost when src resets the connection.
 func (c *connection) copy(dst, src net.Conn, cut Mode) {
-	buffer := make([]byte, chunkBytes)
+	chunks := make(chan []byte, maxHeldChunks)
+	go c.read(src, chunks)
+	for data := range chunks {
+		if !c.pass(dst, data, cut) {
+			return
+		}
+	}
+	c.end()
+}
+
+// read reads from src until that closes the connection, or ends all if it resets it.
+func (c *connection) read(src net.Conn, chunks chan<- []byte) {
+	defer close(chunks)
 	for {
+		buffer := make([]byte, chunkBytes)
 		n, err := src.Read(buffer)
-		if n > 0 && !c.pass(dst, buffer[:n], cut) {
-			return
+		if n > 0 {
+			select {
+			case chunks <- buffer[:n]:
+			case <-c.ended:
+				return
+			}
 		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			c.end()
-			return
-		default:
+		if err != nil && !errors.Is(err, io.EOF) {
 			c.reset()
+		}
+		if err != nil {
 			return
 		}
 	}
--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -32,7 +32,9 @@
 const (
 	chunkDelay   = 250 * time.Millisecond
 	dripInterval = 15 * time.Millisecond
-	chunkBytes   = 32 << 10
+	chunkBytes   = 16 << 10
+	// maxHeldChunks limits the chunks of a connection that are read before they are written.
+	maxHeldChunks = 4
 	// maxRepeatedBytes limits the responses that are kept to be repeated.
 	maxRepeatedBytes = 16 << 10
 	dialTimeout      = time.Second
--- a/internal/soak/proxy/proxy_test.go
+++ b/internal/soak/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,3 +103,23 @@
 	_, err = c.get("/e", testLimit)
 	assert.Assert(t, err != nil, "a response came on a reset connection")
 }
+
+// A request that is held back must not arrive once its sender has reset the connection: it would look as if the sender had
+// sent it late.
+func TestHeldBytesOfAResetConnectionAreLost(t *testing.T) {
+	var arrived atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Store(true) }))
+	t.Cleanup(server.Close)
+	p, err := Listen("127.0.0.1:0", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	p.Set(CutToTarget)
+	c := dial(t, p)
+	_, err = c.get("/a", 50*time.Millisecond)
+	assert.Assert(t, err != nil)
+	resetConn(c.Conn)
+	time.Sleep(50 * time.Millisecond)
+	p.Set(Pass)
+	time.Sleep(100 * time.Millisecond)
+	assert.Assert(t, !arrived.Load())
+}
