--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -25,8 +25,8 @@
 	storeBusyStatus = http.StatusServiceUnavailable
 	// startLimit is the time within which all processes serve at the start.
 	startLimit = 30 * time.Second
-	// callersPerClass is the number of callers of each class at each entry process.
-	callersPerClass = 6
+	// callersPerClass is the number of callers of each class, at least one at each entry process.
+	callersPerClass = 18
 	// switchBound is the time within which a named version replaces older ones.
 	switchBound = 8 * time.Second
 )
@@ -112,12 +112,13 @@
 	ctx, cancel := context.WithTimeout(ctx, p.Time)
 	defer cancel()
 	var running sync.WaitGroup
+	perEntry := max(1, callersPerClass/p.Size.Entries)
 	for i := range p.Size.Entries {
 		for j, class := range classes {
-			for k := range callersPerClass {
+			for k := range perEntry {
 				c := &caller{
 					session: s, name: fmt.Sprintf("e%d-%s-%d", i, class.name, k), process: plan.EntryName(i), class: class,
-					rng: rand.New(rand.NewPCG(p.Seed, uint64(i*len(classes)*callersPerClass+j*callersPerClass+k+1))),
+					rng: rand.New(rand.NewPCG(p.Seed, uint64((i*len(classes)+j)*perEntry+k+1))),
 				}
 				running.Go(func() { c.run(ctx) })
 			}
