--- /dev/null
+++ b/cmd/oriolehub/soak_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/cli/table"
+)
+
+// soak runs the soak command in a separate process and returns its output and exit code.
+func soak(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], append([]string{"soak"}, args...)...)
+	cmd.Env = append(os.Environ(), envProgram+"=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		_, isExit := err.(*exec.ExitError)
+		assert.Assert(t, isExit, "%v", err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// A plan with one fault of each part: processes, connections, the store, upstreams and the operator.
+const shortPlan = `Seed 1
+Time 17s
+Size 2 2 2
+Fault 500ms 500ms Kill entry-0
+Fault 500ms 500ms CutFrom engine-0
+Fault 600ms 500ms StoreBusy -
+Fault 700ms 300ms Leave plain-0
+Fault 800ms 0s ChangeKey -
+Fault 900ms 300ms Pause side-1
+`
+
+func TestSoakPlaysAPlan(t *testing.T) {
+	folder := t.TempDir()
+	file := filepath.Join(folder, "plan.txt")
+	assert.NilError(t, os.WriteFile(file, []byte(shortPlan), 0o600))
+	out, code := soak(t, "--plan", file, "--folder", folder)
+	assert.Equal(t, code, table.ExitOK, out)
+	assert.Assert(t, strings.HasPrefix(out, "seed 1: 6 faults, "), out)
+	for _, name := range []string{"plan.txt", "report.html", "entry-0.log", "side-1.yaml"} {
+		info, err := os.Stat(filepath.Join(folder, "seed-1", name))
+		assert.NilError(t, err)
+		assert.Assert(t, info.Size() > 0, name)
+	}
+}
+
+func TestSoakRejectsWhatItCannotPlay(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "plan.txt")
+	assert.NilError(t, os.WriteFile(file, []byte("Seed 1\nTime 20s\nSize 2 2 1\nFault 1s 1s Kill entry-7\n"), 0o600))
+	for _, args := range [][]string{{"--processes", "2"}, {"--processes", "1000"}, {"--time", "3s"}, {"--seeds", "0"}, {"--plan", file}} {
+		out, code := soak(t, args...)
+		assert.Equal(t, code, table.ExitUsage, "%v: %s", args, out)
+	}
+}
