--- a/internal/cli/experiments/soak.go
+++ b/internal/cli/experiments/soak.go
@@ -68,8 +68,8 @@
 	switch {
 	case o.processes < 4 || o.processes > maxSoakProcesses:
 		return table.ExitErrorf(table.ExitUsage, "--processes %d: must be from 4 to %d", o.processes, maxSoakProcesses)
-	case o.length <= plan.Calm || o.length > maxSoakTime:
-		return table.ExitErrorf(table.ExitUsage, "--time %s: must be over %s and at most %s", o.length, plan.Calm, maxSoakTime)
+	case o.length <= plan.FaultFree || o.length > maxSoakTime:
+		return table.ExitErrorf(table.ExitUsage, "--time %s: must be over %s and at most %s", o.length, plan.FaultFree, maxSoakTime)
 	case o.seeds < 1 || o.seed < 0:
 		return table.ExitErrorf(table.ExitUsage, "--seeds must be at least 1 and --seed at least 0")
 	}
--- a/internal/soak/plan/generate.go
+++ b/internal/soak/plan/generate.go
@@ -53,10 +53,10 @@
 func StoreLink(process string) string   { return storeLink + process }
 func ControlLink(process string) string { return controlLink + process }
 
-// Means reports whether the name of a kind of processes stands for a process.
-func Means(kind, process string) bool {
+// Includes reports whether a group of processes includes a process.
+func Includes(group, process string) bool {
 	entry := strings.HasPrefix(process, "entry-")
-	return kind == All || kind == AllEntries && entry || kind == AllSides && !entry
+	return group == All || group == AllEntries && entry || group == AllSides && !entry
 }
 
 // choice is a fault that may be drawn, with its share of all.
@@ -91,7 +91,7 @@
 	{kind: BreakStreams, weight: 5, target: (*generator).engine},
 	{kind: ChangeKey, weight: 5, target: (*generator).none, instant: true},
 	{kind: NameVersion, weight: 3, target: (*generator).none, instant: true},
-	{kind: TakeOutPlace, weight: 2, target: (*generator).domain},
+	{kind: TakeOutDomain, weight: 2, target: (*generator).domain},
 }
 
 // generator draws faults.
@@ -104,7 +104,7 @@
 func Generate(seed uint64, length time.Duration, size Size) *Plan {
 	g := &generator{rng: rand.New(rand.NewPCG(seed, 0)), size: size}
 	p := &Plan{Seed: seed, Time: length, Size: size}
-	end := length - Calm
+	end := length - FaultFree
 	for at := firstFault; at < end; at += g.gap() {
 		p.Faults = append(p.Faults, g.draw(at, end)...)
 	}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -51,9 +51,9 @@
 
 // Changes by the operator.
 const (
-	ChangeKey    Kind = "ChangeKey"
-	NameVersion  Kind = "NameVersion"
-	TakeOutPlace Kind = "TakeOutPlace"
+	ChangeKey     Kind = "ChangeKey"
+	NameVersion   Kind = "NameVersion"
+	TakeOutDomain Kind = "TakeOutDomain"
 )
 
 // Fault is one fault of a plan.
@@ -82,14 +82,14 @@
 // Plan is a deployment with the faults that befall it.
 type Plan struct {
 	Seed uint64
-	// Time is the time for which callers send requests. No fault lasts into the last Calm of it.
+	// Time is the time for which callers send requests. No fault lasts into the last FaultFree of it.
 	Time   time.Duration
 	Size   Size
 	Faults []Fault
 }
 
-// Calm is the time at the end of a plan without faults, in which the deployment must recover.
-const Calm = 14 * time.Second
+// FaultFree is the time at the end of a plan without faults, in which the deployment must recover.
+const FaultFree = 14 * time.Second
 
 // LastEnd returns the time at which the last fault ends.
 func (p *Plan) LastEnd() time.Duration {
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -23,11 +23,11 @@
 	assert.Equal(t, p.String(), text)
 }
 
-func TestFaultsEndBeforeTheCalm(t *testing.T) {
+func TestFaultsEndBeforeTheFaultFreeTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		length := 30 * time.Second
 		p := Generate(rapid.Uint64().Draw(t, "seed"), length, testSize)
-		if p.LastEnd() > length-Calm {
+		if p.LastEnd() > length-FaultFree {
 			t.Fatalf("a fault ends at %s", p.LastEnd())
 		}
 		if _, err := Parse(p.String()); err != nil {
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -28,8 +28,8 @@
 	plan.RepeatOld: proxy.Repeat,
 }
 
-// conducts are the ways in which upstreams behave under faults.
-var conducts = map[plan.Kind]standin.Conduct{
+// behaviors are the ways in which upstreams behave under faults.
+var behaviors = map[plan.Kind]standin.Behavior{
 	plan.AskPause:     {Refuses: true, Pause: askedPause},
 	plan.Refuse:       {Refuses: true},
 	plan.BreakStreams: {BreaksStreams: true},
@@ -48,9 +48,9 @@
 		_ = hub.Sleep(ctx, f.For)
 		return
 	}
-	if c, ok := conducts[f.Kind]; ok {
-		s.cluster.Site.SetConduct(f.Target, c)
-		defer s.cluster.Site.SetConduct(f.Target, standin.Conduct{})
+	if c, ok := behaviors[f.Kind]; ok {
+		s.cluster.Site.SetBehavior(f.Target, c)
+		defer s.cluster.Site.SetBehavior(f.Target, standin.Behavior{})
 		_ = hub.Sleep(ctx, f.For)
 		return
 	}
@@ -64,7 +64,7 @@
 		return s.operator.changeKey
 	case plan.NameVersion:
 		return s.operator.nameVersion
-	case plan.TakeOutPlace:
+	case plan.TakeOutDomain:
 		return func() {
 			s.cluster.Site.Evacuate(f.Target, true)
 			back := s.record.Change(record.Change{Kind: record.OutOfService, Subject: f.Target})
@@ -119,7 +119,7 @@
 func (s *session) killAll(kind string, wait time.Duration) {
 	var restarts sync.WaitGroup
 	for name := range s.cluster.Processes {
-		if !plan.Means(kind, name) {
+		if !plan.Includes(kind, name) {
 			continue
 		}
 		restarts.Go(func() {
@@ -168,13 +168,13 @@
 	site := s.cluster.Site
 	site.WriteEntry(name, "draining")
 	back := s.record.Change(record.Change{Kind: record.Leaving, Subject: name})
-	site.SetConduct(name, standin.Conduct{Leaving: true})
+	site.SetBehavior(name, standin.Behavior{Leaving: true})
 	_ = hub.Sleep(ctx, d)
 	site.RemoveEntry(name)
 	gone := s.cluster.SetMode(name, proxy.Refuse)
 	s.cluster.Reset(name)
 	_ = hub.Sleep(ctx, goneTime)
-	site.SetConduct(name, standin.Conduct{})
+	site.SetBehavior(name, standin.Behavior{})
 	back()
 	site.Restart(name)
 	gone()
