--- a/internal/bench/testbed/testbed.go
+++ b/internal/bench/testbed/testbed.go
@@ -18,15 +18,6 @@
 	"github.com/oriolehub/oriolehub/platform/standin"
 )
 
-// Ports of the processes, below the ephemeral port range, so that no outgoing connection of another program uses them.
-// sharedPort is the port for load reports of all processes and also the control port of side processes.
-const (
-	requestPort = ":7101"
-	readyPort   = ":7102"
-	controlPort = ":7103"
-	sharedPort  = ":7104"
-)
-
 const (
 	// initialVersion is the model version that engines hold at the start, except the last Options.Empty ones.
 	initialVersion = 1
@@ -122,12 +113,12 @@
 	for i := range ips {
 		ips[i] = network.Loopback()
 		if i < seedPeers {
-			b.peers = append(b.peers, ips[i]+controlPort)
+			b.peers = append(b.peers, ips[i]+deployment.ControlPort)
 		}
 	}
 	for i, ip := range ips {
 		s := b.settings(fmt.Sprintf("entry-%d", i), ip, b.place(i))
-		s.Listen, s.ReadyListen, s.ControlListen = ip+requestPort, ip+readyPort, ip+controlPort
+		s.Listen, s.ReadyListen, s.ControlListen = ip+deployment.RequestPort, ip+deployment.ReadyPort, ip+deployment.ControlPort
 		e, err := node.StartEntry(s, b.options.Journal, platform.Adapter())
 		if err != nil {
 			return err
@@ -151,7 +142,7 @@
 	}
 	vm.Engine = engine
 	s := b.settings("side-"+vm.Id, ip, vm.Place)
-	s.ControlListen, s.Upstream, s.Service = ip+sharedPort, address, standin.Service
+	s.ControlListen, s.Upstream, s.Service = ip+deployment.SharedPort, address, standin.Service
 	s.LinkMegabits = b.options.LinkBytesPerSecond / bytesPerMegabit
 	if vm.Side, err = node.StartSide(s, b.options.Journal, platform.Adapter()); err != nil {
 		return err
@@ -168,7 +159,7 @@
 	for _, p := range b.options.Places {
 		s.Regions = append(s.Regions, settings.DomainRegion{Domain: p.Domain, Region: p.Region})
 	}
-	s.ReportListen, s.AdminListen = ip+sharedPort, ip+":0"
+	s.ReportListen, s.AdminListen = ip+deployment.SharedPort, ip+":0"
 	s.Store = b.Site.StoreAddress
 	s.Peers = b.peers
 	s.Bounds.Switch = settings.Duration(b.options.Switch)
--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -12,22 +12,15 @@
 	"syscall"
 	"time"
 
+	"github.com/oriolehub/oriolehub/internal/bench/deployment"
 	"github.com/oriolehub/oriolehub/internal/bench/network"
 	"github.com/oriolehub/oriolehub/internal/soak/plan"
 	"github.com/oriolehub/oriolehub/internal/soak/proxy"
 	"github.com/oriolehub/oriolehub/platform/standin"
 )
 
-// Ports of the processes. Side processes use sharedPort for connections and datagrams of other processes, entry processes
-// controlPort and sharedPort.
-const (
-	requestPort = ":7101"
-	readyPort   = ":7102"
-	controlPort = ":7103"
-	sharedPort  = ":7104"
-	// frontPort is the port of the proxy in front of an upstream, on the address of its VM.
-	frontPort = ":7105"
-)
+// frontPort is the port of the proxy in front of an upstream, on the address of its VM.
+const frontPort = ":7105"
 
 const (
 	// initialVersion is the version that engines hold at the start.
@@ -103,7 +96,7 @@
 	for i := range c.options.Size.Entries {
 		entries = append(entries, network.Loopback())
 		if i < seedPeers {
-			c.peers = append(c.peers, entries[i]+controlPort)
+			c.peers = append(c.peers, entries[i]+deployment.ControlPort)
 		}
 	}
 	for i, ip := range entries {
@@ -167,16 +160,16 @@
 
 func (c *Cluster) addEntry(i int, ip string) error {
 	name, bound := plan.EntryName(i), network.Loopback()
-	if _, err := c.addLink(plan.ControlLink(name), ip+controlPort, bound+controlPort); err != nil {
+	if _, err := c.addLink(plan.ControlLink(name), ip+deployment.ControlPort, bound+deployment.ControlPort); err != nil {
 		return err
 	}
-	if _, err := c.addLink(plan.CallersLink(name), ip+requestPort, bound+requestPort); err != nil {
+	if _, err := c.addLink(plan.CallersLink(name), ip+deployment.RequestPort, bound+deployment.RequestPort); err != nil {
 		return err
 	}
-	c.ready[name] = bound + readyPort
+	c.ready[name] = bound + deployment.ReadyPort
 	return c.run(name, "entry", map[string]string{
-		"Domain": Domain(i), "Listen": bound + requestPort, "ReadyListen": bound + readyPort,
-		"ControlListen": ip + controlPort, "ControlBind": bound + controlPort, "ReportListen": ip + sharedPort,
+		"Domain": Domain(i), "Listen": bound + deployment.RequestPort, "ReadyListen": bound + deployment.ReadyPort,
+		"ControlListen": ip + deployment.ControlPort, "ControlBind": bound + deployment.ControlPort, "ReportListen": ip + deployment.SharedPort,
 	})
 }
 
@@ -189,11 +182,11 @@
 	}
 	engine.SetEvents(c.options.Events)
 	c.Engines[plan.EngineName(i)] = engine
-	if _, err := c.addLink(plan.ControlLink(name), ip+sharedPort, bound+sharedPort); err != nil {
+	if _, err := c.addLink(plan.ControlLink(name), ip+deployment.SharedPort, bound+deployment.SharedPort); err != nil {
 		return err
 	}
 	return c.run(name, "side", map[string]string{
-		"Domain": Domain(i), "ControlListen": ip + sharedPort, "ControlBind": bound + sharedPort, "ReportListen": ip + sharedPort,
+		"Domain": Domain(i), "ControlListen": ip + deployment.SharedPort, "ControlBind": bound + deployment.SharedPort, "ReportListen": ip + deployment.SharedPort,
 		"Upstream": address, "Service": standin.Service,
 	})
 }
