--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -38,7 +38,7 @@
 
 func TestFaultyPlansAreRejected(t *testing.T) {
 	head := "Seed 1\nTime 20s\nSize 2 2 1\n"
-	for _, line := range []string{"Fault 1s 1s Kill entry-2", "Fault 1s 1s Kil entry-1", "Fault 1s Kill entry-1", "Fault -1s 1s Kill entry-1", "Fault 1s 1s Cut store:side", "Size 1 1 0", "Time x"} {
+	for _, line := range []string{"Fault 1s 1s Kill entry-2", "Fault 1s 1s Kil entry-1", "Fault 1s Kill entry-1", "Fault -1s 1s Kill entry-1", "Fault 1s 1s Cut store:side", "Fault 1s 1s Kill engine-0", "Fault 1s 1s Stop -", "Fault 1s 1s Cut callers:side-0", "Fault 1s 1s StoreBusy entry-0", "Fault 1s 1s Leave entry-0", "Size 1 1 0", "Time x"} {
 		_, err := Parse(head + line)
 		assert.Assert(t, errors.Is(err, ErrInvalid), "%q: %v", line, err)
 	}
--- a/internal/soak/plan/text.go
+++ b/internal/soak/plan/text.go
@@ -54,8 +54,8 @@
 		return nil, fmt.Errorf("%w: %s and %s must be given and above 0", ErrInvalid, wordTime, wordSize)
 	}
 	for _, f := range p.Faults {
-		if f.Target != "" && !p.Size.has(f.Target) {
-			return nil, fmt.Errorf("%w: there is no %q in a deployment of this size", ErrInvalid, f.Target)
+		if !p.Size.suits(f) {
+			return nil, fmt.Errorf("%w: %s can't befall %q in a deployment of this size", ErrInvalid, f.Kind, f.Target)
 		}
 	}
 	p.sort()
@@ -117,27 +117,50 @@
 	}
 }
 
-// has reports whether a deployment of this size has the target of a fault.
-func (s Size) has(target string) bool {
-	for _, prefix := range []string{callersLink, storeLink, controlLink} {
-		target = strings.TrimPrefix(target, prefix)
+// suits reports whether a deployment of this size has the target of a fault, and whether the fault can befall it.
+func (s Size) suits(f Fault) bool {
+	switch f.Kind {
+	case Kill, Pause, Stop, Reload:
+		return s.hasProcess(f.Target)
+	case KillAll:
+		return slices.Contains([]string{AllEntries, AllSides, All}, f.Target)
+	case Delay, Drip, Cut, CutTo, CutFrom, Silence, ResetAll:
+		return s.hasLink(f.Target)
+	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams:
+		return s.hasUpstream(f.Target)
+	case TakeOutDomain:
+		return slices.Contains(Domains, f.Target)
+	default:
+		return f.Target == ""
 	}
-	if slices.Contains([]string{Origin, AllEntries, AllSides, All}, target) || slices.Contains(Domains, target) {
-		return true
+}
+
+func (s Size) hasProcess(name string) bool {
+	return isNumbered(name, EntryName, s.Entries) || isNumbered(name, SideName, s.Engines)
+}
+
+func (s Size) hasUpstream(name string) bool {
+	return isNumbered(name, EngineName, s.Engines) || isNumbered(name, PlainName, s.Plain)
+}
+
+func (s Size) hasLink(name string) bool {
+	if process, ok := strings.CutPrefix(name, callersLink); ok {
+		return isNumbered(process, EntryName, s.Entries)
 	}
-	name, number, _ := strings.Cut(target, "-")
-	n, err := strconv.Atoi(number)
-	if err != nil || n < 0 {
-		return false
+	for _, prefix := range []string{storeLink, controlLink} {
+		if process, ok := strings.CutPrefix(name, prefix); ok {
+			return s.hasProcess(process)
+		}
 	}
-	switch name {
-	case "entry":
-		return n < s.Entries
-	case "side", "engine":
-		return n < s.Engines
-	case "plain":
-		return n < s.Plain
-	default:
-		return false
+	return name == Origin || s.hasUpstream(name)
+}
+
+// isNumbered reports whether a name is one of the first count names.
+func isNumbered(name string, of func(int) string, count int) bool {
+	for i := range count {
+		if of(i) == name {
+			return true
+		}
 	}
+	return false
 }
