--- a/internal/cli/experiments/soak.go
+++ b/internal/cli/experiments/soak.go
@@ -97,7 +97,7 @@
 	defer cancel()
 	failed := 0
 	for _, p := range plans {
-		r, err := o.play(ctx, env, p)
+		r, err := o.play(ctx, env, p, o.folder)
 		if err != nil {
 			return err
 		}
@@ -150,13 +150,13 @@
 	return out, nil
 }
 
-// play plays a plan and prints its outcome.
-func (o *soakOptions) play(ctx context.Context, env *table.Env, p *plan.Plan) (*session.Result, error) {
+// play plays a plan in a folder of its own below parent and prints its outcome.
+func (o *soakOptions) play(ctx context.Context, env *table.Env, p *plan.Plan, parent string) (*session.Result, error) {
 	program, err := os.Executable()
 	if err != nil {
 		return nil, fmt.Errorf("find the program: %w", err)
 	}
-	folder := filepath.Join(o.folder, fmt.Sprintf("seed-%d", p.Seed))
+	folder := filepath.Join(parent, fmt.Sprintf("seed-%d", p.Seed))
 	r, err := session.Run(ctx, session.Options{Plan: p, Folder: folder, Program: cluster.Program{Path: program, Env: os.Environ()}})
 	if err != nil {
 		return nil, err
@@ -199,11 +199,11 @@
 	return nil
 }
 
-// stillFails reports whether a plan fails in most of some repeats.
+// stillFails reports whether a plan fails in most of some repeats. What the whole plan has left is kept.
 func (o *soakOptions) stillFails(ctx context.Context, env *table.Env, p *plan.Plan) (bool, error) {
 	failures := 0
 	for range shrinkRepeats {
-		r, err := o.play(ctx, env, p)
+		r, err := o.play(ctx, env, p, filepath.Join(o.folder, "shrink"))
 		if err != nil {
 			return false, err
 		}
