--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// receivers returns the UDP addresses of the entry processes that collect reports, which are cached for receiversTTL. It is not safe for
-// concurrent use; only the stager's goroutine calls it.
+// receivers returns the UDP addresses of the entry processes that collect reports, which are cached for receiversTTL. It
+// is not safe for concurrent use; only the stager's goroutine calls it.
 func (e *Side) receivers() []netip.AddrPort {
 	if time.Since(e.receiversCachedAt) >= receiversTTL {
 		e.cachedReceivers, e.receiversCachedAt = e.reportAddressesOf(e.delegates.Everywhere(delegate.CollectReports)), time.Now()
