state/exchange, process/node: the list of upstreams reaches at once only those that need it

Cause: each change of a document made each process exchange with all its neighbours, at most 6.7 rounds a second. The list of upstreams changes many times a second while engines are added, so that side processes whose engines serve spent most of their processor time on telling each other a list that they need only for the next fetch. Ruled out: the size of what is sent (changed entries only), polls of the engine (a tenth of an idle process). Change: changes of the list cause rounds only of entry processes, with entry processes and with side processes whose engines hold no weights; entry processes have neighbours among themselves for that. All other documents spread as before. Side processes whose engines hold no weights exchange every 0.4 s.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -36,6 +36,9 @@
 	// at once. Side processes wait longer in a large deployment, up to maxSideExchangeInterval.
 	exchangeInterval        = time.Second
 	maxSideExchangeInterval = 3 * time.Second
+	// startingExchangeInterval replaces exchangeInterval while an engine holds no weights: its side process must learn soon
+	// who else fetches them.
+	startingExchangeInterval = 400 * time.Millisecond
 	// seedInterval is the interval between two exchanges with a random seed. After a restart of all processes, groups
 	// that have records only of their own members must find each other before they assign the chunks that each member
 	// fetches from the origin. In a large deployment each process waits longer, up to maxSeedInterval.
@@ -146,6 +149,7 @@
 	n.link = link.NewClient(n.traffic.Dial(link.DialFunc(n.dial)))
 	n.exchange = exchange.NewClient(exchange.Options{
 		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: n.exchangeInterval, MoreSeeds: n.seedAddresses,
+		Frequent: []string{mirror.DocumentUpstreams}, Prompt: n.needsListAtOnce,
 		SeedInterval: func() time.Duration { return min(maxSeedInterval, n.scaled(seedInterval)) }, Log: stateLog,
 	})
 	return n
@@ -162,9 +166,19 @@
 	if n.role == hub.RoleEntry {
 		return exchangeInterval
 	}
+	if self, _ := n.catalog.Member(n.settings.Id); self.State == hub.StateStarting {
+		return startingExchangeInterval
+	}
 	return min(maxSideExchangeInterval, n.scaled(exchangeInterval))
 }
 
+// needsListAtOnce reports whether this process tells a neighbour at once that the list of upstreams has changed. Entry
+// processes need the list for their requests, and side processes whose engines hold no weights to share the fetch; the
+// others learn of it in the periodic exchanges.
+func (n *node) needsListAtOnce(neighbour *hub.Member) bool {
+	return n.role == hub.RoleEntry && (neighbour.Role == hub.RoleEntry || neighbour.State == hub.StateStarting)
+}
+
 // domainRegions returns the region of each failure domain in the settings.
 func domainRegions(s *settings.Node) map[string]string {
 	out := map[string]string{s.Domain: s.Region}
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -44,8 +44,13 @@
 	Self    string
 	Catalog *catalog.Catalog
 	Link    *link.Client
-	// Interval returns the mean interval between two rounds of exchanges.
+	// Interval returns the mean interval between two rounds of exchanges with all neighbours.
 	Interval func() time.Duration
+	// Frequent names the documents that change often. A change of one of them causes a round with the neighbours for
+	// which Prompt reports true, a change of any other document one with all neighbours. If Prompt is nil, all documents
+	// are treated alike.
+	Frequent []string
+	Prompt   func(m *hub.Member) bool
 	// Seeds are addresses of other processes. One of them, chosen at random, is contacted at startup and every
 	// SeedInterval.
 	Seeds []string
@@ -57,7 +62,8 @@
 	Log       *log.Logger
 }
 
-// Client exchanges documents and member records with the neighbours periodically and whenever a document changes.
+// Client exchanges documents and member records with the neighbours periodically, and with those that need it at once
+// whenever a document changes.
 //
 // The exchanges are also the failure detector. A neighbour that has not responded for suspectAfter is marked as
 // suspected in a record with its current incarnation and sequence. If it is alive, it receives that record and
@@ -92,6 +98,17 @@
 	lastResponse time.Time
 }
 
+// change is what has changed in the documents.
+type change int
+
+const (
+	changedNothing change = iota
+	// changedFrequent means that only frequent documents have changed.
+	changedFrequent
+	// changedAny means that other documents have changed.
+	changedAny
+)
+
 // Every returns a constant interval for Options.
 func Every(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
@@ -111,28 +128,44 @@
 // Run performs rounds of exchanges until ctx is done.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		documentsChanged := c.options.Catalog.DocumentsChanged()
-		started := time.Now()
+		started, known := time.Now(), c.options.Catalog.Revisions()
 		c.Round(ctx)
-		c.wait(ctx, started, documentsChanged)
+		next := started.Add(c.nextInterval())
+		for c.waitChange(ctx, started, next, known) == changedFrequent {
+			started, known = time.Now(), c.options.Catalog.Revisions()
+			c.round(ctx, c.promptNeighbours(), "")
+		}
 	}
 }
 
-// wait waits for the interval or until documentsChanged is closed, but in the latter case at least until changeInterval
-// after the round that started at the given time. The interval has jitter, so that the rounds of
+// nextInterval returns the time from one round with all neighbours to the next. It has jitter, so that the rounds of
 // different processes are not synchronised.
-func (c *Client) wait(ctx context.Context, started time.Time, documentsChanged <-chan struct{}) {
+func (c *Client) nextInterval() time.Duration {
 	interval := c.options.Interval()
 	if c.hasNoNeighbours() {
 		interval = min(interval, joinInterval)
 	}
-	timer := time.NewTimer(interval/2 + rand.N(interval))
+	return interval/2 + rand.N(interval)
+}
+
+// waitChange waits until the time next, or until a document that a neighbour needs at once differs from the known
+// revisions, but in the latter case at least until changeInterval after started. It returns what has changed by then.
+func (c *Client) waitChange(ctx context.Context, started, next time.Time, known map[string]uint64) change {
+	timer := time.NewTimer(time.Until(next))
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-documentsChanged:
-		_ = hub.Sleep(ctx, changeInterval-time.Since(started))
-	case <-ctx.Done():
+	for {
+		documentsChanged := c.options.Catalog.DocumentsChanged()
+		if c.changeSince(known) != changedNothing {
+			_ = hub.Sleep(ctx, min(changeInterval-time.Since(started), time.Until(next)))
+			return c.changeSince(known)
+		}
+		select {
+		case <-documentsChanged:
+		case <-timer.C:
+			return changedNothing
+		case <-ctx.Done():
+			return changedNothing
+		}
 	}
 }
 
@@ -143,11 +176,20 @@
 	return len(c.chosen) == 0
 }
 
-// Round exchanges once with each neighbour, and with a seed if that is due, one after the other. It waits for no
-// exchange longer than neighbourDelay, and returns after roundTimeout even if exchanges are still in progress, so that
-// one unreachable process does not delay replication to the others.
+// Round exchanges once with each neighbour, and with a seed if that is due, as round.
 func (c *Client) Round(ctx context.Context) {
 	neighbours, selfAddress := c.neighbours()
+	seed := c.seed(len(neighbours))
+	if seed == selfAddress {
+		seed = ""
+	}
+	c.round(ctx, neighbours, seed)
+}
+
+// round exchanges once with each of the given neighbours and with the seed unless that is empty, one after the other. It
+// waits for no exchange longer than neighbourDelay, and returns after roundTimeout even if exchanges are still in
+// progress, so that one unreachable process does not delay replication to the others.
+func (c *Client) round(ctx context.Context, neighbours []hub.Member, seed string) {
 	done := make(chan struct{}, len(neighbours)+1)
 	started := 0
 	for _, n := range neighbours {
@@ -164,7 +206,7 @@
 			started++
 		}
 	}
-	if seed := c.seed(len(neighbours)); seed != "" && seed != selfAddress && c.begin(seed) {
+	if seed != "" && c.begin(seed) {
 		started++
 		go func() {
 			defer c.end(seed, done)
@@ -235,6 +277,27 @@
 	return c.chosen, self.Address
 }
 
+// promptNeighbours returns the neighbours that need changes of frequent documents at once.
+func (c *Client) promptNeighbours() []hub.Member {
+	neighbours, _ := c.neighbours()
+	return slices.DeleteFunc(slices.Clone(neighbours), func(m hub.Member) bool { return !c.options.Prompt(&m) })
+}
+
+// changeSince returns what differs from the known revisions of documents.
+func (c *Client) changeSince(known map[string]uint64) change {
+	found := changedNothing
+	for name, revision := range c.options.Catalog.Revisions() {
+		switch {
+		case revision <= known[name]:
+		case c.options.Prompt == nil || !slices.Contains(c.options.Frequent, name):
+			return changedAny
+		default:
+			found = changedFrequent
+		}
+	}
+	return found
+}
+
 // seed returns a random seed to exchange with in this round, or "" if none is due or known. Without neighbours a
 // seed is due in every round.
 func (c *Client) seed(neighbours int) string {
--- a/internal/state/neighbour/choose.go
+++ b/internal/state/neighbour/choose.go
@@ -18,13 +18,27 @@
 	remoteLinks = 1
 )
 
-// Choose returns the neighbours of self, at most five for any number of members.
+// Choose returns the neighbours of self, at most five for any number of members. An entry process has as many again
+// among the entry processes only, so that what these need at once reaches them without passing side processes.
 //
 // Two are the successors of self on the hash ring of its region, so that every process is monitored by two others.
 // One more in the region and one in another region are chosen by a hash of the pair of IDs: these links keep the
 // diameter of the graph small, while nearly all traffic stays within a region. The last is the successor of self on
 // the hash ring of the members in other regions, which keeps the regions connected even if the links do not.
 func Choose(self hub.Member, members []hub.Member) []hub.Member {
+	chosen := choose(self, members)
+	if self.Role != hub.RoleEntry {
+		return chosen
+	}
+	entries := slices.DeleteFunc(slices.Clone(members), func(m hub.Member) bool { return m.Role != hub.RoleEntry })
+	for _, m := range choose(self, entries) {
+		chosen = appendNew(chosen, m)
+	}
+	return chosen
+}
+
+// choose returns the neighbours of self among members.
+func choose(self hub.Member, members []hub.Member) []hub.Member {
 	var sameRegion, otherRegions []hub.Member
 	for _, m := range members {
 		switch {
