upstream/stager: VMs that leave fetch no weights and have no duties

Cause: the duty to read a chunk from the origin was given to the VMs of all listed upstreams, also of those that leave. Ruled out: late news of the version (all had it within 0.1 s), the manifest (read at 18.25 s), a chunk that had not left the origin (all 64 had). Change: participants of a fetch are the VMs whose upstreams stay; a side process whose engine leaves cancels its fetch and loads nothing.

--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -58,6 +58,16 @@
 	go s.fetch(ctx, service, f)
 }
 
+// cancelFetches ends all transfers and drops their content from the candidates for a load.
+func (s *Stager) cancelFetches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for version, f := range s.fetches {
+		f.cancel()
+		delete(s.fetches, version)
+	}
+}
+
 // mostlyFetched reports whether at least keepFetchPart of the chunks are held.
 func (f *fetch) mostlyFetched() bool {
 	if f.replica == nil {
--- a/internal/upstream/stager/participants.go
+++ b/internal/upstream/stager/participants.go
@@ -13,17 +13,14 @@
 // participants returns the side processes that fetch the service's weights, sorted by ID and including this one. Their
 // control addresses serve as IDs, because the list of upstreams also yields the addresses of processes whose member
 // records have not arrived yet. All processes therefore assign the chunks in the same way even right after all of them
-// have restarted.
+// have restarted. VMs that leave are not assigned any: one that has gone would take along the only copy of a chunk.
 func (s *Stager) participants(string) []hub.Member {
-	known := map[string]hub.Member{}
-	for _, m := range s.listedMembers() {
-		known[m.Id] = m
-	}
+	known, leaving := s.listedMembers()
 	for _, m := range s.options.Catalog.Members() {
 		if m.Role != hub.RoleSide || m.Group != s.options.Service {
 			continue
 		}
-		if !m.Alive() {
+		if !m.Alive() || leaving[m.Address] {
 			delete(known, m.Address)
 			continue
 		}
@@ -40,21 +37,27 @@
 	return out
 }
 
-// listedMembers returns the side processes next to the listed upstreams. Each one listens at the address of its VM, on a
-// port that is the same on all VMs.
-func (s *Stager) listedMembers() []hub.Member {
+// listedMembers returns the side processes next to the listed upstreams by address, and the addresses of those whose
+// upstreams are all leaving. Each one listens at the address of its VM, on a port that is the same on all VMs.
+func (s *Stager) listedMembers() (members map[string]hub.Member, leaving map[string]bool) {
+	members, leaving = map[string]hub.Member{}, map[string]bool{}
 	_, port, err := net.SplitHostPort(s.options.Self)
 	service := s.options.Directory.Current().Service(s.options.Service)
 	if err != nil || service == nil {
-		return nil
+		return members, leaving
 	}
-	var out []hub.Member
 	for _, u := range service.Upstreams {
-		if address := u.SideAddress(port); address != "" {
-			out = append(out, hub.Member{Id: address, Address: address, Region: u.Region})
+		address := u.SideAddress(port)
+		switch {
+		case address == "":
+		case u.Leaving:
+			leaving[address] = members[address].Id == ""
+		default:
+			members[address] = hub.Member{Id: address, Address: address, Region: u.Region}
+			leaving[address] = false
 		}
 	}
-	return out
+	return members, leaving
 }
 
 // hashRank returns the rank of this process among all participants in the hash order of seed, and their number.
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -189,8 +190,12 @@
 }
 
 // reconcile takes the next step towards the target: it starts the fetch, or orders the load of the newest version that
-// is complete.
+// is complete. An engine that leaves serves no new requests and keeps what it has.
 func (s *Stager) reconcile(ctx context.Context, service *directory.Service, report hub.UpstreamReport) {
+	if s.leaves(service, report) {
+		s.cancelFetches()
+		return
+	}
 	held := report.Held
 	if !allLayersLoaded(service, report) {
 		held = 0
@@ -222,6 +227,17 @@
 	}
 }
 
+// leaves reports whether the engine leaves, by its own report or by the list of upstreams.
+func (s *Stager) leaves(service *directory.Service, report hub.UpstreamReport) bool {
+	if report.Leaving {
+		return true
+	}
+	_, port, err := net.SplitHostPort(s.options.Self)
+	return err == nil && slices.ContainsFunc(service.Upstreams, func(u *directory.Upstream) bool {
+		return u.Leaving && u.Born == report.Born && u.SideAddress(port) == s.options.Self
+	})
+}
+
 // allLayersLoaded reports whether the engine holds all layers; an engine that does not list its layers counts as such.
 func allLayersLoaded(service *directory.Service, r hub.UpstreamReport) bool {
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
--- a/internal/upstream/stager/stager_test.go
+++ b/internal/upstream/stager/stager_test.go
@@ -113,13 +113,19 @@
 	conflicts int
 	// beforeStage is called once, before a chunk is staged.
 	beforeStage func()
+	// reported receives a value for each report, unless nobody waits for it.
+	reported chan struct{}
 }
 
 func newEngine(held uint64) *engine {
-	return &engine{staged: map[int][]byte{}, report: hub.UpstreamReport{Held: held, Layers: -1, Born: 1}, changed: make(chan struct{}, 64)}
+	return &engine{staged: map[int][]byte{}, report: hub.UpstreamReport{Held: held, Layers: -1, Born: 1}, changed: make(chan struct{}, 64), reported: make(chan struct{})}
 }
 
 func (e *engine) Report(context.Context) (hub.UpstreamReport, error) {
+	select {
+	case e.reported <- struct{}{}:
+	default:
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.report, nil
@@ -317,6 +323,23 @@
 	s.engine.waitLoads(t, 1)
 }
 
+// TestLeavingEngineIsNotFilled guards against the links and loads of engines that receive no more requests: their VMs
+// fetch nothing, and the next run of the engine loads the target.
+func TestLeavingEngineIsNotFilled(t *testing.T) {
+	o, e := &origin{}, newEngine(1)
+	e.report.Leaving = true
+	s := withTestSide(t, "a", o, e, time.Second)
+	s.setTarget(2)
+	for range 20 {
+		<-e.reported
+	}
+	o.mu.Lock()
+	assert.Equal(t, o.reads[2], 0, "chunks fetched")
+	o.mu.Unlock()
+	e.crash()
+	s.engine.waitLoads(t, 2)
+}
+
 // TestTwoSideProcessesOrderOnce guards against load orders that are given twice around a hand-over, when the side process
 // before and the one after it act for the same engine for a moment.
 func TestTwoSideProcessesOrderOnce(t *testing.T) {
