weights/transfer: the origin is busy from the naming of a version on, and few processes ask it for the last chunks

Change: turns count from the time at which the process learned of the version; beyond the highest rank four processes more with each rank read from the origin; the check runs each 0.1 s.

--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -30,7 +30,9 @@
 // fetch is the state of the transfer of one version and holds its content.
 type fetch struct {
 	version uint64
-	cancel  context.CancelFunc
+	// began is the time at which this process learned that the version is the target.
+	began  time.Time
+	cancel context.CancelFunc
 	// replica is nil until the manifest is known.
 	replica *replica.Replica
 	// heldAt is the time at which the content was complete and verified, zero before that.
@@ -52,7 +54,7 @@
 	if s.fetches[target] != nil || s.options.Directory.Current().Origin() == nil {
 		return
 	}
-	f := &fetch{version: target}
+	f := &fetch{version: target, began: time.Now()}
 	ctx, f.cancel = context.WithCancel(ctx)
 	s.fetches[target] = f
 	go s.fetch(ctx, service, f)
@@ -92,7 +94,6 @@
 
 // fetch fetches the content of a version into memory and records the outcome in f.
 func (s *Stager) fetch(ctx context.Context, service *directory.Service, f *fetch) {
-	began := time.Now()
 	err := s.fetchOnce(ctx, service, f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,7 +107,7 @@
 		}
 	default:
 		f.heldAt = time.Now()
-		s.options.Log.Info().Uint64("Version", f.version).Dur("Took", time.Since(began)).Msg("weights held and checked")
+		s.options.Log.Info().Uint64("Version", f.version).Dur("Took", time.Since(f.began)).Msg("weights held and checked")
 	}
 }
 
@@ -134,6 +135,7 @@
 		Pacer:                s.options.Pacer,
 		Sources:              []hub.WeightSource{s.originClient()},
 		Topology:             topology.Swarm{},
+		Since:                f.began,
 		OriginBytesPerSecond: s.options.Directory.Current().Origin().BytesPerSecond,
 		Participants:         s.participants,
 		Busy:                 s.busy,
--- a/internal/weights/transfer/fetcher.go
+++ b/internal/weights/transfer/fetcher.go
@@ -41,6 +41,9 @@
 	Sources []hub.WeightSource
 	// Topology determines the sources of each chunk.
 	Topology hub.Topology
+	// Since is the time from which the turns of the chunks at the origin are counted; zero means the start of the fetch.
+	// Processes that learn of a version at the same time but of its manifest at different times agree on the turns by it.
+	Since time.Time
 	// OriginBytesPerSecond is the bandwidth of the origin's network link, 0 if unknown.
 	OriginBytesPerSecond int64
 	// Participants returns the members, including this one, that fetch the weights with a root digest, sorted by ID.
--- a/internal/weights/transfer/origin.go
+++ b/internal/weights/transfer/origin.go
@@ -54,7 +54,7 @@
 		return ctx.Err()
 	}
 	offset := s.replica.Manifest.ChunkOffset(index)
-	turn := s.started.Add(time.Duration(float64(offset) / float64(originRate) * float64(time.Second)))
+	turn := s.turnsFrom.Add(time.Duration(float64(offset) / float64(originRate) * float64(time.Second)))
 	timer := time.NewTimer(time.Until(turn))
 	defer timer.Stop()
 	select {
--- a/internal/weights/transfer/session.go
+++ b/internal/weights/transfer/session.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -19,10 +20,14 @@
 	// each fetch takes busySlots of the slots, because data in flight from many senders delays incoming requests.
 	downloadSlots = 10
 	busySlots     = 2
-	// maxLastResortChunks is the maximum number of missing chunks requested from the origin beyond the highest rank.
+	// maxLastResortChunks is the maximum number of missing chunks that one process requests from the origin beyond the
+	// highest rank, lastResortReaders the number of processes that do so for each rank beyond the highest.
 	maxLastResortChunks = 2
-	// refreshInterval is the interval at which the participants are read.
-	refreshInterval = 500 * time.Millisecond
+	lastResortReaders   = 4
+	// refreshInterval is the interval at which the participants are read, escalateInterval that at which it is checked
+	// whether there is no chunk to fetch.
+	refreshInterval  = 500 * time.Millisecond
+	escalateInterval = 100 * time.Millisecond
 	// endgameAge is the age of a fetch from which a second fetch of the same chunk may start.
 	endgameAge = time.Second
 	// suspendDuration is the time for which no chunks are fetched from a peer that stalled or sent corrupt data.
@@ -42,8 +47,8 @@
 	plan    *plan.Plan
 	// slots limits the concurrent fetches from peers; it has downloadSlots slots.
 	slots *semaphore.Weighted
-	// started is the start time of the session, on which waitTurn bases its delays.
-	started time.Time
+	// turnsFrom is the time from which the turns of the chunks at the origin are counted.
+	turnsFrom time.Time
 
 	mu sync.Mutex
 	// members lists the IDs of the participants for which layout was computed.
@@ -79,13 +84,16 @@
 		replica:        r,
 		plan:           plan.New(total, endgameAge, rand.Uint64()),
 		slots:          semaphore.NewWeighted(downloadSlots),
-		started:        time.Now(),
+		turnsFrom:      f.options.Since,
 		peers:          map[string]context.CancelFunc{},
 		suspendedUntil: map[string]time.Time{},
 		partial:        map[int]partialChunk{},
 		cancels:        map[int][]context.CancelFunc{},
 		starvedSince:   time.Now(),
 	}
+	if s.turnsFrom.IsZero() {
+		s.turnsFrom = time.Now()
+	}
 	for i := range total {
 		if r.Has(i) {
 			s.plan.MarkHeld(i, false)
@@ -103,17 +111,20 @@
 	for range s.fetcher.options.OriginFetches {
 		running.Go(func() { s.originLoop(ctx) })
 	}
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
+	s.refresh(ctx, &running)
+	refresh, escalate := time.NewTicker(refreshInterval), time.NewTicker(escalateInterval)
+	defer refresh.Stop()
+	defer escalate.Stop()
 	for {
-		s.refresh(ctx, &running)
-		s.escalate(time.Now())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-s.plan.Done():
 			return nil
-		case <-ticker.C:
+		case <-refresh.C:
+			s.refresh(ctx, &running)
+		case <-escalate.C:
+			s.escalate(time.Now())
 		}
 	}
 }
@@ -140,8 +151,9 @@
 
 // allowChunks lets the plan fetch the chunks that the layout assigns to this process: from the origin those of rank 0
 // and of the current rank, from other regions those of all ranks up to the current one. Beyond the highest rank, it
-// allows any missing chunk from other regions and a few from the origin. The number of chunks requested from the origin
-// must not grow with the time for which it is down; otherwise all processes would request all chunks once it is back.
+// allows any missing chunk from other regions, and a few processes to request a few chunks from the origin. Their number
+// must not grow with that of the processes; otherwise all would request the same chunks once an origin that was down is
+// back, and none would receive one in time.
 func (s *session) allowChunks() {
 	var origin []int
 	if len(s.layout.OriginChunks) > 0 {
@@ -150,7 +162,9 @@
 	switch {
 	case s.rank > plan.MaxRank:
 		missing := s.missing()
-		origin = append(origin, missing[:min(len(missing), maxLastResortChunks)]...)
+		if s.isLastResortReader() {
+			origin = append(origin, missing[:min(len(missing), maxLastResortChunks)]...)
+		}
 		s.plan.AllowRemote(missing)
 	case s.rank > 0 && s.rank < len(s.layout.OriginChunks):
 		origin = append(origin, s.layout.OriginChunks[s.rank]...)
@@ -161,6 +175,21 @@
 	}
 }
 
+// isLastResortReader reports whether this process may request chunks from the origin that are not assigned to it:
+// lastResortReaders processes more with each rank beyond the highest, the first ones in hash order.
+func (s *session) isLastResortReader() bool {
+	own := lastResortHash(s.pin.Root, s.fetcher.options.Self)
+	before := 0
+	for _, id := range s.members {
+		if lastResortHash(s.pin.Root, id) < own {
+			before++
+		}
+	}
+	return before < lastResortReaders*(s.rank-plan.MaxRank)
+}
+
+func lastResortHash(root, id string) uint64 { return xxhash.Sum64String(root + "/last-resort/" + id) }
+
 // updatePeers starts the peers of the layout that are not suspended and stops those that are no longer part of it.
 func (s *session) updatePeers(ctx context.Context, running *sync.WaitGroup, layout hub.Layout, addresses map[string]string) {
 	// wanted maps the ID of each peer of the layout to whether it is in another region.
