upstream/stager: the rest of an older version comes before a newer one

The chunks of the newer version took their share of the origin's link while the last ones of the older one were still to be read, and a process with less than half of the older one dropped it: engines with neither version stop when the older one is due. Change: the transfer of a version waits up to 0.5 s for older ones that are under way; one of which a quarter is fetched is kept.

--- a/internal/upstream/stager/fetch.go
+++ b/internal/upstream/stager/fetch.go
@@ -25,6 +25,8 @@
 	// leaves little time to wait for peers that froze or became unreachable.
 	takeoverDelay = 400 * time.Millisecond
 	stallTimeout  = 700 * time.Millisecond
+	// maxOlderWait is the maximum time for which the transfer of a version waits for those of older ones.
+	maxOlderWait = 500 * time.Millisecond
 )
 
 // fetch is the state of the transfer of one version and holds its content.
@@ -37,6 +39,8 @@
 	replica *replica.Replica
 	// heldAt is the time at which the content was complete and verified, zero before that.
 	heldAt time.Time
+	// ended is closed when the transfer has ended, successfully or not.
+	ended chan struct{}
 }
 
 // startFetch starts fetching the target unless it is being fetched or held already. It drops other versions that are
@@ -54,7 +58,7 @@
 	if s.fetches[target] != nil || s.options.Directory.Current().Origin() == nil {
 		return
 	}
-	f := &fetch{version: target, began: time.Now()}
+	f := &fetch{version: target, began: time.Now(), ended: make(chan struct{})}
 	ctx, f.cancel = context.WithCancel(ctx)
 	s.fetches[target] = f
 	go s.fetch(ctx, service, f)
@@ -94,6 +98,7 @@
 
 // fetch fetches the content of a version into memory and records the outcome in f.
 func (s *Stager) fetch(ctx context.Context, service *directory.Service, f *fetch) {
+	defer close(f.ended)
 	err := s.fetchOnce(ctx, service, f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,6 +133,7 @@
 	f.replica = r
 	s.mu.Unlock()
 	s.reuseStaged(ctx, model, r)
+	s.awaitOlder(ctx, f)
 	fetcher := transfer.NewFetcher(transfer.Options{
 		Self:                 s.options.Self,
 		Link:                 s.options.Link,
@@ -147,6 +153,34 @@
 	return fetcher.Complete(ctx, hub.Pin{Version: m.Version, Root: m.Root, Size: m.Size}, r)
 }
 
+// awaitOlder waits until the transfers of older versions have ended, but at most until maxOlderWait after the version
+// became the target. What is left of an older version comes first: if the origin fails, one complete version is worth more
+// than parts of two.
+func (s *Stager) awaitOlder(ctx context.Context, f *fetch) {
+	ctx, cancel := context.WithDeadline(ctx, f.began.Add(maxOlderWait))
+	defer cancel()
+	for _, older := range s.olderFetches(f.version) {
+		select {
+		case <-older.ended:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// olderFetches returns the fetches of versions before the given one.
+func (s *Stager) olderFetches(version uint64) []*fetch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*fetch
+	for v, f := range s.fetches {
+		if v < version {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // reuseStaged copies the chunks with matching digests from the engine's staging area into r. The staging area survives
 // a restart of this process.
 func (s *Stager) reuseStaged(ctx context.Context, model string, r *replica.Replica) {
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -40,7 +40,7 @@
 	fetchPart = 0.45
 	// keepFetchPart is the part of the chunks of a version from which on its fetch continues alongside that of a newer
 	// version, because the newer one may take long if the origin fails in the meantime.
-	keepFetchPart = 0.5
+	keepFetchPart = 0.25
 )
 
 // Options configure a Stager.
