upstream/stager: engines receive no requests right before they load

Requests were sent to an engine until the moment of its load. Ruled out: the transfer itself (at most 5 in 100 late while chunks move and before the first load). Change: the side process reports an engine as loading from 0.5 s before its turn on; without effect on engines whose older version is due already.

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -31,6 +31,8 @@
 	fullRateUpstreams = 64
 	// orderGrace is the time after a load order during which the reports of the engine may not show it yet.
 	orderGrace = 400 * time.Millisecond
+	// quietTime is the time before a load in which the engine is sent no more requests.
+	quietTime = 500 * time.Millisecond
 	// loadPart is the part of Options.SwitchBound that is reserved for the load of the last engine.
 	loadPart = 0.12
 	// latestFirstLoadPart is the part of Options.SwitchBound after which a version is loaded even if a newer one is the
@@ -162,17 +164,20 @@
 	if f := s.newestComplete(0); f != nil {
 		report.Fetched = f.version
 	}
-	s.countUnchanged(report)
-	s.options.OnReport(report)
 	service := s.options.Directory.Current().Service(s.options.Service)
 	if service == nil || service.Engine == nil {
+		s.tell(report)
 		return
 	}
+	told := report
+	told.Busy = report.Busy || s.loadsSoon(service, report.Held)
+	s.tell(told)
 	s.reconcile(ctx, service, report)
 }
 
-// countUnchanged counts the polls since the report of the engine last changed.
-func (s *Stager) countUnchanged(report hub.UpstreamReport) {
+// tell passes a report on and counts the polls since it last changed.
+func (s *Stager) tell(report hub.UpstreamReport) {
+	s.options.OnReport(report)
 	if report != s.lastReport {
 		s.unchanged = 0
 	}
@@ -222,7 +227,7 @@
 	if s.machine.Current() == StateLoading {
 		s.fire(EventFailed)
 	}
-	if s.mayLoad(service.Target, held, best) {
+	if !time.Now().Before(s.loadTime(service.Target, held, best)) {
 		s.orderLoad(ctx, service, best, held, report)
 	}
 }
@@ -243,21 +248,31 @@
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
 }
 
-// mayLoad reports whether this engine, which holds version held or none, may load the fetched version now. The engines of a service load one after the
-// other, spread evenly over the time that remains within SwitchBound, so that most of them keep serving.
-func (s *Stager) mayLoad(target directory.Target, held uint64, best *fetch) bool {
-	if held == 0 {
-		return true
-	}
+// loadTime returns the time from which this engine, which holds version held or none, may load the fetched version. The
+// engines of a service load one after the other, spread evenly over the time that remains within SwitchBound, so that most
+// of them keep serving.
+func (s *Stager) loadTime(target directory.Target, held uint64, best *fetch) time.Time {
 	oldest, ok := target.After(held)
-	if !ok {
-		return true
+	if held == 0 || !ok {
+		return best.heldAt
 	}
 	bound := s.options.SwitchBound()
 	begin := firstLoadTime(target, oldest, best, bound)
+	last := oldest.Since.Add(bound - fraction(bound, loadPart))
+	if begin.Add(quietTime).After(last) {
+		// Engines with the older version serve no longer.
+		return begin
+	}
+	begin = begin.Add(quietTime)
 	rank, total := s.hashRank("turn/" + strconv.FormatUint(best.version, 10))
-	span := max(0, oldest.Since.Add(bound-fraction(bound, loadPart)).Sub(begin))
-	return time.Since(begin) >= span*time.Duration(rank)/time.Duration(max(1, total))
+	return begin.Add(last.Sub(begin) * time.Duration(rank) / time.Duration(max(1, total)))
+}
+
+// loadsSoon reports whether this engine, which holds version held, loads another one within quietTime. It is told to the
+// entry processes like a load: requests that begin now would only be cut off.
+func (s *Stager) loadsSoon(service *directory.Service, held uint64) bool {
+	best := s.newestComplete(held)
+	return held != 0 && held < service.Target.Version && best != nil && time.Until(s.loadTime(service.Target, held, best)) <= quietTime
 }
 
 // firstLoadTime returns the time at which the first engine may load the fetched version. If a newer version became the
@@ -323,7 +338,7 @@
 	if service == nil || s.newestComplete(held) != f {
 		return false
 	}
-	return s.mayLoad(service.Target, held, f)
+	return !time.Now().Before(s.loadTime(service.Target, held, f))
 }
 
 // resumable reports whether all requests to the service may be retried or resumed at another upstream, so that a load
