route/placement: many entry processes do not all choose the same engine

Cause: each entry process compared up to 48 engines and took the one that runs least. After a load an engine runs nothing, all processes see the same reports for 0.1 to 0.2 s, and each sends a prompt there: the prompts wait for each other and the streams of that engine pause. Ruled out: too little capacity (the same loads, fewer late). Change: with more than six entry processes a choice compares eight engines.

--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -18,6 +18,10 @@
 const (
 	// maxSampled limits the upstreams that one choice compares, so that its cost does not grow with the fleet.
 	maxSampled = 48
+	// crowdSampled replaces maxSampled if there are more than fewEntries entry processes: if each of them compared most
+	// upstreams, all would choose the same one until its next report.
+	crowdSampled = 8
+	fewEntries   = 6
 	// runningCost is the score of a request in progress at an engine: it slows down the engine's decoding steps and
 	// occupies a slot.
 	runningCost = 4 * time.Millisecond
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -28,19 +28,21 @@
 	placement *placement.Placement
 	// reports is the number of reports delivered.
 	reports uint64
+	// entries is the number of entry processes.
+	entries int
 }
 
 func withTestPlacement(t testing.TB) *fixture {
 	t.Helper()
 	c := catalog.New(1)
-	f := &fixture{publisher: desired.Publisher{Catalog: c}}
+	f := &fixture{publisher: desired.Publisher{Catalog: c}, entries: 1}
 	f.directory = directory.New(directory.Options{
 		Catalog: c, Decoder: desired.Decoder{}, Regions: map[string]string{"a": "north", "b": "south"},
 		Log: journal.Discard().Logger(journal.State),
 	})
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
-		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return 1 },
+		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return f.entries },
 	})
 	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.PublishConfiguration(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -27,14 +27,19 @@
 	pauseLeft time.Duration
 }
 
-// search compares maxSampled upstreams from a random one on, and further ones only until one with room is found.
+// search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
 func (p *Placement) search(snapshot *directory.Snapshot, service *directory.Service, r *Requirements) *search {
-	f := &search{now: time.Now(), service: service, coldRate: service.ColdPerSecond / float64(max(1, p.options.Entries()))}
+	entries := p.options.Entries()
+	f := &search{now: time.Now(), service: service, coldRate: service.ColdPerSecond / float64(max(1, entries))}
+	sampled := maxSampled
+	if entries > fewEntries {
+		sampled = crowdSampled
+	}
 	loads := *p.loads.Load()
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
 	for i := range service.Upstreams {
-		if i >= maxSampled && f.best != nil {
+		if i >= sampled && f.best != nil {
 			break
 		}
 		u := service.Upstreams[(first+i)%len(service.Upstreams)]
