route/forward: callers refused for want of weights return when there may be some

Cause: after a loss of power the list still shows engines as holding weights. They refuse with another version; after four of them the caller was told to return in 0.25 s, as if an engine were full, and was refused once more for good. Change: such a refusal asks the caller to return after 0.32 of the time left, like one for which no upstream is listed. Measured: TestCallersOfUpstreamsWithoutWeightsReturnLater failed first (0.25 s).

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -141,6 +141,7 @@
 		if info.WrongInstance {
 			c.Load.Misdirected()
 			x.tried = append(x.tried, c.Upstream.Key())
+			return fmt.Errorf("%w: status %d", errOtherVersion, response.Status)
 		}
 		return fmt.Errorf("%w: status %d", errRefused, response.Status)
 	}
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -44,11 +45,14 @@
 )
 
 var (
-	errRefused  = errors.New("upstream refused")
-	errFailed   = errors.New("upstream answered with a failure")
-	errSlow     = errors.New("upstream does not answer")
-	errTimedOut = errors.New("time is up")
-	errGone     = errors.New("caller has left")
+	errRefused = errors.New("upstream refused")
+	// errOtherVersion means that the upstream does not hold the weights that it is listed with, or that another instance has
+	// its address.
+	errOtherVersion = fmt.Errorf("%w: other instance or version", errRefused)
+	errFailed       = errors.New("upstream answered with a failure")
+	errSlow         = errors.New("upstream does not answer")
+	errTimedOut     = errors.New("time is up")
+	errGone         = errors.New("caller has left")
 	// errQuarantined means that the request has a part under which upstreams crash.
 	errQuarantined = errors.New("part of the prompt is in quarantine")
 )
@@ -273,7 +277,7 @@
 	if errors.Is(err, placement.ErrPaused) {
 		return x.pauseLeft + rand.N(max(busyRetryAfter, fraction(x.pauseLeft, pauseSpread)))
 	}
-	if errors.Is(err, placement.ErrNoUpstream) {
+	if errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, errOtherVersion) {
 		return fraction(max(busyRetryAfter, time.Until(x.deadline)), noUpstreamRetryFraction)
 	}
 	return busyRetryAfter
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -438,13 +438,30 @@
 	assert.Equal(t, u.count(), 0)
 }
 
+// misdirect refuses a request like an upstream that does not hold the version with which it is listed.
+func misdirect(r *http.Request, c net.Conn) bool {
+	_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nRequest-Id: "+id(r)+"\r\nContent-Length: 0\r\n\r\n")
+	return true
+}
+
+// Guards against callers that return too soon: after a loss of power the list still shows engines with weights that they
+// no longer hold, and the callers of all requests that these refuse would use up their retries before one holds them.
+func TestCallersOfUpstreamsWithoutWeightsReturnLater(t *testing.T) {
+	var upstreams []*upstream
+	for range 6 {
+		upstreams = append(upstreams, withTestUpstream(t, misdirect))
+	}
+	f := withTestEntry(t, upstreams...)
+	got := f.post(t, "/many/")
+	assert.Equal(t, got.status, 503)
+	pause := hub.RetryAfter(got.header)
+	assert.Assert(t, pause > time.Second && pause < 5*time.Second/3, "Retry-After %s of a request that may take 5 s", pause)
+}
+
 // Another instance responds at the address of a listed one. The listed instance must not be chosen again until a report
 // shows that it serves.
 func TestWrongInstanceIsNotRetried(t *testing.T) {
-	other := withTestUpstream(t, func(r *http.Request, c net.Conn) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 421 X\r\nRequest-Id: "+id(r)+"\r\nContent-Length: 0\r\n\r\n")
-		return true
-	})
+	other := withTestUpstream(t, misdirect)
 	good := withTestUpstream(t, respond(200, "done"))
 	f := withTestEntry(t, other, good)
 	for range 3 {
