--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,15 +30,6 @@
 	fullRateUpstreams = 64
 	// orderGrace is the time after a load order during which the reports of the engine may not show it yet.
 	orderGrace = 400 * time.Millisecond
-	// quietTime is the time before a load in which the engine is sent no more requests.
-	quietTime = 500 * time.Millisecond
-	// loadPart is the part of Options.SwitchBound that is reserved for the load of the last engine.
-	loadPart = 0.12
-	// latestFirstLoadPart is the part of Options.SwitchBound after which a version is loaded even if a newer one is the
-	// target but not complete yet.
-	latestFirstLoadPart = 0.6
-	// fetchPart is the part of Options.SwitchBound that a fetch usually takes.
-	fetchPart = 0.45
 	// keepFetchPart is the part of the chunks of a version from which on its fetch continues alongside that of a newer
 	// version, because the newer one may take long if the origin fails in the meantime.
 	keepFetchPart = 0.25
@@ -248,56 +238,6 @@
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
 }
 
-// loadTime returns the time from which this engine, which holds version held or none, may load the fetched version. The
-// engines of a service load one after the other, spread evenly over the time that remains within SwitchBound, so that most
-// of them keep serving.
-func (s *Stager) loadTime(target directory.Target, held uint64, best *fetch) time.Time {
-	oldest, ok := target.After(held)
-	if held == 0 || !ok {
-		return best.heldAt
-	}
-	bound := s.options.SwitchBound()
-	begin := firstLoadTime(target, oldest, best, bound)
-	last := oldest.Since.Add(bound - fraction(bound, loadPart))
-	if begin.Add(quietTime).After(last) {
-		// Engines with the older version serve no longer.
-		return begin
-	}
-	begin = begin.Add(quietTime)
-	rank, total := s.hashRank("turn/" + strconv.FormatUint(best.version, 10))
-	return begin.Add(last.Sub(begin) * time.Duration(rank) / time.Duration(max(1, total)))
-}
-
-// loadsSoon reports whether this engine, which holds version held, loads another one within quietTime. It is told to the
-// entry processes like a load: requests that begin now would only be cut off.
-func (s *Stager) loadsSoon(service *directory.Service, held uint64) bool {
-	best := s.newestComplete(held)
-	return held != 0 && held < service.Target.Version && best != nil && time.Until(s.loadTime(service.Target, held, best)) <= quietTime
-}
-
-// firstLoadTime returns the time at which the first engine may load the fetched version. If a newer version became the
-// target early enough to be fetched in time, this is the latest possible time, so that engines can skip the older
-// version. Otherwise engines do not wait for the newer one, since their loads would then be crowded into the short time
-// that remains.
-func firstLoadTime(target directory.Target, oldest directory.Named, best *fetch, bound time.Duration) time.Time {
-	newer, ok := target.After(best.version)
-	lastMoment := oldest.Since.Add(fraction(bound, latestFirstLoadPart))
-	if ok && newer.Since.Add(fraction(bound, fetchPart)).Before(lastMoment) {
-		return latest(best.heldAt, lastMoment)
-	}
-	return best.heldAt
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// fraction returns the given fraction of d.
-func fraction(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
-
 // orderLoad stages all chunks again, because staged ones may have become corrupt, and orders the load.
 func (s *Stager) orderLoad(ctx context.Context, service *directory.Service, f *fetch, held uint64, report hub.UpstreamReport) {
 	model := service.Engine.Model
@@ -331,16 +271,6 @@
 	}
 }
 
-// mayStillLoad decides again, by the current target, whether the engine may load a version: staging may have taken long, or
-// the process may have been paused meanwhile.
-func (s *Stager) mayStillLoad(f *fetch, held uint64) bool {
-	service := s.options.Directory.Current().Service(s.options.Service)
-	if service == nil || s.newestComplete(held) != f {
-		return false
-	}
-	return !time.Now().Before(s.loadTime(service.Target, held, f))
-}
-
 // resumable reports whether all requests to the service may be retried or resumed at another upstream, so that a load
 // may abort them.
 func (s *Stager) resumable() bool {
