upstream/stager: few engines are quiet at once, also if loads are close to each other

Cause (found on reading): each engine was sent no requests for 0.5 s before its load, whatever the time over which the loads of its service are spread. If the content is late that time is short, and all engines would have been quiet at once. Change: the quiet time is at most an eighth of that time.

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -217,7 +217,7 @@
 	if s.machine.Current() == StateLoading {
 		s.fire(EventFailed)
 	}
-	if !time.Now().Before(s.loadTime(service.Target, held, best)) {
+	if !time.Now().Before(s.turn(service.Target, held, best).load) {
 		s.orderLoad(ctx, service, best, held, report)
 	}
 }
--- a/internal/upstream/stager/turn.go
+++ b/internal/upstream/stager/turn.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// quietTime is the time before a load in which the engine is sent no more requests.
-	quietTime = 500 * time.Millisecond
+	// quietTime is the time before a load in which the engine is sent no more requests, maxQuietPart its maximum as a part of
+	// the time over which the loads of a service are spread: that part of the engines is quiet at once.
+	quietTime    = 500 * time.Millisecond
+	maxQuietPart = 0.125
 	// loadPart is the part of Options.SwitchBound that is reserved for the load of the last engine.
 	loadPart = 0.12
 	// latestFirstLoadPart is the part of Options.SwitchBound after which a version is loaded even if a newer one is the
@@ -19,31 +21,37 @@
 	fetchPart = 0.45
 )
 
-// loadTime returns the time from which this engine, which holds version held or none, may load the fetched version. The
-// engines of a service load one after the other, spread evenly over the time that remains within SwitchBound, so that most
-// of them keep serving.
-func (s *Stager) loadTime(target directory.Target, held uint64, best *fetch) time.Time {
+// turn is the time from which an engine may load a version, and the time before that in which it is sent no more requests.
+type turn struct {
+	load  time.Time
+	quiet time.Duration
+}
+
+// turn returns the turn of this engine, which holds version held or none, to load the fetched version. The engines of a
+// service load one after the other, spread evenly over the time that remains within SwitchBound, so that most of them keep
+// serving.
+func (s *Stager) turn(target directory.Target, held uint64, best *fetch) turn {
 	oldest, ok := target.After(held)
 	if held == 0 || !ok {
-		return best.heldAt
+		return turn{load: best.heldAt}
 	}
 	bound := s.options.SwitchBound()
 	begin := firstLoadTime(target, oldest, best, bound)
-	last := oldest.Since.Add(bound - fraction(bound, loadPart))
-	if begin.Add(quietTime).After(last) {
-		// Engines with the older version serve no longer.
-		return begin
-	}
-	begin = begin.Add(quietTime)
+	span := max(0, oldest.Since.Add(bound-fraction(bound, loadPart)).Sub(begin))
+	quiet := min(quietTime, fraction(span, maxQuietPart))
 	rank, total := s.hashRank("turn/" + strconv.FormatUint(best.version, 10))
-	return begin.Add(last.Sub(begin) * time.Duration(rank) / time.Duration(max(1, total)))
+	return turn{load: begin.Add(quiet + (span-quiet)*time.Duration(rank)/time.Duration(max(1, total))), quiet: quiet}
 }
 
-// loadsSoon reports whether this engine, which holds version held, loads another one within quietTime. It is told to the
+// loadsSoon reports whether this engine, which holds version held, is in the quiet time before its load. It is told to the
 // entry processes like a load: requests that begin now would only be cut off.
 func (s *Stager) loadsSoon(service *directory.Service, held uint64) bool {
 	best := s.newestComplete(held)
-	return held != 0 && held < service.Target.Version && best != nil && time.Until(s.loadTime(service.Target, held, best)) <= quietTime
+	if held == 0 || held >= service.Target.Version || best == nil {
+		return false
+	}
+	t := s.turn(service.Target, held, best)
+	return t.quiet > 0 && time.Until(t.load) <= t.quiet
 }
 
 // mayStillLoad decides again, by the current target, whether the engine may load a version: staging may have taken long, or
@@ -53,7 +61,7 @@
 	if service == nil || s.newestComplete(held) != f {
 		return false
 	}
-	return !time.Now().Before(s.loadTime(service.Target, held, f))
+	return !time.Now().Before(s.turn(service.Target, held, f).load)
 }
 
 // firstLoadTime returns the time at which the first engine may load the fetched version. If a newer version became the
