--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -25,7 +25,7 @@
 	defaultWeightsMemory = 1 << 30
 	// weightsLinkFraction is the fraction of the VM's bandwidth that weights may use in each direction; the rest is
 	// reserved for responses to callers.
-	weightsLinkFraction = 0.92
+	weightsLinkFraction = 0.85
 	// reportLinkFraction is the fraction of the VM's bandwidth that reports to the entry processes may use.
 	reportLinkFraction = 0.05
 	// receiversTTL is the time for which the list of report receivers is cached.
