route/forward: a rate limit that an upstream names is read, logged and counted

Before this neither logs nor metrics showed whether a process knew the limit that an upstream names in its responses. The limit is read from the response and kept with the load of the instance; nothing obeys it yet. A response without a limit ends one only if its request was sent after the limit was last named.

--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -85,6 +85,16 @@
 	Leaving bool
 	// Pause is the time for which the upstream asks not to be sent any request, 0 if it does not.
 	Pause time.Duration
+	// RateLimit is the rate limit that the upstream names in this response.
+	RateLimit RateLimit
+}
+
+// RateLimit is the rate of requests that an upstream accepts from all entry processes together.
+type RateLimit struct {
+	// Named is false if the upstream names no limit.
+	Named bool
+	// PerSecond is the limit in requests per second.
+	PerSecond float64
 }
 
 // CallFormat translates the headers of requests and responses.
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -118,16 +118,29 @@
 		x.logPause(c, info.Pause)
 		c.Load.Pause(info.Pause)
 	}
+	if x.tellsRateLimit(info) && c.Load.SetRateLimit(info.RateLimit, x.trace.SentAt) {
+		x.logRateLimit(c, info.RateLimit)
+	}
 }
 
-// mismatched reports whether a response carries the ID of another request, or none on a connection on which other
-// requests have been sent.
+// tellsRateLimit reports whether a response shows which rate limit the upstream names now. One of another instance does
+// not. One without a limit does only if it belongs to this request, because others may be older than the limit.
+func (x *exchange) tellsRateLimit(info hub.ResponseInfo) bool {
+	return !info.WrongInstance && (info.RateLimit.Named || !x.belongsToOther(info))
+}
+
+// mismatched reports whether a response belongs to another request.
 func (x *exchange) mismatched(status int, h http.Header) bool {
-	id := x.handler.options.Format.ParseResponse(status, h).RequestId
-	if id == "" {
+	return x.belongsToOther(x.handler.options.Format.ParseResponse(status, h))
+}
+
+// belongsToOther reports whether a response carries the ID of another request, or none on a connection on which other
+// requests have been sent.
+func (x *exchange) belongsToOther(info hub.ResponseInfo) bool {
+	if info.RequestId == "" {
 		return x.trace.Reused
 	}
-	return id != x.caller.RequestId
+	return info.RequestId != x.caller.RequestId
 }
 
 // handleResponse forwards a response to the caller, or returns the reason why the attempt failed.
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -295,10 +295,14 @@
 }
 
 func (x *exchange) logChoice(c *placement.Choice, remaining time.Duration) {
-	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Str("Address", c.Upstream.Address).
+	line := x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Str("Address", c.Upstream.Address).
 		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Held", c.Held).Dur("ReportAge", c.ReportAge).
-		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", x.sent).Dur("Waited", time.Since(x.started)).Dur("Left", remaining).
-		Msg("upstream chosen")
+		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", x.sent).Dur("Waited", time.Since(x.started)).Dur("Left", remaining)
+	if limit := c.Load.RateLimit(); limit.Named {
+		x.handler.sentToLimited.Inc()
+		line = line.Float64("RateLimit", limit.PerSecond)
+	}
+	line.Msg("upstream chosen")
 }
 
 // logLeaving logs the first response in which the upstream says that it is leaving.
@@ -312,6 +316,16 @@
 	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Dur("Pause", pause).Msg("upstream asks for a pause")
 }
 
+// logRateLimit logs that the rate limit which an upstream names has changed.
+func (x *exchange) logRateLimit(c *placement.Choice, limit hub.RateLimit) {
+	line := x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int64("Born", c.Upstream.Born)
+	if !limit.Named {
+		line.Msg("upstream names no rate limit any more")
+		return
+	}
+	line.Float64("RateLimit", limit.PerSecond).Msg("upstream names a rate limit")
+}
+
 func (x *exchange) logFailure(c *placement.Choice, err error) {
 	line := x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", x.sent)
 	if !x.trace.SentAt.IsZero() {
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -56,7 +56,9 @@
 	latency *metrics.Histogram
 	// firstPart is the time from a request to the first event of its response stream.
 	firstPart *metrics.Histogram
-	bodies    bodyMemory
+	// sentToLimited counts the attempts at upstreams that name a rate limit.
+	sentToLimited *metrics.Counter
+	bodies        bodyMemory
 }
 
 // New returns a handler and registers its metrics in o.Metrics.
@@ -65,6 +67,8 @@
 		options:   o,
 		latency:   o.Metrics.NewHistogram("oriolehub_request_seconds"),
 		firstPart: o.Metrics.NewHistogram("oriolehub_request_first_part_seconds"),
+
+		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
 	}
 }
 
--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -34,6 +34,8 @@
 	HeaderKey       = "Key"
 	HeaderLastEvent = "Last-Event-Id"
 	HeaderLeaving   = "Leaving"
+	// HeaderRateLimit is the rate limit of the upstream in requests per second.
+	HeaderRateLimit = "Rate-Limit"
 	// HeaderParts lists the shared parts of the prompt.
 	HeaderParts = "Parts"
 )
@@ -133,6 +135,9 @@
 	if status == http.StatusServiceUnavailable {
 		info.Pause = hub.RetryAfter(h)
 	}
+	if perSecond, err := strconv.ParseFloat(h.Get(HeaderRateLimit), 64); err == nil {
+		info.RateLimit = hub.RateLimit{Named: true, PerSecond: perSecond}
+	}
 	return info
 }
 
