route/placement: all entry processes together keep to the rate limit that an upstream names

Cause: nothing obeyed the limit. Each process judged an upstream by its load and slots, and a statement of the upstream on the rate of all processes together had no place there. The log shows 2,527 attempts by processes that knew the limit, so it was not a matter of processes that had not been told.

Now the limit is divided among the entry processes by a hash of those known, among no more than it allows requests in a second, and one: each share lets one request through at once. A process counts what it sends against its share; one that knows no other assumes as many as for its retry budget. Processes learn the limit from responses and, before they have sent anything, from the reports of the side processes. It ends with a response to a request sent later that names none. Requests for which all upstreams have got what they take are refused at once, with the time until the next may run.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -159,6 +159,8 @@
 	Busy bool
 	// Leaving is true if the upstream states that it is leaving.
 	Leaving bool `json:",omitempty"`
+	// RateLimit is the rate limit that the upstream names.
+	RateLimit RateLimit `json:",omitzero"`
 	// Orders is the number of load orders accepted since Born.
 	Orders uint64
 	// Waiting and Running are the numbers of queued and of running requests.
--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -89,14 +89,6 @@
 	RateLimit RateLimit
 }
 
-// RateLimit is the rate of requests that an upstream accepts from all entry processes together.
-type RateLimit struct {
-	// Named is false if the upstream names no limit.
-	Named bool
-	// PerSecond is the limit in requests per second.
-	PerSecond float64
-}
-
 // CallFormat translates the headers of requests and responses.
 type CallFormat interface {
 	// ParseRequest extracts the values in the header of a caller's request.
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -72,6 +72,7 @@
 		Region:      s.Region,
 		SwitchBound: e.switchBound,
 		Entries:     e.estimatedEntries,
+		RateShare:   allowance.NewRateShares(s.Id, e.knownEntries, e.assumedEntries).Of,
 	})
 	if err := e.listen(nil, e.record, e.checkReady); err != nil {
 		return nil, err
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -346,7 +346,21 @@
 			known++
 		}
 	}
-	return max(known, entriesPerPeer*len(*n.peers.Load()))
+	return max(known, n.assumedEntries())
+}
+
+// assumedEntries returns the number of entry processes that is assumed while fewer are known.
+func (n *node) assumedEntries() int { return entriesPerPeer * len(*n.peers.Load()) }
+
+// knownEntries returns the IDs of all known entry processes, also of unreachable ones.
+func (n *node) knownEntries() []string {
+	var out []string
+	for _, m := range n.catalog.Members() {
+		if m.Role == hub.RoleEntry {
+			out = append(out, m.Id)
+		}
+	}
+	return out
 }
 
 // reportAddressesOf returns the UDP addresses on which members receive reports and notices.
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -167,6 +167,7 @@
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 },
+		RateShare: func(_ string, limit float64) float64 { return limit },
 	})
 	set := metrics.NewSet()
 	f.quarantine = quarantine.New(quarantine.Options{Log: log, Metrics: set})
--- a/internal/route/placement/availability.go
+++ b/internal/route/placement/availability.go
@@ -4,8 +4,6 @@
 	"math"
 	"sync/atomic"
 	"time"
-
-	"github.com/oriolehub/oriolehub/internal/hub"
 )
 
 const (
@@ -41,13 +39,6 @@
 	reportedAt atomic.Int64
 }
 
-// namedRateLimit is a rate limit that an upstream has named.
-type namedRateLimit struct {
-	perSecond float64
-	// at is the time at which the upstream was last known to name it.
-	at int64
-}
-
 // now returns the time since created in nanoseconds, by the monotonic clock.
 func (a *availability) now() int64 { return int64(time.Since(a.created)) }
 
@@ -101,26 +92,3 @@
 	at := a.misdirectedAt.Load()
 	return at != 0 && a.reportedAt.Load() <= at
 }
-
-// SetRateLimit records whether a response names a rate limit, and returns whether that is a change. sentAt is the time at
-// which the request was sent. A response without a limit ends one only if its request was sent after the limit was last
-// named, since responses on different connections overtake each other.
-func (a *availability) SetRateLimit(limit hub.RateLimit, sentAt time.Time) (changed bool) {
-	old := a.rateLimit.Load()
-	if limit.Named {
-		a.rateLimit.Store(&namedRateLimit{perSecond: limit.PerSecond, at: a.now()})
-		return old == nil || old.perSecond != limit.PerSecond
-	}
-	if old == nil || int64(sentAt.Sub(a.created)) <= old.at {
-		return false
-	}
-	return a.rateLimit.CompareAndSwap(old, nil)
-}
-
-// RateLimit returns the rate limit that the upstream has named.
-func (a *availability) RateLimit() hub.RateLimit {
-	if l := a.rateLimit.Load(); l != nil {
-		return hub.RateLimit{Named: true, PerSecond: l.perSecond}
-	}
-	return hub.RateLimit{}
-}
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +30,9 @@
 	others        atomic.Int64
 	othersWaiting atomic.Int64
 	report        atomic.Pointer[timedReport]
-	cold          coldLimiter
+	cold          tokenBucket
+	limited       tokenBucket
+	share         rateShare
 }
 
 // timedReport is a report with the time at which it was received.
@@ -55,6 +56,7 @@
 	if r.Leaving {
 		l.Leaves()
 	}
+	l.reportRateLimit(r.RateLimit)
 	return true
 }
 
@@ -123,41 +125,3 @@
 	r := l.recentReport()
 	return r != nil && r.Busy
 }
-
-// coldLimiter is a token bucket with a capacity of one token. It limits the requests that this process sends to a
-// cold upstream.
-type coldLimiter struct {
-	mu sync.Mutex
-	// tokens is the number of tokens in the bucket at the time at.
-	tokens float64
-	at     time.Time
-}
-
-// available reports whether take would succeed.
-func (c *coldLimiter) available(rate float64, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.refilled(rate, now) >= 1
-}
-
-// take removes a token from the bucket, which is refilled with rate tokens per second, and reports whether there was
-// one.
-func (c *coldLimiter) take(rate float64, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tokens = c.refilled(rate, now)
-	c.at = now
-	if c.tokens < 1 {
-		return false
-	}
-	c.tokens--
-	return true
-}
-
-// refilled returns the number of tokens at the time now.
-func (c *coldLimiter) refilled(rate float64, now time.Time) float64 {
-	if c.at.IsZero() {
-		return 1
-	}
-	return min(1, c.tokens+rate*now.Sub(c.at).Seconds())
-}
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -41,8 +41,8 @@
 	maxWaiting = 256
 	// defaultPlainSlots is the limit of concurrent requests at an upstream of a plain service that sets none.
 	defaultPlainSlots = 8
-	// maxUnlistedLoads limits the upstreams that are no longer listed and whose Load is kept because they are leaving
-	// or have asked for a pause: an entry may come back to the list.
+	// maxUnlistedLoads limits the upstreams that are no longer listed and whose Load is kept because they are leaving,
+	// have asked for a pause or have named a rate limit: an entry may come back to the list.
 	maxUnlistedLoads = 1024
 )
 
@@ -57,6 +57,8 @@
 	SwitchBound func() time.Duration
 	// Entries returns the number of live entry processes.
 	Entries func() int
+	// RateShare returns this process's share, in requests per second, of the rate limit of an upstream.
+	RateShare func(upstream string, perSecond float64) float64
 }
 
 // Placement chooses upstreams and estimates their load. It is safe for concurrent use, except Refresh.
@@ -121,8 +123,8 @@
 	Candidates int
 	// ReportAge is the age of the upstream's last report, -1 if it has sent none.
 	ReportAge time.Duration
-	// PauseLeft is the time until the first of the upstreams that have asked for a pause may run the request, 0 if
-	// there is none. It is set only if no upstream was chosen.
+	// PauseLeft is the time until the first of the upstreams that have asked for a pause, or have got what their rate
+	// limits allow, may run the request, 0 if there is none. It is set only if no upstream was chosen.
 	PauseLeft time.Duration
 
 	placement *Placement
@@ -183,7 +185,7 @@
 		if left == 0 {
 			return
 		}
-		if next[key] == nil && (l.leaving.Load() || l.pauseLeft() > 0) {
+		if next[key] == nil && (l.leaving.Load() || l.pauseLeft() > 0 || l.RateLimit().Named) {
 			next[key] = l
 			left--
 		}
@@ -213,7 +215,10 @@
 		return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft}, false
 	}
 	u, l := search.best, search.bestLoad
-	if search.isCold(u) && !l.cold.take(search.coldRate, search.now) {
+	if search.isCold(u) && !l.cold.take(search.coldRefill(), search.now) {
+		return Choice{Candidates: search.candidates}, false
+	}
+	if !p.takeRateLimit(u.Id, l, search.now) {
 		return Choice{Candidates: search.candidates}, false
 	}
 	running := l.total()
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -19,11 +19,11 @@
 	best      *directory.Upstream
 	bestLoad  *Load
 	bestScore time.Duration
-	// candidates is the number of compared upstreams that may run the request and have not asked for a pause, with or
-	// without room.
+	// candidates is the number of compared upstreams that may run the request, with or without room, and that neither have
+	// asked for a pause nor have got what their rate limits allow.
 	candidates int
-	// pauseLeft is the shortest time after which an upstream that has asked for a pause may run the request, 0 if there
-	// is none.
+	// pauseLeft is the shortest time after which an upstream that has asked for a pause, or has got what its rate limit
+	// allows, may run the request, 0 if there is none.
 	pauseLeft time.Duration
 }
 
@@ -47,7 +47,7 @@
 		if l == nil || !p.usable(snapshot, service, u, l, r, oldest.at(l)) {
 			continue
 		}
-		if left := l.pauseLeft(); left > 0 {
+		if left := max(l.pauseLeft(), p.rateLimitLeft(u.Id, l, f.now)); left > 0 {
 			f.addPaused(left)
 			continue
 		}
@@ -63,7 +63,7 @@
 	return f
 }
 
-// addPaused counts an upstream that has asked for a pause, which ends after left.
+// addPaused counts an upstream that may run the request only after left.
 func (f *search) addPaused(left time.Duration) {
 	if f.pauseLeft == 0 || left < f.pauseLeft {
 		f.pauseLeft = left
@@ -77,5 +77,8 @@
 
 // coldLimited reports whether u is cold and has reached its rate limit.
 func (f *search) coldLimited(u *directory.Upstream, l *Load) bool {
-	return f.isCold(u) && !l.cold.available(f.coldRate, f.now)
+	return f.isCold(u) && l.cold.wait(f.coldRefill(), f.now) > 0
 }
+
+// coldRefill returns the refill of the bucket for the requests to a cold upstream.
+func (f *search) coldRefill() refill { return refill{rate: f.coldRate, capacity: 1} }
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -15,9 +15,10 @@
 	ErrNoRoom = errors.New("no upstream has room")
 	// ErrNoUpstream means that no upstream may run the request, whatever its load.
 	ErrNoUpstream = errors.New("no upstream may run the request")
-	// ErrPaused means that all upstreams that may run the request have asked not to be sent any for a longer time than
-	// the request may wait. Choice.PauseLeft is the time until the first pause ends.
-	ErrPaused = errors.New("upstreams have asked for a pause")
+	// ErrPaused means that all upstreams that may run the request have asked not to be sent any, or have got what their
+	// rate limits allow, for a longer time than the request may wait. Choice.PauseLeft is the time until the first of them
+	// may run it.
+	ErrPaused = errors.New("upstreams have asked for a pause or for fewer requests")
 )
 
 // recheckInterval is the maximum time between two attempts to choose an upstream, because the end of a pause or a
@@ -87,7 +88,8 @@
 	}
 }
 
-// paused reports whether all upstreams that may run the request have asked for a pause.
+// paused reports whether all upstreams that may run the request have asked for a pause or have got what their rate limits
+// allow.
 func (c *Choice) paused() bool { return c.Candidates == 0 && c.PauseLeft > 0 }
 
 // outlasts reports whether the pause ends after the deadline of ctx.
--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -131,13 +131,11 @@
 		WrongInstance: wrongInstance,
 		Signed:        h.Get(HeaderSignature) != "",
 		Leaving:       h.Get(HeaderLeaving) != "",
+		RateLimit:     hub.ParseRateLimit(h.Get(HeaderRateLimit)),
 	}
 	if status == http.StatusServiceUnavailable {
 		info.Pause = hub.RetryAfter(h)
 	}
-	if perSecond, err := strconv.ParseFloat(h.Get(HeaderRateLimit), 64); err == nil {
-		info.RateLimit = hub.RateLimit{Named: true, PerSecond: perSecond}
-	}
 	return info
 }
 
--- a/internal/state/beacon/beacon_test.go
+++ b/internal/state/beacon/beacon_test.go
@@ -84,9 +84,17 @@
 	return h.handle(data)
 }
 
+// testRateLimit returns a rate limit for some of the reports.
+func testRateLimit(i int) hub.RateLimit {
+	if i%5 != 0 {
+		return hub.RateLimit{}
+	}
+	return hub.RateLimit{Named: true, PerSecond: float64(i) / 4}
+}
+
 func testReport(i int) hub.SentReport {
 	return hub.SentReport{
-		UpstreamReport: hub.UpstreamReport{Held: 1, Fetched: uint64(i), Busy: i%2 == 0, Leaving: i%3 == 0, Waiting: i, Running: 2 * i, Pace: 1.5, Born: 1 << 40},
+		UpstreamReport: hub.UpstreamReport{Held: 1, Fetched: uint64(i), Busy: i%2 == 0, Leaving: i%3 == 0, Waiting: i, Running: 2 * i, Pace: 1.5, Born: 1 << 40, RateLimit: testRateLimit(i)},
 		Address:        netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:8001", i/250, i%250)), Epoch: 1 << 41, Number: uint64(i),
 	}
 }
--- a/internal/state/beacon/codec.go
+++ b/internal/state/beacon/codec.go
@@ -22,6 +22,8 @@
 const (
 	flagBusy    = 1 << 0
 	flagLeaving = 1 << 1
+	// flagLimited means that the rate limit follows the other values.
+	flagLimited = 1 << 2
 )
 
 const (
@@ -30,7 +32,10 @@
 	// maxPace limits the pace that is sent; it is far above any that the choice of an upstream tells apart.
 	maxPace = 1024
 	// maxReportBytes is the maximum size of an encoded report in bytes.
-	maxReportBytes = 1 + 16 + 2 + 8*binary.MaxVarintLen64 + 1
+	maxReportBytes = 1 + 16 + 2 + 9*binary.MaxVarintLen64 + 1
+	// rateLimitUnit is the resolution of RateLimit.PerSecond in a datagram, maxRateLimit the highest limit that is sent.
+	rateLimitUnit = 1.0 / 1024
+	maxRateLimit  = 1 << 30
 )
 
 // errMalformed means that a datagram can't be decoded.
@@ -50,11 +55,17 @@
 	if r.Leaving {
 		flags |= flagLeaving
 	}
+	if r.RateLimit.Named {
+		flags |= flagLimited
+	}
 	b = append(b, flags)
 	pace := uint64(math.Round(max(0, min(maxPace, r.Pace)) / paceUnit))
 	for _, v := range []uint64{r.Epoch, r.Number, uint64(r.Born), r.Held, r.Fetched, uint64(max(0, r.Waiting)), uint64(max(0, r.Running)), pace} {
 		b = binary.AppendUvarint(b, v)
 	}
+	if r.RateLimit.Named {
+		b = binary.AppendUvarint(b, uint64(math.Round(max(0, min(maxRateLimit, r.RateLimit.PerSecond))/rateLimitUnit)))
+	}
 	return b
 }
 
@@ -71,20 +82,25 @@
 	b = b[1+n:]
 	r.Address = netip.AddrPortFrom(address, binary.BigEndian.Uint16(b))
 	flags := b[2]
-	r.Busy, r.Leaving = flags&flagBusy != 0, flags&flagLeaving != 0
+	r.Busy, r.Leaving, r.RateLimit.Named = flags&flagBusy != 0, flags&flagLeaving != 0, flags&flagLimited != 0
 	b = b[3:]
-	var born, waiting, running, pace uint64
-	for _, v := range []*uint64{&r.Epoch, &r.Number, &born, &r.Held, &r.Fetched, &waiting, &running, &pace} {
+	var born, waiting, running, pace, limit uint64
+	values := []*uint64{&r.Epoch, &r.Number, &born, &r.Held, &r.Fetched, &waiting, &running, &pace}
+	if r.RateLimit.Named {
+		values = append(values, &limit)
+	}
+	for _, v := range values {
 		value, n := binary.Uvarint(b)
 		if n <= 0 {
 			return r, nil, fmt.Errorf("%w: report ends early", errMalformed)
 		}
 		*v, b = value, b[n:]
 	}
-	if born > math.MaxInt64 || waiting > math.MaxInt32 || running > math.MaxInt32 || pace > maxPace/paceUnit {
+	if born > math.MaxInt64 || waiting > math.MaxInt32 || running > math.MaxInt32 || pace > maxPace/paceUnit || limit > maxRateLimit/rateLimitUnit {
 		return r, nil, fmt.Errorf("%w: number out of range", errMalformed)
 	}
 	r.Born, r.Waiting, r.Running, r.Pace = int64(born), int(waiting), int(running), float64(pace)*paceUnit
+	r.RateLimit.PerSecond = float64(limit) * rateLimitUnit
 	return r, b, nil
 }
 
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -146,7 +146,9 @@
 		s.unreachable = false
 		s.options.Log.Info().Int64("Born", report.Born).Uint64("Held", report.Held).Msg("engine answers")
 	}
-	if old := s.report.Swap(&report); old != nil && old.Born != report.Born {
+	old := s.report.Swap(&report)
+	s.logRateLimit(old, &report)
+	if old != nil && old.Born != report.Born {
 		s.options.Log.Warn().Int64("Born", report.Born).Int64("Before", old.Born).Uint64("Held", report.Held).Msg("engine restarted")
 		s.fire(EventReset)
 		s.orderedAt = time.Time{}
@@ -175,6 +177,21 @@
 	s.lastReport = report
 }
 
+// logRateLimit logs that the rate limit which the engine names has changed since the report old, nil if there was none.
+func (s *Stager) logRateLimit(old, report *hub.UpstreamReport) {
+	before := hub.RateLimit{}
+	if old != nil {
+		before = old.RateLimit
+	}
+	switch {
+	case report.RateLimit == before:
+	case report.RateLimit.Named:
+		s.options.Log.Info().Float64("RateLimit", report.RateLimit.PerSecond).Msg("engine names a rate limit")
+	default:
+		s.options.Log.Info().Msg("engine names no rate limit any more")
+	}
+}
+
 // engineUnreachable logs the first of several consecutive failed report requests.
 func (s *Stager) engineUnreachable(ctx context.Context, err error) {
 	if ctx.Err() != nil || s.unreachable {
