--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -18,6 +18,8 @@
 type Listing struct {
 	Items    []Item
 	Revision uint64
+	// Era counts how often the store has been restored from a copy, which loses its latest changes; 0 if unknown.
+	Era uint64
 }
 
 // StateSource reads the keys of the operator and of the upstreams from the platform's store.
