hub, platform, state/directory: revisions of the store carry its era

Cause: the store gives the revisions after those of its copy out again, and all processes compared them with those of its former life: mirror, catalog, exchange and directory each took the new state for an older one. The log shows it: known is revision 24 of era 1, version 14 has revision 24 of era 2.

Now the adapter combines each revision with the era that the store names, so that one number orders both lives in every place. A watch from another era is lost without a call, a listing across a restore is rejected. Since a later era may hold an older state, what the operator has confirmed has an order of its own: a desired state is replaced only by a higher version, a target version never falls and is never dropped, and a failure domain out of service that the copy lacks stays so for 3 s, in which it is written again.

--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -18,16 +18,15 @@
 type Listing struct {
 	Items    []Item
 	Revision uint64
-	// Era counts how often the store has been restored from a copy, which loses its latest changes; 0 if unknown.
-	Era uint64
 }
 
-// StateSource reads the keys of the operator and of the upstreams from the platform's store.
+// StateSource reads the keys of the operator and of the upstreams from the platform's store. All revisions are combined
+// with their era as by StoreRevision.
 type StateSource interface {
 	// List returns all keys with the given prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
 	// Follow returns the changes after a revision and waits up to wait for the first of them.
-	// It returns ErrHistoryLost if the store no longer keeps these changes.
+	// It returns ErrHistoryLost if the store no longer keeps these changes, or is in another era.
 	Follow(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error)
 }
 
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -48,10 +48,15 @@
 	entries   map[string]decodedEntry
 	upstreams map[Key]*Upstream
 	// targets is keyed by model.
-	targets   map[string]Target
-	evacuated map[string]bool
-	// invalid maps documents and keys that could not be decoded to the revision for which that was logged.
-	invalid map[string]uint64
+	targets map[string]Target
+	// evacuated holds the failure domains out of service, by the revision of the last directives that listed them.
+	evacuated map[string]uint64
+	// directivesLife tells when the store of the directives was restored.
+	directivesLife life
+	// recheckAt is the time at which entries that a restored store lacks are dropped, zero if there are none.
+	recheckAt time.Time
+	// rejected maps documents and keys that were not adopted to the revision for which that was logged.
+	rejected map[string]uint64
 	// directivesApplied is true once a directives document has been applied.
 	directivesApplied bool
 }
@@ -71,8 +76,8 @@
 		revisions: map[string]uint64{},
 		upstreams: map[Key]*Upstream{},
 		targets:   map[string]Target{},
-		evacuated: map[string]bool{},
-		invalid:   map[string]uint64{},
+		evacuated: map[string]uint64{},
+		rejected:  map[string]uint64{},
 	}
 	s := &Snapshot{}
 	s.index()
@@ -95,20 +100,35 @@
 	for {
 		documentsChanged := d.options.Catalog.DocumentsChanged()
 		d.Rebuild()
+		recheck, stop := d.recheck()
 		select {
 		case <-ctx.Done():
+			stop()
 			return
 		case <-documentsChanged:
+		case <-recheck:
 		}
+		stop()
 	}
 }
 
-// Rebuild publishes a new snapshot if a document in the catalog has changed. It must not be called concurrently.
+// recheck returns a channel that receives a value at recheckAt, and the function that stops its timer.
+func (d *Directory) recheck() (at <-chan time.Time, stop func()) {
+	if d.recheckAt.IsZero() {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(d.recheckAt))
+	return timer.C, func() { timer.Stop() }
+}
+
+// Rebuild publishes a new snapshot if a document in the catalog has changed or recheckAt has passed. It must not be called
+// concurrently.
 func (d *Directory) Rebuild() {
 	configuration := d.options.Catalog.Document(mirror.DocumentConfiguration)
 	directives, directivesRevision := d.options.Catalog.List(mirror.DocumentDirectives)
 	upstreams, upstreamsRevision := d.options.Catalog.List(mirror.DocumentUpstreams)
-	modified := false
+	now := time.Now()
+	modified := !d.recheckAt.IsZero() && !now.Before(d.recheckAt)
 	for name, revision := range map[string]uint64{
 		mirror.DocumentConfiguration: configuration.Revision, mirror.DocumentDirectives: directivesRevision, mirror.DocumentUpstreams: upstreamsRevision,
 	} {
@@ -120,6 +140,7 @@
 	if !modified {
 		return
 	}
+	d.recheckAt = time.Time{}
 	old := d.current.Load()
 	next := &Snapshot{Configuration: old.Configuration, Revision: old.Revision, UpstreamsRevision: upstreamsRevision, Revisions: maps.Clone(d.revisions)}
 	d.applyConfiguration(next, configuration)
@@ -134,49 +155,93 @@
 	d.mu.Unlock()
 }
 
-// applyConfiguration decodes a newer configuration into next; if that fails, next keeps the previous configuration.
+// applyConfiguration decodes a newer configuration into next. If that fails, or if it is an older version that came back
+// with a copy of the store, next keeps the previous configuration.
 func (d *Directory) applyConfiguration(next *Snapshot, doc hub.Document) {
-	if doc.Revision <= next.Revision || doc.Revision == d.invalid[doc.Name] {
+	if doc.Revision <= next.Revision || doc.Revision == d.rejected[doc.Name] {
 		return
 	}
 	c, err := d.options.Decoder.Configuration(doc.Value)
 	if err != nil {
-		d.invalid[doc.Name] = doc.Revision
+		d.rejected[doc.Name] = doc.Revision
 		d.options.Log.Error().Uint64("Revision", doc.Revision).Uint64("InForce", next.Revision).Err(err).Msg("cannot decode desired state, keeping the previous one")
 		return
 	}
+	if next.Configuration != nil && c.Version < next.Configuration.Version {
+		d.rejected[doc.Name] = doc.Revision
+		d.options.Log.Warn().Uint64("Revision", doc.Revision).Uint64("Version", c.Version).Uint64("InForce", next.Configuration.Version).Msg("store holds an older desired state than the one in force, keeping that")
+		return
+	}
 	next.Configuration, next.Revision = c, doc.Revision
 	d.options.Log.Info().Uint64("Version", c.Version).Uint64("Revision", doc.Revision).Int("Routes", len(c.Routes)).Int("Accounts", len(c.Accounts)).Msg("desired state in force")
 }
 
-// applyDirectives sets the evacuated failure domains in next and updates the target versions. The target version of a
-// model never decreases while the directives contain it. Entries that cannot be decoded are skipped.
+// applyDirectives sets the evacuated failure domains in next and updates the target versions. Entries that cannot be
+// decoded are skipped.
 func (d *Directory) applyDirectives(next *Snapshot, l *listing.List, revision uint64) {
 	if l == nil {
 		d.logUnreadable(mirror.DocumentDirectives, revision)
-		next.Evacuated = d.evacuated
+		next.Evacuated = evacuatedDomains(d.evacuated)
 		return
 	}
+	now := time.Now()
+	d.directivesLife.observe(revision, now)
 	var directives hub.Directives
 	for _, e := range l.Entries() {
 		if err := d.options.Decoder.Directive(e.Key, e.Value, &directives); err != nil {
 			d.logInvalid(e, err)
 		}
 	}
-	next.Evacuated = map[string]bool{}
-	for _, domain := range directives.Evacuated {
-		next.Evacuated[domain] = true
+	evacuated := d.evacuations(directives.Evacuated, revision, now)
+	d.logEvacuations(evacuated, revision)
+	d.evacuated = evacuated
+	next.Evacuated = evacuatedDomains(evacuated)
+	d.applyTargets(directives.Targets, revision, now)
+	d.directivesApplied = d.directivesApplied || revision != 0
+}
+
+// evacuations returns the failure domains out of service, as in evacuated. A domain that was out of service before the
+// store was restored, and is not listed since, stays so for restoreGrace.
+func (d *Directory) evacuations(listed []string, revision uint64, now time.Time) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, domain := range listed {
+		out[domain] = revision
+	}
+	for domain, seen := range d.evacuated {
+		if _, ok := out[domain]; !ok && d.directivesLife.mayLack(seen, now) {
+			out[domain] = seen
+			d.recheckBy(d.directivesLife.since.Add(restoreGrace))
+		}
 	}
-	d.logEvacuations(next.Evacuated, revision)
-	d.evacuated = next.Evacuated
-	targets := make(map[string]Target, len(directives.Targets))
-	for _, t := range directives.Targets {
+	return out
+}
+
+// recheckBy makes the snapshot be rebuilt at the given time, or earlier if that is planned already.
+func (d *Directory) recheckBy(at time.Time) {
+	if d.recheckAt.IsZero() || at.Before(d.recheckAt) {
+		d.recheckAt = at
+	}
+}
+
+// evacuatedDomains returns the set of the domains in evacuated.
+func evacuatedDomains(evacuated map[string]uint64) map[string]bool {
+	out := make(map[string]bool, len(evacuated))
+	for domain := range evacuated {
+		out[domain] = true
+	}
+	return out
+}
+
+// applyTargets updates the target versions. That of a model never decreases and is never dropped: the operator only
+// raises it, so a lower one, or none, comes from a copy of the store that is older.
+func (d *Directory) applyTargets(listed []hub.ModelTarget, revision uint64, now time.Time) {
+	targets := maps.Clone(d.targets)
+	for _, t := range listed {
 		known := d.targets[t.Model]
 		if known.Version >= t.Version {
-			targets[t.Model] = known
 			continue
 		}
-		since := time.Now()
+		since := now
 		if !d.directivesApplied {
 			since = since.Add(-d.options.InitialTargetAge)
 		}
@@ -184,18 +249,17 @@
 		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", revision).Msg("target version changed")
 	}
 	d.targets = targets
-	d.directivesApplied = d.directivesApplied || revision != 0
 }
 
 // logEvacuations logs the failure domains that were evacuated or returned to service since the last rebuild.
-func (d *Directory) logEvacuations(now map[string]bool, revision uint64) {
+func (d *Directory) logEvacuations(now map[string]uint64, revision uint64) {
 	for domain := range now {
-		if !d.evacuated[domain] {
+		if _, ok := d.evacuated[domain]; !ok {
 			d.options.Log.Info().Str("Domain", domain).Uint64("Revision", revision).Msg("failure domain out of service")
 		}
 	}
 	for domain := range d.evacuated {
-		if !now[domain] {
+		if _, ok := now[domain]; !ok {
 			d.options.Log.Info().Str("Domain", domain).Uint64("Revision", revision).Msg("failure domain back in service")
 		}
 	}
@@ -246,8 +310,8 @@
 
 // logUnreadable logs that a document is not a list; a missing document is not logged.
 func (d *Directory) logUnreadable(name string, revision uint64) {
-	if revision != 0 && d.invalid[name] != revision {
-		d.invalid[name] = revision
+	if revision != 0 && d.rejected[name] != revision {
+		d.rejected[name] = revision
 		d.options.Log.Error().Str("Document", name).Uint64("Revision", revision).Msg("document is not a list, keeping the previous one")
 	}
 }
@@ -287,9 +351,9 @@
 
 // logInvalid logs an entry that cannot be decoded, once for each of its revisions.
 func (d *Directory) logInvalid(e listing.Entry, err error) {
-	if d.invalid[e.Key] == e.Revision {
+	if d.rejected[e.Key] == e.Revision {
 		return
 	}
-	d.invalid[e.Key] = e.Revision
+	d.rejected[e.Key] = e.Revision
 	d.options.Log.Warn().Str("Key", e.Key).Uint64("Revision", e.Revision).Err(err).Msg("cannot decode entry, skipping it")
 }
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -159,7 +159,7 @@
 		if err != nil {
 			return err
 		}
-		m.logListing(prefix, listing, k)
+		m.logRestored(prefix, listing, k)
 		if listing.Revision >= k.revision {
 			k.replace(listing)
 		}
@@ -179,20 +179,13 @@
 	return nil
 }
 
-// logListing logs a listing that was read after the store was restored, or that is older than what this process has.
-func (m *Mirror) logListing(prefix string, l hub.Listing, k *keys) {
-	restored := l.Era != k.era
-	k.era = l.Era
-	if !restored && l.Revision >= k.revision {
+// logRestored logs that a listing is of a later era of the store than the keys.
+func (m *Mirror) logRestored(prefix string, l hub.Listing, k *keys) {
+	if k.revision == 0 || hub.EraOf(l.Revision) <= hub.EraOf(k.revision) {
 		return
 	}
-	line := m.options.Log.Warn().Str("Prefix", prefix).Uint64("Era", l.Era).Uint64("Revision", l.Revision).Uint64("Known", k.revision)
-	for _, i := range l.Items {
-		if m.options.Decoder.IsConfiguration(i.Key) {
-			line = line.Uint64("Configuration", i.Revision)
-		}
-	}
-	line.Msg("listing of another era of the store, or older than what is known")
+	m.options.Log.Warn().Str("Prefix", prefix).Uint64("Era", hub.EraOf(l.Revision)).Uint64("Revision", l.Revision).Uint64("Known", k.revision).
+		Msg("store was restored from a copy; it may lack changes that were confirmed")
 }
 
 // updateReachable updates the reachability of the store after a call that returned err and logs the changes.
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -21,8 +21,6 @@
 	items map[string]hub.Item
 	// revision is the store revision.
 	revision uint64
-	// era is that of the last listing.
-	era uint64
 }
 
 // replace sets the state to a listing of all keys.
