state/directory: entries of a restored store do not replace newer ones of upstreams

For 10 s after a restore an entry with an older run or sequence than what is known is ignored; an upstream that was leaving stays so. One that the copy lacks stays for 3 s, in which it writes its entry again.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -128,6 +128,8 @@
 	Cold time.Duration
 	// Born is the time at which the upstream started, in Unix milliseconds.
 	Born int64
+	// Sequence increases with each entry that a run of the upstream writes.
+	Sequence uint64
 	// Version is the model version of the loaded layers, counted from the first layer; 0 if none is loaded.
 	Version uint64
 	// Layers is the number of contiguous loaded layers from the first one, -1 if the upstream does not list its layers.
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -1,10 +1,8 @@
 package directory
 
 import (
-	"cmp"
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +51,10 @@
 	evacuated map[string]uint64
 	// directivesLife tells when the store of the directives was restored.
 	directivesLife life
+	// upstreamsLife tells when the store of the list of upstreams was restored, runs holds the newest known run of each
+	// upstream by ID.
+	upstreamsLife life
+	runs          map[string]lastRun
 	// recheckAt is the time at which entries that a restored store lacks are dropped, zero if there are none.
 	recheckAt time.Time
 	// rejected maps documents and keys that were not adopted to the revision for which that was logged.
@@ -78,6 +80,7 @@
 		targets:   map[string]Target{},
 		evacuated: map[string]uint64{},
 		rejected:  map[string]uint64{},
+		runs:      map[string]lastRun{},
 	}
 	s := &Snapshot{}
 	s.index()
@@ -273,20 +276,30 @@
 		d.keepUpstreams(next)
 		return
 	}
+	now := time.Now()
+	d.upstreamsLife.observe(revision, now)
 	entries := make(map[string]decodedEntry, len(l.Entries()))
-	listed := make(map[Key]*Upstream, len(l.Entries()))
+	var instances []hub.Instance
 	for _, e := range l.Entries() {
 		decoded := d.decode(e)
 		entries[e.Key] = decoded
 		if decoded.err != nil {
 			continue
 		}
-		u := d.upstream(decoded.instance)
+		if i, ok := d.newestOf(decoded.instance, revision, now); ok {
+			instances = append(instances, i)
+		}
+	}
+	instances = append(instances, d.notWrittenAgain(revision, now)...)
+	listed := make(map[Key]*Upstream, len(instances))
+	for _, i := range instances {
+		u := d.upstream(i)
 		listed[u.Key()] = u
 		if service := next.services[u.Service]; service != nil {
 			service.Upstreams = append(service.Upstreams, u)
 		}
 	}
+	next.sortUpstreams()
 	for key, u := range d.upstreams {
 		if listed[key] == nil {
 			d.options.Log.Info().Str("Upstream", u.Id).Str("Service", u.Service).Uint64("Revision", revision).Msg("upstream no longer listed")
@@ -323,9 +336,7 @@
 			service.Upstreams = append(service.Upstreams, u)
 		}
 	}
-	for _, service := range next.services {
-		slices.SortFunc(service.Upstreams, func(a, b *Upstream) int { return cmp.Compare(a.Id, b.Id) })
-	}
+	next.sortUpstreams()
 	next.setDefaultTargets()
 }
 
--- a/internal/state/directory/restored.go
+++ b/internal/state/directory/restored.go
@@ -6,9 +6,16 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 )
 
-// restoreGrace is the time after the store was restored in which its writers are expected to have written again what it
-// has lost.
-const restoreGrace = 3 * time.Second
+const (
+	// restoreGrace is the time after the store was restored in which its writers are expected to have written again what
+	// it has lost.
+	restoreGrace = 3 * time.Second
+	// staleGrace is the time after that in which the store is expected to have removed the entries of upstreams that have
+	// left. Until then an entry of the copy may be older than what is known.
+	staleGrace = 10 * time.Second
+	// goneTTL is the time for which an upstream that is no longer listed is remembered.
+	goneTTL = time.Minute
+)
 
 // life tells in which era of the store a document was read last, and since when.
 type life struct {
@@ -31,3 +38,77 @@
 func (l *life) mayLack(seen uint64, now time.Time) bool {
 	return hub.EraOf(seen) < l.era && now.Sub(l.since) < restoreGrace
 }
+
+// restoredWithin reports whether the store was restored less than d ago.
+func (l *life) restoredWithin(d time.Duration, now time.Time) bool {
+	return !l.since.IsZero() && now.Sub(l.since) < d
+}
+
+// lastRun is the newest known run of an upstream.
+type lastRun struct {
+	instance hub.Instance
+	// seen is the revision of the last list that had an entry of the upstream.
+	seen uint64
+	// goneAt is the time from which on the upstream is not listed, zero while it is.
+	goneAt time.Time
+}
+
+func (r *lastRun) gone() bool { return !r.goneAt.IsZero() }
+
+// newerThan reports whether the run is known by a newer entry than i, or has left since it wrote i.
+func (r *lastRun) newerThan(i *hub.Instance) bool {
+	if r.instance.Born != i.Born {
+		return r.instance.Born > i.Born
+	}
+	return r.instance.Sequence > i.Sequence || r.gone() && r.instance.Sequence == i.Sequence
+}
+
+// newestOf returns what is known of an upstream with the listed entry i, or false if it has left. After the store was
+// restored from a copy, its entries may be older than what is known.
+func (d *Directory) newestOf(i hub.Instance, revision uint64, now time.Time) (hub.Instance, bool) {
+	known, ok := d.runs[i.Id]
+	restored := d.upstreamsLife.restoredWithin(staleGrace, now)
+	if ok && restored && known.newerThan(&i) {
+		d.recheckBy(d.upstreamsLife.since.Add(staleGrace))
+		d.logStale(&i, &known, revision)
+		if !known.gone() {
+			d.runs[i.Id] = lastRun{instance: known.instance, seen: revision}
+		}
+		return known.instance, !known.gone()
+	}
+	if ok && !d.upstreamsLife.since.IsZero() && known.instance.Born == i.Born {
+		i.Leaving = i.Leaving || known.instance.Leaving
+	}
+	d.runs[i.Id] = lastRun{instance: i, seen: revision}
+	return i, true
+}
+
+// logStale logs an entry of a copy of the store that is older than what is known, once for each revision of the list.
+func (d *Directory) logStale(i *hub.Instance, known *lastRun, revision uint64) {
+	if d.rejected[i.Id] == revision {
+		return
+	}
+	d.rejected[i.Id] = revision
+	d.options.Log.Warn().Str("Upstream", i.Id).Int64("Born", i.Born).Uint64("Sequence", i.Sequence).Int64("KnownBorn", known.instance.Born).
+		Uint64("KnownSequence", known.instance.Sequence).Bool("Gone", known.gone()).Msg("restored store has an older entry of the upstream, ignoring it")
+}
+
+// notWrittenAgain returns the upstreams that the list of the given revision lacks and that the restored store may have
+// lost. All other missing ones are gone.
+func (d *Directory) notWrittenAgain(revision uint64, now time.Time) []hub.Instance {
+	var out []hub.Instance
+	for id, r := range d.runs {
+		switch {
+		case r.seen == revision:
+		case !r.gone() && d.upstreamsLife.mayLack(r.seen, now):
+			out = append(out, r.instance)
+			d.recheckBy(d.upstreamsLife.since.Add(restoreGrace))
+		case !r.gone():
+			r.goneAt = now
+			d.runs[id] = r
+		case now.Sub(r.goneAt) > goneTTL:
+			delete(d.runs, id)
+		}
+	}
+	return out
+}
--- a/internal/state/directory/restored_test.go
+++ b/internal/state/directory/restored_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
 	"github.com/oriolehub/oriolehub/internal/state/listing"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
@@ -84,3 +85,79 @@
 		assert.Assert(t, !out("given-up"), "not written again")
 	})
 }
+
+// list adds a list of upstreams to a directory that does not run.
+func (f *fixture) list(revision uint64, instances ...hub.Instance) {
+	f.t.Helper()
+	entries := []listing.Entry{}
+	for _, i := range instances {
+		i.Service, i.Address, i.Domain, i.Slots = "engine", "10.0.0.1:80", "a", 4
+		entries = append(entries, listing.Entry{Key: desired.UpstreamPrefix + i.Id, Value: encoded(f.t, i), Revision: revision})
+	}
+	f.put(mirror.DocumentUpstreams, revision, entries)
+}
+
+// listed returns the runs of the upstreams in the snapshot, in the order of their IDs.
+func (f *fixture) listed() []directory.Key {
+	f.t.Helper()
+	out := []directory.Key{}
+	for _, u := range f.directory.Current().Service("engine").Upstreams {
+		out = append(out, u.Key())
+	}
+	return out
+}
+
+// Guards against an upstream that has left getting requests again because a copy of the store still lists it.
+func TestUpstreamThatHasLeftDoesNotComeBackWithACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestDirectory(t)
+		f.configure(era(t, 1, 1), 1)
+		left, stays := hub.Instance{Id: "left", Born: 1, Sequence: 5}, hub.Instance{Id: "stays", Born: 1, Sequence: 5}
+		f.list(era(t, 1, 20), left, stays)
+		f.list(era(t, 1, 24), stays)
+		f.list(era(t, 2, 20), left, stays)
+		assert.DeepEqual(t, f.listed(), []directory.Key{{Id: "stays", Born: 1}})
+		left.Sequence++
+		f.list(era(t, 2, 21), left, stays)
+		assert.DeepEqual(t, f.listed(), []directory.Key{{Id: "left", Born: 1}, {Id: "stays", Born: 1}})
+	})
+}
+
+// Guards against requests to an upstream that is leaving, or to an earlier run of one, because a copy of the store has an
+// older entry of it.
+func TestOlderEntryOfACopyDoesNotReplaceANewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestDirectory(t)
+		f.configure(era(t, 1, 1), 1)
+		f.list(era(t, 1, 24), hub.Instance{Id: "leaves", Born: 1, Sequence: 6, Leaving: true}, hub.Instance{Id: "restarted", Born: 2, Sequence: 1})
+		older := []hub.Instance{{Id: "leaves", Born: 1, Sequence: 5}, {Id: "restarted", Born: 1, Sequence: 9}}
+		f.list(era(t, 2, 20), older...)
+		want := []directory.Key{{Id: "leaves", Born: 1}, {Id: "restarted", Born: 2}}
+		assert.DeepEqual(t, f.listed(), want)
+		assert.Assert(t, f.directory.Current().Service("engine").Upstreams[0].Leaving)
+		older[0].Sequence = 7
+		f.list(era(t, 2, 21), older...)
+		assert.Assert(t, f.directory.Current().Service("engine").Upstreams[0].Leaving, "an upstream that leaves does not come back")
+	})
+}
+
+// Guards against upstreams that go out of service because a copy of the store lacks their entries, which they write again
+// soon, and against ones that stay although they do not.
+func TestUpstreamsThatACopyLacksStayForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestDirectory(t)
+		f.configure(era(t, 1, 1), 1)
+		back, gone := hub.Instance{Id: "back", Born: 1, Sequence: 1}, hub.Instance{Id: "gone", Born: 1, Sequence: 1}
+		f.list(era(t, 1, 24), back, gone)
+		f.list(era(t, 2, 20))
+		assert.Equal(t, len(f.listed()), 2)
+		time.Sleep(2 * time.Second)
+		f.list(era(t, 2, 21), back)
+		assert.Equal(t, len(f.listed()), 2)
+		time.Sleep(2 * time.Second)
+		f.directory.Rebuild()
+		assert.DeepEqual(t, f.listed(), []directory.Key{{Id: "back", Born: 1}})
+		f.list(era(t, 2, 22))
+		assert.Equal(t, len(f.listed()), 0, "removed in this era of the store")
+	})
+}
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"strings"
@@ -187,6 +188,13 @@
 	}
 }
 
+// sortUpstreams sorts the upstreams of each service by ID.
+func (s *Snapshot) sortUpstreams() {
+	for _, service := range s.services {
+		slices.SortFunc(service.Upstreams, func(a, b *Upstream) int { return cmp.Compare(a.Id, b.Id) })
+	}
+}
+
 // setDefaultTargets sets the target version of the engines for which the operator has set none.
 func (s *Snapshot) setDefaultTargets() {
 	for _, service := range s.services {
