state/mirror: a history that is lost again is not listed again at once

One listing repairs a lost history; if the watch that follows it is lost too, the next listing waits like after any failed call.

--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -116,7 +116,7 @@
 func (m *Mirror) follow(ctx context.Context, prefix string) {
 	k := &keys{items: map[string]hub.Item{}}
 	var listed time.Time
-	asked := false
+	asked, lost := false, false
 	for ctx.Err() == nil {
 		if asked && !m.reads() {
 			_ = hub.Sleep(ctx, dutyCheckInterval)
@@ -136,7 +136,12 @@
 		if err != nil {
 			listed = time.Time{}
 		}
-		if err != nil && !errors.Is(err, hub.ErrHistoryLost) {
+		// A new listing repairs one lost history. If the next is lost too, listing at once again does not help.
+		lostAgain := lost && errors.Is(err, hub.ErrHistoryLost)
+		if !listing {
+			lost = errors.Is(err, hub.ErrHistoryLost)
+		}
+		if err != nil && !errors.Is(err, hub.ErrHistoryLost) || lostAgain {
 			_ = hub.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
 		}
 		if err == nil && prefix == m.upstreams && !listing {
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -102,7 +102,7 @@
 }
 
 // withTestMirror starts a mirror of s and returns the function that stops it.
-func withTestMirror(s *source, c *catalog.Catalog) (stop func()) {
+func withTestMirror(s hub.StateSource, c *catalog.Catalog) (stop func()) {
 	m := mirror.New(mirror.Options{Source: s, Decoder: desired.Decoder{}, Catalog: c, Log: journal.Discard().Logger(journal.State)})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -202,3 +202,32 @@
 		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{})
 	})
 }
+
+// losingSource is a store that never keeps the requested changes.
+type losingSource struct {
+	*source
+	lists int
+}
+
+func (s *losingSource) List(ctx context.Context, prefix string) (hub.Listing, error) {
+	if prefix == desired.UpstreamPrefix {
+		s.lists++
+	}
+	_ = hub.Sleep(ctx, 5*time.Millisecond)
+	return s.source.List(ctx, prefix)
+}
+
+func (s *losingSource) Follow(context.Context, string, uint64, time.Duration) (hub.Listing, error) {
+	return hub.Listing{}, hub.ErrHistoryLost
+}
+
+// Guards against a loop of listings and watches without a pause, which uses up the calls that the store allows.
+func TestHistoryThatIsAlwaysLostIsNotListedWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := &losingSource{source: newSource()}, catalog.New(1)
+		stop := withTestMirror(s, c)
+		time.Sleep(10 * time.Second)
+		stop()
+		assert.Assert(t, s.lists > 10 && s.lists <= 70, "%d listings in 10 s", s.lists)
+	})
+}
