process/node: requests that come late in a planned stop are refused

Here they were not passed on after the 2.5 s for which it serves as before, but dropped: net/http closes a connection on which a request arrives after Shutdown has begun, without an answer, while streams are still in progress. A caller whose request may run only once cannot tell that from one that has run.

Now the listener is closed first; while requests are in progress, others on open connections get 503, not run, with the time after which another process takes them. The test failed before with an unexpected EOF.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -43,6 +43,8 @@
 	// drainDelay is the time for which a stopping process still accepts connections. The load balancer checks readiness
 	// once a second and stops sending connections after two failed checks.
 	drainDelay = 2500 * time.Millisecond
+	// inProgressInterval is the interval at which a stopping process checks whether requests are in progress.
+	inProgressInterval = 10 * time.Millisecond
 	// stopMargin is the part of the time for a planned stop that is reserved for the steps after the requests in
 	// progress have ended.
 	stopMargin = 700 * time.Millisecond
@@ -60,6 +62,12 @@
 	collector *beacon.Collector
 	callers   *http.Server
 	ready     *http.Server
+	// listener accepts the connections of callers.
+	listener net.Listener
+	// refusing is true once a stopping process accepts no more requests; inProgress is the number of those that it has
+	// accepted and not finished.
+	refusing   atomic.Bool
+	inProgress atomic.Int64
 }
 
 // StartEntry starts an entry process, which runs until Stop.
@@ -191,6 +199,7 @@
 	handler := forward.New(forward.Options{
 		Directory:   e.directory,
 		Ready:       e.stateKnown,
+		Stopping:    e.refusing.Load,
 		Placement:   e.placement,
 		Pool:        e.pool,
 		RetryBudget: allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
@@ -200,13 +209,14 @@
 		Metrics:     e.metrics,
 	})
 	e.callers = &http.Server{
-		Handler:           alice.New(e.closeWhileLeaving).Then(handler),
+		Handler:           alice.New(e.countInProgress, e.closeWhileLeaving).Then(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          e.journal.Logger(journal.Process).Std("", 0),
 	}
 	e.ready = &http.Server{Handler: alice.New(noStore).ThenFunc(e.handleReady), ReadHeaderTimeout: headerTimeout}
+	e.listener = callers
 	go func() { _ = e.callers.Serve(callers) }()
 	go func() { _ = e.ready.Serve(ready) }()
 	return nil
@@ -226,6 +236,15 @@
 	})
 }
 
+// countInProgress counts the requests in progress.
+func (e *Entry) countInProgress(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.inProgress.Add(1)
+		defer e.inProgress.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // closeWhileLeaving asks callers to use their connections no longer once the process is leaving.
 func (e *Entry) closeWhileLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -255,17 +274,21 @@
 // Stop announces that the process is leaving, waits until the requests in progress have finished and ends the process.
 // Requests that have not finished shortly before the deadline of ctx are interrupted.
 //
-// For drainDelay it serves requests as before, on new and on open connections; open ones that are idle are closed only
-// afterwards, since callers send requests on them until they know of the stop.
+// For drainDelay it serves requests as before, on new and on open connections. Then it accepts no more connections and
+// refuses the requests that still come on open ones: they could not be completed in the time that is left.
 func (e *Entry) Stop(ctx context.Context) {
 	e.announceLeaving(ctx)
 	_ = hub.Sleep(ctx, drainDelay)
-	e.callers.SetKeepAlivesEnabled(false)
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
 		defer cancel()
 	}
+	e.refusing.Store(true)
+	_ = e.listener.Close()
+	for e.inProgress.Load() > 0 && hub.Sleep(ctx, inProgressInterval) == nil {
+		continue
+	}
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.journal.Logger(journal.Process).Warn().Err(err).Msg("stop deadline reached; interrupting the requests in progress")
 	}
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -231,11 +231,66 @@
 	<-stopped
 }
 
-// sendOn sends a request on an open connection and returns the response after its whole body has been read.
+// Guards against requests that reach a stopping process late, on connections opened before: they must neither be passed on,
+// since they would be cut when the time for the stop is up, nor be dropped without an answer.
+func TestRequestsLateInAPlannedStopAreRefused(t *testing.T) {
+	f := startTestFleet(t, 2, 0)
+	f.waitUntilServing(t)
+	for _, e := range f.engines {
+		e.SetEvents(800)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := sendRequest(t, f.callers[0], "long")
+		done <- err
+	}()
+	waitUntil(t, "the long response has begun", func() bool { return f.engines[0].Streaming()+f.engines[1].Streaming() > 0 })
+	used, err := net.Dial("tcp", f.callers[0])
+	assert.NilError(t, err)
+	defer used.Close()
+	lookup := func(c net.Conn, id string) *http.Response {
+		r, err := standin.Request(f.callers[0], http.MethodGet, "/nowhere/", id)
+		assert.NilError(t, err)
+		return exchangeOn(t, c, r)
+	}
+	assert.Equal(t, lookup(used, "before").StatusCode, http.StatusNotFound)
+	unused, err := net.Dial("tcp", f.callers[0])
+	assert.NilError(t, err)
+	defer unused.Close()
+	stopped := make(chan struct{})
+	go func() { f.entries[0].Stop(ctx); close(stopped) }()
+	waitUntil(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", f.callers[0])
+		if err != nil {
+			return true
+		}
+		_ = c.Close()
+		return false
+	})
+	ran := len(f.engines[0].Accounts()) + len(f.engines[1].Accounts())
+	for name, c := range map[string]net.Conn{"used": used, "unused": unused} {
+		resp := sendOn(t, c, f.callers[0], "late")
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable, name)
+		assert.Assert(t, resp.Header.Get("Retry-After") != "" && resp.Close, name)
+	}
+	assert.Equal(t, len(f.engines[0].Accounts())+len(f.engines[1].Accounts()), ran, "a late request has run")
+	assert.NilError(t, <-done)
+	<-stopped
+}
+
+// sendOn sends a request to an engine on an open connection and returns the response after its whole body has been read.
 func sendOn(t *testing.T, c net.Conn, entry, id string) *http.Response {
 	t.Helper()
 	r, err := standin.Request(entry, http.MethodPost, standin.Path+"x", id)
 	assert.NilError(t, err)
+	return exchangeOn(t, c, r)
+}
+
+// exchangeOn sends a request on an open connection and returns the response after its whole body has been read.
+func exchangeOn(t *testing.T, c net.Conn, r *http.Request) *http.Response {
+	t.Helper()
 	assert.NilError(t, r.Write(c))
 	resp, err := http.ReadResponse(bufio.NewReader(c), r)
 	assert.NilError(t, err)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -27,6 +27,8 @@
 	defaultMaxBodyBytes = 4 << 20
 	// notReadyRetryAfter is the Retry-After time while this process has not received the desired state yet.
 	notReadyRetryAfter = 300 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After time while this process stops; others serve meanwhile.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// busyRetryAfter is the Retry-After time if no upstream had room.
 	busyRetryAfter = 250 * time.Millisecond
 	// noUpstreamRetryFraction is the fraction of the time left until the deadline that is sent as Retry-After if no
@@ -38,7 +40,9 @@
 type Options struct {
 	Directory *directory.Directory
 	// Ready reports whether requests can be served by the current state of the directory.
-	Ready     func() bool
+	Ready func() bool
+	// Stopping reports whether new requests are refused because the process stops; nil means never.
+	Stopping  func() bool
 	Placement *placement.Placement
 	Pool      *channel.Pool
 	// RetryBudget limits the retries to each service.
@@ -86,6 +90,10 @@
 // responds with an error and returns false.
 func (x *exchange) admit() bool {
 	s := x.handler.options.Directory.Current()
+	if stopping := x.handler.options.Stopping; stopping != nil && stopping() {
+		x.refuse("process is stopping", stoppingRetryAfter)
+		return false
+	}
 	if !x.handler.options.Ready() {
 		x.refuse("desired state or upstreams not known yet", notReadyRetryAfter)
 		return false
