--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -62,6 +62,8 @@
 	// in nanoseconds since created; 0 if the last call succeeded.
 	failingSince map[string]*atomic.Int64
 	created      time.Time
+	// tooLong maps the keys whose values are too long for an entry to the revision for which that was logged.
+	tooLong sync.Map
 	// asked counts the prefixes for which the first call to the store has ended.
 	asked atomic.Int32
 }
@@ -242,6 +244,11 @@
 		}
 	}
 	name, include := m.document(prefix)
+	for _, i := range k.tooLong(include) {
+		if logged, ok := m.tooLong.Swap(i.Key, i.Revision); !ok || logged != i.Revision {
+			m.options.Log.Warn().Str("Key", i.Key).Uint64("Revision", i.Revision).Int("Bytes", len(i.Value)).Msg("value is too long for an entry, skipping it")
+		}
+	}
 	l, err := k.list(include)
 	if err != nil {
 		m.options.Log.Error().Str("Document", name).Err(err).Msg("cannot encode document, not publishing it")
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -231,3 +232,18 @@
 		assert.Assert(t, s.lists > 10 && s.lists <= 70, "%d listings in 10 s", s.lists)
 	})
 }
+
+// Guards against a huge entry of another writer being replicated to all processes.
+func TestHugeEntriesAreNotReplicated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		s.put(desired.UpstreamPrefix+"a", "x")
+		s.put(desired.UpstreamPrefix+"b", strings.Repeat("x", 1<<20))
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{desired.UpstreamPrefix + "a"})
+		s.put(desired.UpstreamPrefix+"b", "y")
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, keysOf(t, c, mirror.DocumentUpstreams), []string{desired.UpstreamPrefix + "a", desired.UpstreamPrefix + "b"})
+	})
+}
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -16,6 +16,10 @@
 // Documents lists the names of the documents that a Mirror publishes.
 var Documents = []string{DocumentConfiguration, DocumentDirectives, DocumentUpstreams}
 
+// maxEntryBytes limits the value of a key in a list. Longer ones would fill the links of the processes that the list is
+// replicated to.
+const maxEntryBytes = 16 << 10
+
 // keys is the state of all keys with one prefix at a revision of the store.
 type keys struct {
 	items map[string]hub.Item
@@ -23,6 +27,17 @@
 	revision uint64
 }
 
+// tooLong returns the keys in include whose values are too long for an entry.
+func (k *keys) tooLong(include func(key string) bool) []hub.Item {
+	var out []hub.Item
+	for _, i := range k.items {
+		if include(i.Key) && len(i.Value) > maxEntryBytes {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // replace sets the state to a listing of all keys.
 func (k *keys) replace(l hub.Listing) {
 	k.items = make(map[string]hub.Item, len(l.Items))
@@ -47,11 +62,11 @@
 	k.revision = max(k.revision, l.Revision)
 }
 
-// list returns the list of the keys that include accepts.
+// list returns the list of the keys that include accepts, without those whose values are too long for an entry.
 func (k *keys) list(include func(key string) bool) (*listing.List, error) {
 	var out []listing.Entry
 	for _, i := range k.items {
-		if include(i.Key) {
+		if include(i.Key) && len(i.Value) <= maxEntryBytes {
 			out = append(out, listing.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision})
 		}
 	}
