soak: the store is restored from a copy, upstreams name rate limits

Two more faults and a promise: the store loses what is written for some seconds and its writers write that again; an upstream names a limit of 5 requests a second for a while, which all entry processes together must keep to.

--- a/internal/process/node/ratelimit_test.go
+++ b/internal/process/node/ratelimit_test.go
@@ -92,7 +92,7 @@
 			assert.NilError(t, b.AwaitServing(t.Context(), testTimeout))
 			limited := []string{"engine-0", "engine-1", "plain-0", "plain-1"}
 			for _, name := range limited {
-				b.Site.SetBehavior(name, standin.Behavior{RateLimit: limit})
+				b.Site.SetRateLimit(name, limit)
 			}
 			named := time.Now()
 			ctx, cancel := context.WithDeadline(t.Context(), named.Add(limitGrace+limitWindow))
--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -21,6 +21,7 @@
 	LeavingIsSpared  = "an upstream that leaves receives no new requests"
 	DomainIsSpared   = "a failure domain out of service receives no new requests"
 	NoOlderVersion   = "no request begins on an older version after its time"
+	WithinRateLimit  = "an upstream gets no more requests than it names"
 	WithinBudget     = "retries stay within the shared budget"
 	StopCutsNothing  = "a planned stop cuts no request"
 	Recovers         = "requests are served again after the last fault"
@@ -51,6 +52,11 @@
 	RetryRatio  float64
 	RetrySlack  int
 	RetryWindow time.Duration
+	// LimitTolerance and LimitSlack limit the requests to an upstream in each LimitWindow, relative to the rate limit that it
+	// has named for longer than Contact.
+	LimitTolerance float64
+	LimitSlack     int
+	LimitWindow    time.Duration
 	// Recovery is the time after the last fault after which RecoveredShare of the requests must be answered.
 	Recovery       time.Duration
 	RecoveredShare float64
@@ -61,7 +67,8 @@
 	return Bounds{
 		Contact: 3 * time.Second, Config: 2 * time.Second, Revoke: 5 * time.Second, Drain: 2 * time.Second, Evacuate: 5 * time.Second,
 		Switch: 8 * time.Second, Rollback: 250 * time.Millisecond, Late: 500 * time.Millisecond, Unnoticed: 200 * time.Millisecond,
-		Left: 500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second, Recovery: 12 * time.Second, RecoveredShare: 0.9,
+		Left: 500 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second,
+		LimitTolerance: 1.5, LimitSlack: 5, LimitWindow: 4 * time.Second, Recovery: 12 * time.Second, RecoveredShare: 0.9,
 	}
 }
 
@@ -102,6 +109,7 @@
 	c.checkOrderOfStates()
 	c.checkArrivals()
 	c.checkBudget()
+	c.checkRateLimits()
 	c.checkStops()
 	c.checkRecovery()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -71,6 +71,12 @@
 				s.Arrivals = append(s.Arrivals, arrival("a", 2*second))
 			}
 		}},
+		{WithinRateLimit, func(s *record.Seen) {
+			s.Changes = append(s.Changes, record.Change{Kind: record.RateLimited, Subject: "u", PerSecond: 1, At: 5 * second})
+			for range 12 {
+				s.Arrivals = append(s.Arrivals, arrival("b", 11*second))
+			}
+		}},
 		{StopCutsNothing, func(s *record.Seen) {
 			s.Requests[1].Outcome, s.Requests[1].Ended = record.Cut, s.Requests[1].Sent+second/2
 			s.Disturbances = append(s.Disturbances, record.Disturbance{Kind: string(plan.Stop), Target: "entry-0", From: 11 * second, To: 13 * second})
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -32,13 +32,15 @@
 	RepeatOld Kind = "RepeatOld"
 )
 
-// Faults of the store.
+// Faults of the store. RestoreStore makes it lose what is written until the fault ends; its writers write that again soon
+// afterwards.
 const (
 	StoreBusy    Kind = "StoreBusy"
 	StoreForgets Kind = "StoreForgets"
+	RestoreStore Kind = "RestoreStore"
 )
 
-// Faults of upstreams. Crash ends an upstream, which starts again without weights; Leave makes it leave and come back as
+// Faults of upstreams. NameLimit makes an upstream name a rate limit; Crash ends an upstream, which starts again without weights; Leave makes it leave and come back as
 // another run; AskPause makes it refuse requests with a pause; Refuse makes it refuse without one; BreakStreams makes it
 // break off streams and answer continuations with something else.
 const (
@@ -47,6 +49,7 @@
 	AskPause     Kind = "AskPause"
 	Refuse       Kind = "Refuse"
 	BreakStreams Kind = "BreakStreams"
+	NameLimit    Kind = "NameLimit"
 )
 
 // Changes by the operator.
--- a/internal/soak/plan/text.go
+++ b/internal/soak/plan/text.go
@@ -126,7 +126,7 @@
 		return slices.Contains([]string{AllEntries, AllSides, All}, f.Target)
 	case Delay, Drip, Cut, CutTo, CutFrom, Silence, ResetAll:
 		return s.hasLink(f.Target)
-	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams:
+	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit:
 		return s.hasUpstream(f.Target)
 	case TakeOutDomain:
 		return slices.Contains(Domains, f.Target)
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -75,6 +75,7 @@
 	VersionNamed Kind = "version named"
 	Leaving      Kind = "upstream leaving"
 	OutOfService Kind = "failure domain out of service"
+	RateLimited  Kind = "upstream names a rate limit"
 )
 
 // Change is a change that the store has acknowledged at a time. Until is the time at which it was taken back, 0 if it
@@ -83,8 +84,10 @@
 	Kind    Kind
 	Subject string
 	Version uint64
-	At      time.Duration
-	Until   time.Duration
+	// PerSecond is the rate limit that an upstream names.
+	PerSecond float64
+	At        time.Duration
+	Until     time.Duration
 }
 
 // Record collects what happens. It is safe for concurrent use.
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -18,6 +18,12 @@
 	readyLimit = 30 * time.Second
 	// askedPause is the pause that upstreams ask for.
 	askedPause = 2 * time.Second
+	// namedLimit is the rate limit that upstreams name, in requests per second.
+	namedLimit = 5
+	// restoreTime is the time for which a store is away that is restored, rewriteTime that after which its writers write
+	// again what it has lost.
+	restoreTime = 500 * time.Millisecond
+	rewriteTime = 100 * time.Millisecond
 	// goneTime is the time for which an upstream that has left is away.
 	goneTime = time.Second
 )
@@ -72,6 +78,10 @@
 			back()
 			s.cluster.Site.Evacuate(f.Target, false)
 		}
+	case plan.RestoreStore:
+		return func() { s.restoreStore(ctx, f.For) }
+	case plan.NameLimit:
+		return func() { s.lifetime("limit of "+f.Target, func() { s.nameLimit(ctx, f.Target, f.For) }) }
 	default:
 		return nil
 	}
@@ -145,7 +155,30 @@
 	}
 }
 
-// lifetime runs a fault that makes an upstream another run. Of several at the same time only the first happens.
+// restoreStore makes the store lose what is written in d; of several restores at the same time only the first happens.
+func (s *session) restoreStore(ctx context.Context, d time.Duration) {
+	s.lifetime("store", func() {
+		older := s.cluster.Site.Store.Copy()
+		_ = hub.Sleep(ctx, d)
+		defer s.record.Disturb(string(plan.RestoreStore), "")()
+		s.storeBusy(ctx, restoreTime)
+		lost := s.cluster.Site.Store.Restore(older)
+		_ = hub.Sleep(ctx, rewriteTime)
+		s.cluster.Site.Store.WriteAgain(lost)
+	})
+}
+
+// nameLimit makes an upstream name a rate limit for a time.
+func (s *session) nameLimit(ctx context.Context, name string, d time.Duration) {
+	s.cluster.Site.SetRateLimit(name, namedLimit)
+	ended := s.record.Change(record.Change{Kind: record.RateLimited, Subject: name, PerSecond: namedLimit})
+	_ = hub.Sleep(ctx, d)
+	ended()
+	s.cluster.Site.SetRateLimit(name, 0)
+}
+
+// lifetime runs a fault that makes an upstream or the store another run. Of several of the same at the same time only the
+// first happens.
 func (s *session) lifetime(name string, fault func()) {
 	turn, _ := s.lifetimes.LoadOrStore(name, &sync.Mutex{})
 	if mu := turn.(*sync.Mutex); mu.TryLock() {
