--- a/_scripts/lint.sh
+++ b/_scripts/lint.sh
@@ -9,7 +9,7 @@
 fi
 # Header fields, paths and keys of the platform's protocol may occur only in its adapter.
 platform_names='X-Oriolehub-(Attempt-Id|Server-Signature|Not-Executed|Expected-|Token-Usage|Prefix-Hash|Length-Hint|Tenant-Id|Deadline-Ms|Model-Id|Weight-Versions)'
-platform_names+='|/api/(kv-|stage-|order|report|manifest|piece|readyz)|kv_used|cold_left_ms|route_kind|path_prefix|seq_no|swap_mode|api_keys|allowed_regions'
+platform_names+='|/api/(kv-|stage-|order|report|manifest|piece|readyz)|kv_used|cold_left_ms|route_kind|path_prefix|seq_no|swap_mode|api_keys|allowed_regions|Server-Limit|Server-Leaving|Store-Era'
 if git grep -nE "$platform_names" -- '*.go' ':!platform' ':!deploy'; then
   echo "the Go code listed above uses names of the platform's protocol outside platform/ and deploy/"
   exit 1
--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -128,7 +128,7 @@
 	Cold time.Duration
 	// Born is the time at which the upstream started, in Unix milliseconds.
 	Born int64
-	// Sequence increases with each entry that a run of the upstream writes.
+	// Sequence is the sequence number of the entry since Born.
 	Sequence uint64
 	// Version is the model version of the loaded layers, counted from the first layer; 0 if none is loaded.
 	Version uint64
--- a/internal/route/allowance/share.go
+++ b/internal/route/allowance/share.go
@@ -11,9 +11,9 @@
 
 // RateShares divides the rate limits that upstreams name among the entry processes, so that all together keep to them.
 //
-// A limit is divided among no more processes than requests that it allows in a second, and one: each share lets at least
-// one request through at once, so shares for all of a large number of processes would exceed a small limit. Which ones
-// have a share follows from a hash, so that all processes that know the same ones agree.
+// A limit of n requests per second is divided among at most n+1 processes. Each share lets at least one request through at
+// once, so that a share for each of many processes would exceed a small limit. The processes that have a share are chosen by
+// a hash, so that all that know the same processes choose the same ones.
 type RateShares struct {
 	// self is the ID of this process.
 	self string
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -49,12 +49,11 @@
 	targets map[string]Target
 	// evacuated holds the failure domains out of service, by the revision of the last directives that listed them.
 	evacuated map[string]uint64
-	// directivesLife tells when the store of the directives was restored.
-	directivesLife life
-	// upstreamsLife tells when the store of the list of upstreams was restored, runs holds the newest known run of each
-	// upstream by ID.
-	upstreamsLife life
-	runs          map[string]lastRun
+	// directivesEra and upstreamsEra are the eras of the store from which the two documents were read.
+	directivesEra documentEra
+	upstreamsEra  documentEra
+	// runs holds the newest known run of each upstream by ID.
+	runs map[string]lastRun
 	// recheckAt is the time at which entries that a restored store lacks are dropped, zero if there are none.
 	recheckAt time.Time
 	// rejected maps documents and keys that were not adopted to the revision for which that was logged.
@@ -188,7 +187,7 @@
 		return
 	}
 	now := time.Now()
-	d.directivesLife.observe(revision, now)
+	d.directivesEra.observe(revision, now)
 	var directives hub.Directives
 	for _, e := range l.Entries() {
 		if err := d.options.Decoder.Directive(e.Key, e.Value, &directives); err != nil {
@@ -211,9 +210,9 @@
 		out[domain] = revision
 	}
 	for domain, seen := range d.evacuated {
-		if _, ok := out[domain]; !ok && d.directivesLife.mayLack(seen, now) {
+		if _, ok := out[domain]; !ok && d.directivesEra.mayLack(seen, now) {
 			out[domain] = seen
-			d.recheckBy(d.directivesLife.since.Add(restoreGrace))
+			d.recheckBy(d.directivesEra.since.Add(restoreGrace))
 		}
 	}
 	return out
@@ -277,7 +276,7 @@
 		return
 	}
 	now := time.Now()
-	d.upstreamsLife.observe(revision, now)
+	d.upstreamsEra.observe(revision, now)
 	entries := make(map[string]decodedEntry, len(l.Entries()))
 	var instances []hub.Instance
 	for _, e := range l.Entries() {
--- a/internal/state/directory/restored.go
+++ b/internal/state/directory/restored.go
@@ -17,31 +17,33 @@
 	goneTTL = time.Minute
 )
 
-// life tells in which era of the store a document was read last, and since when.
-type life struct {
-	era   uint64
+// documentEra is the era of the store from which a document was read last.
+type documentEra struct {
+	era uint64
+	// known is true once a document has been applied.
 	known bool
-	// since is the time at which the first document of the era was applied, zero if there was no earlier era.
+	// since is the time at which the first document of the era was applied, zero if there was none of an earlier era.
 	since time.Time
 }
 
 // observe records the era of a document that is applied.
-func (l *life) observe(revision uint64, now time.Time) {
+func (e *documentEra) observe(revision uint64, now time.Time) {
 	era := hub.EraOf(revision)
-	if l.known && era > l.era {
-		l.since = now
+	if e.known && era > e.era {
+		e.since = now
 	}
-	l.era, l.known = max(l.era, era), true
+	e.era, e.known = max(e.era, era), true
 }
 
-// mayLack reports whether the store may have lost what was last seen at a revision of it, and may get it back.
-func (l *life) mayLack(seen uint64, now time.Time) bool {
-	return hub.EraOf(seen) < l.era && now.Sub(l.since) < restoreGrace
+// mayLack reports whether the restored store may have lost what was last seen at a revision, and its writer may still write
+// it again.
+func (e *documentEra) mayLack(seen uint64, now time.Time) bool {
+	return hub.EraOf(seen) < e.era && now.Sub(e.since) < restoreGrace
 }
 
 // restoredWithin reports whether the store was restored less than d ago.
-func (l *life) restoredWithin(d time.Duration, now time.Time) bool {
-	return !l.since.IsZero() && now.Sub(l.since) < d
+func (e *documentEra) restoredWithin(d time.Duration, now time.Time) bool {
+	return !e.since.IsZero() && now.Sub(e.since) < d
 }
 
 // lastRun is the newest known run of an upstream.
@@ -67,16 +69,16 @@
 // restored from a copy, its entries may be older than what is known.
 func (d *Directory) newestOf(i hub.Instance, revision uint64, now time.Time) (hub.Instance, bool) {
 	known, ok := d.runs[i.Id]
-	restored := d.upstreamsLife.restoredWithin(staleGrace, now)
+	restored := d.upstreamsEra.restoredWithin(staleGrace, now)
 	if ok && restored && known.newerThan(&i) {
-		d.recheckBy(d.upstreamsLife.since.Add(staleGrace))
+		d.recheckBy(d.upstreamsEra.since.Add(staleGrace))
 		d.logStale(&i, &known, revision)
 		if !known.gone() {
 			d.runs[i.Id] = lastRun{instance: known.instance, seen: revision}
 		}
 		return known.instance, !known.gone()
 	}
-	if ok && !d.upstreamsLife.since.IsZero() && known.instance.Born == i.Born {
+	if ok && !d.upstreamsEra.since.IsZero() && known.instance.Born == i.Born {
 		i.Leaving = i.Leaving || known.instance.Leaving
 	}
 	d.runs[i.Id] = lastRun{instance: i, seen: revision}
@@ -100,9 +102,9 @@
 	for id, r := range d.runs {
 		switch {
 		case r.seen == revision:
-		case !r.gone() && d.upstreamsLife.mayLack(r.seen, now):
+		case !r.gone() && d.upstreamsEra.mayLack(r.seen, now):
 			out = append(out, r.instance)
-			d.recheckBy(d.upstreamsLife.since.Add(restoreGrace))
+			d.recheckBy(d.upstreamsEra.since.Add(restoreGrace))
 		case !r.gone():
 			r.goneAt = now
 			d.runs[id] = r
