process/node: tests of several engines begin when all entry processes list them

TestBrokenStreamResumesAtOtherEngine and TestChangesReachAllEntries failed now and then beside load: the stream did not go on at the other engine, or a request got 503 while one failure domain was out. The entry of the second engine was written to the store a moment before; a list is joined for up to 0.75 s. New metric oriolehub_listed_upstreams.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -223,6 +223,7 @@
 	n.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(n.journal.Dropped()) })
 	n.countTraffic()
 	n.metrics.NewGauge("oriolehub_configuration_revision", func() float64 { return float64(n.directory.Current().Revision) })
+	n.metrics.NewGauge("oriolehub_listed_upstreams", func() float64 { return float64(n.ListedUpstreams()) })
 	n.metrics.NewGauge("oriolehub_store_reachable", func() float64 {
 		if n.mirror.Reachable() {
 			return 1
@@ -286,6 +287,15 @@
 // ConfigurationRevision returns the revision of the configuration in use, 0 if none is known.
 func (n *node) ConfigurationRevision() uint64 { return n.directory.Current().Revision }
 
+// ListedUpstreams returns the number of upstreams in the list that this process acts on.
+func (n *node) ListedUpstreams() int {
+	listed := 0
+	for _, service := range n.directory.Current().Services() {
+		listed += len(service.Upstreams)
+	}
+	return listed
+}
+
 // switchBound returns the time within which upstreams must switch to a new target version.
 func (n *node) switchBound() time.Duration { return n.bounds.Load().Switch.Std() }
 
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -83,8 +83,13 @@
 	}
 }
 
+// waitUntilServing waits until every entry process has all engines in its list and serves requests. An entry process serves
+// as soon as its list has one engine; the others have been written to the store a moment before.
 func (f *fleet) waitUntilServing(t *testing.T) {
 	t.Helper()
+	for i, e := range f.entries {
+		waitUntil(t, fmt.Sprintf("entry process %d lists all engines", i), func() bool { return e.ListedUpstreams() == len(f.engines) })
+	}
 	for _, entry := range f.callers {
 		waitUntil(t, "requests are served by "+entry, func() bool {
 			status, body, err := sendRequest(t, entry, "warm-up")
