state/exchange: the test of a round waits for each neighbour, however slow the machine

TestRoundPullsADocumentOnce failed once beside load: two neighbours sent the document. Traced: with eight runs beside each other and the race detector 354 of 640 runs failed, each after a wait for a neighbour that had reached its 25 ms; none of the 272 runs without such a wait failed. That the next neighbour is asked then is meant: a slow one must not hold up the others.

--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -36,6 +36,9 @@
 	// are treated alike.
 	Frequent []string
 	Prompt   func(m *hub.Member) bool
+	// NeighbourDelay is the maximum time that a round waits for the exchange with one neighbour before it starts that with
+	// the next, so that a document received from one is not requested from the others. 0 means the default of 25 ms.
+	NeighbourDelay time.Duration
 	// Seeds are addresses of other processes. One of them, chosen at random, is contacted at startup and every
 	// SeedInterval.
 	Seeds []string
@@ -88,6 +91,9 @@
 
 // NewClient returns a client; call Run to start its exchanges.
 func NewClient(o Options) *Client {
+	if o.NeighbourDelay == 0 {
+		o.NeighbourDelay = defaultNeighbourDelay
+	}
 	if o.SeedInterval == nil {
 		o.SeedInterval = Every(defaultSeedInterval)
 	}
--- a/internal/state/exchange/rounds.go
+++ b/internal/state/exchange/rounds.go
@@ -18,9 +18,8 @@
 	// roundTimeout is the maximum time for which a round waits for its exchanges; slower ones continue in the
 	// background.
 	roundTimeout = 300 * time.Millisecond
-	// neighbourDelay is the maximum time that a round waits for the exchange with one neighbour before it starts that
-	// with the next, so that a document received from one is not requested from the others.
-	neighbourDelay = 25 * time.Millisecond
+	// defaultNeighbourDelay is the default of Options.NeighbourDelay.
+	defaultNeighbourDelay = 25 * time.Millisecond
 	// changeInterval is the minimum interval between two rounds that changes of documents cause.
 	changeInterval = 150 * time.Millisecond
 )
@@ -98,7 +97,7 @@
 }
 
 // round exchanges once with each of the given neighbours and with the seed unless that is empty, one after the other. It
-// waits for no exchange longer than neighbourDelay, and returns after roundTimeout even if exchanges are still in
+// waits for no exchange longer than Options.NeighbourDelay, and returns after roundTimeout even if exchanges are still in
 // progress, so that one unreachable process does not delay replication to the others.
 func (c *Client) round(ctx context.Context, neighbours []hub.Member, seed string) {
 	done := make(chan struct{}, len(neighbours)+1)
@@ -113,7 +112,7 @@
 				c.suspect(ctx, n, err)
 			}
 		}()
-		if !ended(done, neighbourDelay) {
+		if !ended(done, c.options.NeighbourDelay) {
 			started++
 		}
 	}
--- a/internal/state/exchange/traffic_test.go
+++ b/internal/state/exchange/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -55,13 +56,16 @@
 	return hub.Document{Name: mirror.DocumentUpstreams, Revision: l.revision, Value: value}
 }
 
-// withCountedClient returns an exchange client of p whose connections are counted.
+// withCountedClient returns an exchange client of p whose connections are counted. Its rounds wait for each neighbour, however
+// slow the machine.
 func (p *process) withCountedClient(t *testing.T) (*exchange.Client, *link.Traffic) {
 	t.Helper()
 	traffic := &link.Traffic{}
 	connections := link.NewClient(traffic.Dial(link.Dial))
 	t.Cleanup(func() { _ = connections.Close() })
-	return exchange.NewClient(exchange.Options{Self: p.id, Catalog: p.catalog, Link: connections, Log: journal.Discard().Logger(journal.State)}), traffic
+	return exchange.NewClient(exchange.Options{
+		Self: p.id, Catalog: p.catalog, Link: connections, NeighbourDelay: time.Minute, Log: journal.Discard().Logger(journal.State),
+	}), traffic
 }
 
 func bytesOf(traffic *link.Traffic) int {
