soak: overlapping faults that take out the same failure domain take it back together

Traced from the logs: two faults had the domain out at the same time, and the end of the first took it back, while the second was still recorded as in force. A fault of the soak: the domain comes back with the last of them now.

--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -71,13 +71,7 @@
 	case plan.NameVersion:
 		return s.operator.nameVersion
 	case plan.TakeOutDomain:
-		return func() {
-			s.cluster.Site.Evacuate(f.Target, true)
-			back := s.record.Change(record.Change{Kind: record.OutOfService, Subject: f.Target})
-			_ = hub.Sleep(ctx, f.For)
-			back()
-			s.cluster.Site.Evacuate(f.Target, false)
-		}
+		return func() { s.takeOutDomain(ctx, f.Target, f.For) }
 	case plan.RestoreStore:
 		return func() { s.restoreStore(ctx, f.For) }
 	case plan.NameLimit:
@@ -155,6 +149,27 @@
 	}
 }
 
+// takeOutDomain takes a failure domain out of service for a time; such faults may overlap, and the last one takes it back.
+func (s *session) takeOutDomain(ctx context.Context, domain string, d time.Duration) {
+	s.countOutOfService(domain, 1)
+	back := s.record.Change(record.Change{Kind: record.OutOfService, Subject: domain})
+	_ = hub.Sleep(ctx, d)
+	back()
+	s.countOutOfService(domain, -1)
+}
+
+// countOutOfService adds n to the number of faults that have a failure domain out of service, and takes it out while there
+// are any.
+func (s *session) countOutOfService(domain string, n int) {
+	s.domainsMu.Lock()
+	defer s.domainsMu.Unlock()
+	before := s.domains[domain]
+	s.domains[domain] = before + n
+	if out := before+n > 0; out != (before > 0) {
+		s.cluster.Site.Evacuate(domain, out)
+	}
+}
+
 // restoreStore makes the store lose what is written in d; of several restores at the same time only the first happens.
 func (s *session) restoreStore(ctx context.Context, d time.Duration) {
 	s.lifetime("store", func() {
--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -73,6 +73,9 @@
 	busyStores atomic.Int64
 	// lifetimes holds a *sync.Mutex for each upstream that has become another run.
 	lifetimes sync.Map
+	// domains holds the number of faults that have a failure domain out of service now.
+	domainsMu sync.Mutex
+	domains   map[string]int
 }
 
 // Run plays a plan and returns what callers and upstreams have seen, and which promises were not kept.
@@ -83,7 +86,7 @@
 	if err := os.WriteFile(filepath.Join(o.Folder, "plan.txt"), []byte(o.Plan.String()), 0o644); err != nil {
 		return nil, fmt.Errorf("write plan: %w", err)
 	}
-	s := &session{record: record.New()}
+	s := &session{record: record.New(), domains: map[string]int{}}
 	c, err := cluster.Start(cluster.Options{
 		Faults: standin.NewFaults(o.Plan.Seed, faultRates), Size: o.Plan.Size, Program: o.Program, Folder: o.Folder, Switch: switchBound, Events: eventsPerStream,
 		Observe: s.observe, OnExit: func(err error) { s.record.AddFault(err.Error()) },
