--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of the deploy file and review/build.sh first"
   exit 2
 fi
-exec review/bin/rig probes . review/5/record.txt
+exec review/bin/rig deadly-kept . review/5/record.txt
