upstream/stager: a load is ordered only soon after the chunks were staged

Cause: a side process that is frozen while it stages a version orders the load when it wakes, although a chunk that it staged before the freeze may have become corrupt since. mayStillLoad looked at the target only. Change: no load is ordered later than 2 s after the first chunk was staged; the next poll stages all again.

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -30,6 +30,9 @@
 	fullRateUpstreams = 64
 	// orderGrace is the time after a load order during which the reports of the engine may not show it yet.
 	orderGrace = 400 * time.Millisecond
+	// maxStagingTime is the maximum time from staging the first chunk to the load order. It is short because staged chunks
+	// may become corrupt in the meantime.
+	maxStagingTime = 2 * time.Second
 	// keepFetchPart is the part of the chunks of a version from which on its fetch continues alongside that of a newer
 	// version, because the newer one may take long if the origin fails in the meantime.
 	keepFetchPart = 0.25
@@ -255,10 +258,11 @@
 	return r.Layers < 0 || r.Layers >= service.Engine.Layers
 }
 
-// orderLoad stages all chunks again, because staged ones may have become corrupt, and orders the load.
+// orderLoad stages all chunks again, because staged ones may have become corrupt, and orders the load. It orders nothing if
+// that takes longer than maxStagingTime, as when the process or the VM is paused meanwhile: the next poll begins anew.
 func (s *Stager) orderLoad(ctx context.Context, service *directory.Service, f *fetch, held uint64, report hub.UpstreamReport) {
 	model := service.Engine.Model
-	began := time.Now()
+	staging := startStopwatch()
 	for i := range f.replica.Manifest.Chunks {
 		chunk, err := f.replica.Chunk(i)
 		if err == nil {
@@ -270,7 +274,12 @@
 		}
 	}
 	if !s.mayStillLoad(f, held) {
-		s.options.Log.Info().Uint64("Version", f.version).Dur("Staging", time.Since(began)).Msg("target changed while chunks were staged; load not ordered")
+		s.options.Log.Info().Uint64("Version", f.version).Dur("Staging", staging.elapsed()).Msg("target changed while chunks were staged; load not ordered")
+		return
+	}
+	took := staging.elapsed()
+	if took > maxStagingTime {
+		s.options.Log.Warn().Uint64("Version", f.version).Dur("Staging", took).Msg("staging took too long; load not ordered, chunks are staged again")
 		return
 	}
 	s.orderedAt = time.Now()
@@ -281,7 +290,7 @@
 		line = s.options.Log.Warn().Err(err)
 	}
 	line.Str("Model", model).Uint64("Version", f.version).Uint64("Before", report.Held).Int64("Born", report.Born).
-		Uint64("Orders", report.Orders).Dur("Staging", s.orderedAt.Sub(began)).Dur("SinceHeld", time.Since(f.heldAt)).Msg("load ordered")
+		Uint64("Orders", report.Orders).Dur("Staging", took).Dur("SinceStaging", staging.elapsed()).Dur("SinceHeld", time.Since(f.heldAt)).Msg("load ordered")
 	if errors.Is(err, hub.ErrConflict) {
 		s.orderedAt = time.Time{}
 		s.fire(EventFailed)
--- a/internal/upstream/stager/stager_test.go
+++ b/internal/upstream/stager/stager_test.go
@@ -111,8 +111,9 @@
 	changed chan struct{}
 	// conflicts is the number of orders still to reject.
 	conflicts int
-	// beforeStage is called once, before a chunk is staged.
+	// beforeStage is called once, before a chunk is staged, afterStage with each chunk that has been staged.
 	beforeStage func()
+	afterStage  func(chunk int)
 	// reported receives a value for each report, unless nobody waits for it.
 	reported chan struct{}
 }
@@ -140,8 +141,12 @@
 		before()
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.staged[chunk] = slices.Clone(data)
+	after := e.afterStage
+	e.mu.Unlock()
+	if after != nil {
+		after(chunk)
+	}
 	return nil
 }
 
@@ -373,6 +378,28 @@
 	e.waitLoads(t, 3)
 }
 
+// TestChunksStagedBeforeAPauseAreStagedAgain guards against a load of a chunk that became corrupt while the process was
+// paused between staging it and ordering the load.
+func TestChunksStagedBeforeAPauseAreStagedAgain(t *testing.T) {
+	const pause = 2500 * time.Millisecond
+	o, e := &origin{}, newEngine(1)
+	var once sync.Once
+	e.afterStage = func(chunk int) {
+		if chunk != chunks/2 {
+			return
+		}
+		once.Do(func() {
+			e.mu.Lock()
+			e.staged[1][5] ^= 1
+			e.mu.Unlock()
+			time.Sleep(pause)
+		})
+	}
+	s := withTestSide(t, "a", o, e, 10*time.Second)
+	s.setTarget(2)
+	e.waitLoads(t, 2)
+}
+
 // TestStagedChunksAreTakenOver starts a side process next to an engine whose chunks are staged already. It must not read
 // them from the origin again.
 func TestStagedChunksAreTakenOver(t *testing.T) {
