route/forward: a crash on a used connection counts for the quarantine

Cause: a connection lost before the head of the answer was passed to the quarantine only if it was a new one; engines are called on kept connections. Evidence: TestCrashesOnReusedConnectionsAreCounted failed before (8 engines reached, want 3). Change: the condition goes. Whether the upstream has crashed is told by the new connection that is tried 20 ms later, as before. Ruled out: parts counted as sound, news that does not arrive (docs/incidents/crashes-on-used-connections.md).

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -46,9 +46,7 @@
 	if err != nil {
 		x.upstreamFailed(c)
 		err = x.brokenError(ctx, err)
-		if !x.trace.Reused {
-			x.reportCrash(c, err)
-		}
+		x.reportCrash(c, err)
 		return err
 	}
 	defer response.Close()
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -15,7 +15,7 @@
 const crashProbeDelay = 20 * time.Millisecond
 
 // reportCrash reports an attempt to the quarantine if its connection was lost because the upstream has crashed. An
-// upstream that cuts a response but accepts connections is in service. It returns when that is known, so that a part is
+// upstream that cuts a response, or closes a connection that was idle, but accepts new ones is in service. It returns when that is known, so that a part is
 // in quarantine before the request is sent to another upstream; requests whose parts are all sound do not wait.
 func (x *exchange) reportCrash(c *placement.Choice, err error) {
 	o := &x.handler.options
--- a/internal/route/forward/quarantine_test.go
+++ b/internal/route/forward/quarantine_test.go
@@ -72,6 +72,44 @@
 	assert.Equal(t, sent, 3)
 }
 
+// crashUnder returns a script that answers a request with a part by calling crash and resetting the connection before any
+// byte of the response, and sends complete streams otherwise.
+func crashUnder(part string, crash func()) script {
+	return func(r *http.Request, c net.Conn) bool {
+		if r.Header.Get(desired.HeaderParts) != part {
+			return events(3, true)(r, c)
+		}
+		crash()
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+// Guards against requests that crash one upstream after the other without being suspected, because the connection on which
+// each upstream crashed had been used before.
+func TestCrashesOnReusedConnectionsAreCounted(t *testing.T) {
+	var upstreams []*upstream
+	for range 8 {
+		var u *upstream
+		ready := make(chan struct{})
+		u = withTestUpstream(t, crashUnder("shared deadly", func() { <-ready; _ = u.listener.Close() }))
+		close(ready)
+		upstreams = append(upstreams, u)
+	}
+	f := withTestEntry(t, upstreams...)
+	time.Sleep(quarantineSettleTime)
+	send := func(parts string) reply {
+		return f.call(t.Context(), t, http.MethodPost, "/stream/x", http.Header{desired.HeaderParts: {parts}})
+	}
+	for range 40 {
+		assert.Equal(t, send("shared").status, http.StatusOK)
+	}
+	for range 10 {
+		send("shared deadly")
+	}
+	assert.Equal(t, countWithParts(upstreams, "shared deadly"), 3)
+}
+
 // Guards against sound requests that are refused because upstreams in service cut their responses.
 func TestRequestsWhoseResponsesAreCutAreNotQuarantined(t *testing.T) {
 	var upstreams []*upstream
