process/node, route/forward: requests in progress at the end of a planned stop are answered

Cause: Stop waited until 0.7 s before the end, logged and returned; the end of the program cut what was left, also requests whose engine never answers. And a request whose body ended after the process had ceased to accept requests was sent all the same, since that was asked before the body was read only. Change: 0.7 s before the end the process interrupts the requests; those of which nothing has been sent get 503 (not run) or 504 (may have run) within 0.3 s, bodies that are awaited are refused. Whether the process stops is asked again after the body.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -46,8 +46,9 @@
 	// inProgressInterval is the interval at which a stopping process checks whether requests are in progress.
 	inProgressInterval = 10 * time.Millisecond
 	// stopMargin is the part of the time for a planned stop that is reserved for the steps after the requests in
-	// progress have ended.
+	// progress have ended, answerTime the part of it in which those that were interrupted are answered.
 	stopMargin = 700 * time.Millisecond
+	answerTime = 300 * time.Millisecond
 )
 
 // Entry is a running entry process.
@@ -68,11 +69,16 @@
 	// accepted and not finished.
 	refusing   atomic.Bool
 	inProgress atomic.Int64
+	// interrupted is done once the requests in progress are interrupted by interrupt, because the time for a planned stop is
+	// up.
+	interrupted context.Context
+	interrupt   context.CancelFunc
 }
 
 // StartEntry starts an entry process, which runs until Stop.
 func StartEntry(s settings.Node, j *journal.Journal, p Platform) (*Entry, error) {
 	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout)), collector: beacon.NewCollector()}
+	e.interrupted, e.interrupt = context.WithCancel(context.Background())
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
@@ -200,6 +206,7 @@
 		Directory:   e.directory,
 		Ready:       e.stateKnown,
 		Stopping:    e.refusing.Load,
+		Interrupted: e.interrupted,
 		Placement:   e.placement,
 		Pool:        e.pool,
 		RetryBudget: allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
@@ -272,26 +279,49 @@
 }
 
 // Stop announces that the process is leaving, waits until the requests in progress have finished and ends the process.
-// Requests that have not finished shortly before the deadline of ctx are interrupted.
+// Requests that have not finished shortly before the deadline of ctx are interrupted: those of which no part of a response has
+// been sent are answered, streams are cut.
 //
 // For drainDelay it serves requests as before, on new and on open connections. Then it accepts no more connections and
-// refuses the requests that still come on open ones: they could not be completed in the time that is left.
+// refuses the requests that still come on open ones, or whose bodies have not been received: they could not be completed in
+// the time that is left.
 func (e *Entry) Stop(ctx context.Context) {
 	e.announceLeaving(ctx)
 	_ = hub.Sleep(ctx, drainDelay)
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
-		defer cancel()
-	}
 	e.refusing.Store(true)
 	_ = e.listener.Close()
-	for e.inProgress.Load() > 0 && hub.Sleep(ctx, inProgressInterval) == nil {
+	e.finishRequests(ctx)
+	_ = e.ready.Close()
+	e.shutdown(ctx)
+}
+
+// finishRequests waits until the requests in progress have finished, interrupts them shortly before the deadline of ctx, and
+// closes the connections of callers.
+func (e *Entry) finishRequests(ctx context.Context) {
+	defer e.interrupt()
+	defer e.callers.Close()
+	waiting, cancel := withEarlierDeadline(ctx, stopMargin)
+	defer cancel()
+	for e.inProgress.Load() > 0 && hub.Sleep(waiting, inProgressInterval) == nil {
 		continue
 	}
-	if err := e.callers.Shutdown(ctx); err != nil {
-		e.journal.Logger(journal.Process).Warn().Err(err).Msg("stop deadline reached; interrupting the requests in progress")
+	if e.callers.Shutdown(waiting) == nil {
+		return
+	}
+	e.journal.Logger(journal.Process).Warn().Int64("InProgress", e.inProgress.Load()).Msg("time to stop is up; interrupting the requests in progress")
+	e.interrupt()
+	answering, cancel := withEarlierDeadline(ctx, stopMargin-answerTime)
+	defer cancel()
+	if err := e.callers.Shutdown(answering); err != nil {
+		e.journal.Logger(journal.Process).Warn().Int64("InProgress", e.inProgress.Load()).Err(err).Msg("interrupted requests have not ended; closing their connections")
 	}
-	_ = e.ready.Close()
-	e.shutdown(ctx)
+}
+
+// withEarlierDeadline returns a copy of ctx whose deadline, if it has one, is earlier by d.
+func withEarlierDeadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-d))
 }
--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -285,6 +285,66 @@
 	<-stopped
 }
 
+// Guards against requests that are cut without an answer when the time for a planned stop is up: one that an engine runs
+// without ever answering, and ones whose bodies have not been received completely, or only after the process has ceased to
+// accept requests.
+func TestRequestsInProgressAtTheEndOfAPlannedStopAreAnswered(t *testing.T) {
+	const stopTime = 4500 * time.Millisecond
+	f := startTestFleet(t, 1, 0)
+	f.waitUntilServing(t)
+	f.site.SetBehavior(f.engines[0].Id, standin.Behavior{Silent: true})
+	type answer struct {
+		status int
+		err    error
+	}
+	send := func(id string, body io.Reader) chan answer {
+		out := make(chan answer, 1)
+		r, err := standin.Request(f.callers[0], http.MethodPost, standin.Path+"x", id)
+		assert.NilError(t, err)
+		if body != nil {
+			r.Body, r.ContentLength = io.NopCloser(body), -1
+		}
+		go func() {
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				out <- answer{err: err}
+				return
+			}
+			defer resp.Body.Close()
+			_, err = io.Copy(io.Discard, resp.Body)
+			out <- answer{status: resp.StatusCode, err: err}
+		}()
+		return out
+	}
+	silent := send("silent", nil)
+	waitUntil(t, "the engine runs the request", func() bool { return len(f.engines[0].Accounts()) > 2 })
+	lateBody, lateWriter := io.Pipe()
+	late := send("late", lateBody)
+	_, err := lateWriter.Write([]byte("begin"))
+	assert.NilError(t, err)
+	openBody, openWriter := io.Pipe()
+	open := send("open", openBody)
+	_, err = openWriter.Write([]byte("begin"))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() { f.entries[0].Stop(ctx); close(stopped) }()
+	waitUntil(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", f.callers[0])
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	assert.NilError(t, lateWriter.Close())
+	assert.Equal(t, <-late, answer{status: http.StatusServiceUnavailable})
+	assert.Equal(t, <-silent, answer{status: http.StatusGatewayTimeout})
+	assert.Equal(t, <-open, answer{status: http.StatusServiceUnavailable})
+	<-stopped
+	assert.NilError(t, ctx.Err(), "the stop took longer than it may")
+}
+
 // sendOn sends a request to an engine on an open connection and returns the response after its whole body has been read.
 func sendOn(t *testing.T, c net.Conn, entry, id string) *http.Response {
 	t.Helper()
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -52,6 +52,7 @@
 	errFailed       = errors.New("upstream answered with a failure")
 	errSlow         = errors.New("upstream does not answer")
 	errTimedOut     = errors.New("time is up")
+	errStopping     = errors.New("process is stopping")
 	errGone         = errors.New("caller has left")
 	// errQuarantined means that upstreams crash under the request or under others that share a part with it.
 	errQuarantined = errors.New("request or part of its prompt is in quarantine")
@@ -106,6 +107,10 @@
 	x.handler.options.RetryBudget.CountRequest(x.service)
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimedOut)
 	defer cancel()
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	stop := x.whenInterrupted(func() { interrupt(errStopping) })
+	defer stop()
 	defer func() { x.handler.bodies.used.Add(-x.reserved) }()
 	for {
 		if x.decision = x.checkQuarantine(); x.decision.Blocked() {
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -42,9 +43,11 @@
 	// Ready reports whether requests can be served by the current state of the directory.
 	Ready func() bool
 	// Stopping reports whether new requests are refused because the process stops; nil means never.
-	Stopping  func() bool
-	Placement *placement.Placement
-	Pool      *channel.Pool
+	Stopping func() bool
+	// Interrupted, if not nil, is done once the process ends the requests in progress because its time to stop is up.
+	Interrupted context.Context
+	Placement   *placement.Placement
+	Pool        *channel.Pool
 	// RetryBudget limits the retries to each service.
 	RetryBudget *allowance.RetryBudget
 	// Quarantine tells which requests crash upstreams.
@@ -80,7 +83,7 @@
 // completed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, w: w, r: r, started: time.Now(), caller: h.options.Format.ParseRequest(r.Header)}
-	if !x.admit() || !x.readBody() {
+	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
 	x.run()
@@ -90,8 +93,7 @@
 // responds with an error and returns false.
 func (x *exchange) admit() bool {
 	s := x.handler.options.Directory.Current()
-	if stopping := x.handler.options.Stopping; stopping != nil && stopping() {
-		x.refuse("process is stopping", stoppingRetryAfter)
+	if x.refuseIfStopping() {
 		return false
 	}
 	if !x.handler.options.Ready() {
@@ -101,6 +103,17 @@
 	return x.authorize(s)
 }
 
+// refuseIfStopping refuses the request if the process stops and sends no more requests. It returns whether it did. A body may
+// take long, so this is checked before and after it is read.
+func (x *exchange) refuseIfStopping() bool {
+	stopping := x.handler.options.Stopping
+	if stopping == nil || !stopping() {
+		return false
+	}
+	x.refuse(errStopping.Error(), stoppingRetryAfter)
+	return true
+}
+
 // authorize sets the route, account and deadline of the request from the snapshot s. If s has no matching route or
 // requires an API key that the request lacks, it responds with an error and returns false.
 func (x *exchange) authorize(s *directory.Snapshot) bool {
@@ -159,9 +172,14 @@
 		x.fail(http.StatusInternalServerError, "cannot limit the time for the body: "+err.Error())
 		return false
 	}
+	stop := x.whenInterrupted(func() { _ = c.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	interrupted := !stop()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && interrupted:
+		x.refuse(errStopping.Error(), stoppingRetryAfter)
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.w.Header().Set("Connection", "close")
 		x.fail(http.StatusRequestTimeout, "body not received in time")
@@ -181,6 +199,15 @@
 	return true
 }
 
+// whenInterrupted calls f in its own goroutine once the process ends the requests in progress. Calling stop prevents that, and
+// returns false if it is too late.
+func (x *exchange) whenInterrupted(f func()) (stop func() bool) {
+	if ctx := x.handler.options.Interrupted; ctx != nil {
+		return context.AfterFunc(ctx, f)
+	}
+	return func() bool { return true }
+}
+
 // refuse responds with status 503 and a Retry-After header. It must only be used if the request has not run and will
 // not run later, since callers may repeat any request after it.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
