cli/commands: a second SIGTERM does not cut a planned stop

Cause: stopOnSignal restored the default action of the signals as soon as the first one had come. Change: the signals stay caught during the stop. SIGINT, from an operator at a terminal, makes the time to stop end early, so that the requests in progress are interrupted as at its end.

--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -57,7 +57,7 @@
 		Name:    p.name,
 		Section: table.Processes,
 		Help:    p.help,
-		Detail:  "Stops on SIGTERM or SIGINT once the requests in progress have finished.",
+		Detail:  "Stops on SIGTERM or SIGINT once the requests in progress have finished; SIGINT during the stop interrupts them.",
 		Flags:   []table.Flag{{Name: "settings", Help: "settings file", Target: &file}},
 		Run: func(ctx context.Context, env *table.Env) error {
 			s, err := p.loadSettings(file)
@@ -178,12 +178,29 @@
 	return &table.ExitError{Code: table.ExitInvalid, Err: err}
 }
 
-// stopOnSignal waits for SIGTERM, SIGINT or the end of ctx, then calls stop with a context that expires after limit.
+// stopOnSignal waits for SIGTERM, SIGINT or the end of ctx, then calls stop with a context that expires after limit. Further
+// signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the context expire.
 func stopOnSignal(ctx context.Context, limit time.Duration, stop func(context.Context)) {
-	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	<-ctx.Done()
-	cancel()
-	stopCtx, cancel := context.WithTimeout(context.Background(), limit)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	select {
+	case <-ctx.Done():
+	case <-signals:
+	}
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
+	go func() {
+		for {
+			select {
+			case s := <-signals:
+				if s == os.Interrupt {
+					cancel()
+				}
+			case <-stopCtx.Done():
+				return
+			}
+		}
+	}()
 	stop(stopCtx)
 }
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -300,8 +300,12 @@
 func (e *Entry) finishRequests(ctx context.Context) {
 	defer e.interrupt()
 	defer e.callers.Close()
-	waiting, cancel := withEarlierDeadline(ctx, stopMargin)
-	defer cancel()
+	waiting := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		waiting, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
+		defer cancel()
+	}
 	for e.inProgress.Load() > 0 && hub.Sleep(waiting, inProgressInterval) == nil {
 		continue
 	}
@@ -310,18 +314,9 @@
 	}
 	e.journal.Logger(journal.Process).Warn().Int64("InProgress", e.inProgress.Load()).Msg("time to stop is up; interrupting the requests in progress")
 	e.interrupt()
-	answering, cancel := withEarlierDeadline(ctx, stopMargin-answerTime)
+	answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
 	defer cancel()
 	if err := e.callers.Shutdown(answering); err != nil {
 		e.journal.Logger(journal.Process).Warn().Int64("InProgress", e.inProgress.Load()).Err(err).Msg("interrupted requests have not ended; closing their connections")
 	}
 }
-
-// withEarlierDeadline returns a copy of ctx whose deadline, if it has one, is earlier by d.
-func withEarlierDeadline(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(ctx)
-	}
-	return context.WithDeadline(ctx, deadline.Add(-d))
-}
