platform: what is left of an abandoned call does not reach the engine

Cause: the connection of an abandoned call was closed, so bytes in the sender's buffers still arrived. Evidence: TestUnsentRestOfAbandonedEngineCallIsDropped, 65,675 bytes of an abandoned call arrived before; with the change the connection is reset. Change: connections to the engine are reset when they are closed. Bytes that the engine's kernel has taken already can't be called back; orders of before are told apart by the count of orders.

--- a/internal/wire/socket/dial.go
+++ b/internal/wire/socket/dial.go
@@ -47,3 +47,21 @@
 		return d.DialContext(ctx, "tcp", address)
 	}
 }
+
+// ResetOnClose returns a DialFunc whose connections are reset when they are closed: bytes that the peer has not received yet
+// are dropped, and do not reach it later.
+func ResetOnClose(dial DialFunc) DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+			if err := l.SetLinger(0); err != nil {
+				_ = c.Close()
+				return nil, err
+			}
+		}
+		return c, nil
+	}
+}
