upstream/engine, route/forward: answers without end fit into the memory

Looked for on each path that reads what an upstream sends. An entry process: does not happen. TestManyAnswersWithoutEndFitIntoTheMemory plays 14 forms, 64 at once: up to 61 MiB of heap (the smallest entry VM has 184 MB), before any change of this commit. The side process of the product's own path read a head of 10 MiB, the default of net/http: TestHeadWithoutEndIsLimited failed before; 256 KiB now, as elsewhere. The stand-in of the desired state sorts its upstreams by key, as lists are; with more than nine in a test some were not found.

--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -173,6 +174,7 @@
 	for _, i := range instances {
 		entries = append(entries, listing.Entry{Key: UpstreamPrefix + i.Id, Value: encode(i), Revision: p.revision})
 	}
+	slices.SortFunc(entries, func(a, b listing.Entry) int { return strings.Compare(a.Key, b.Key) })
 	p.publish(mirror.DocumentUpstreams, encode(entries))
 }
 
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -17,6 +17,8 @@
 	callTimeout = 5 * time.Second
 	// maxStatusBytes limits the status that an engine sends.
 	maxStatusBytes = 64 << 10
+	// maxHeadBytes limits the header of a response.
+	maxHeadBytes = 256 << 10
 )
 
 // Client is the HTTP client of one engine's control endpoints.
@@ -31,7 +33,7 @@
 // own transport.
 func New(base string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 1}
+		transport = &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}
 	}
 	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
