route/forward: streams that end with their connection show that parts are sound

Cause: such an answer was never taken for complete, because a crash ends it in the same way, so no part was known as sound. Change: a stream counts as complete if more events came than a crash is attributed to the request for: an upstream that crashes under a request does so before the second event.

--- a/internal/route/forward/quarantine_test.go
+++ b/internal/route/forward/quarantine_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
 )
 
@@ -188,3 +189,21 @@
 		})
 	}
 }
+
+// Guards against parts that no process knows as sound because upstreams end their responses with the connection, so that they
+// are refused with those that crash upstreams. A stream that ends after its first event may have been cut by a crash.
+func TestStreamsThatEndWithTheConnectionShowThatPartsAreSound(t *testing.T) {
+	for last, sound := range map[int]bool{1: false, 2: true, 24: true} {
+		t.Run(fmt.Sprint(last, " events"), func(t *testing.T) {
+			u := withTestUpstream(t, func(r *http.Request, c net.Conn) bool {
+				_, _ = io.WriteString(c, head(r, http.StatusOK, "Content-Type: text/event-stream\r\n\r\n")+completeStream(last))
+				return false
+			})
+			f := withTestEntry(t, u)
+			got := f.sendPrompts(t)("shared")
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, completeStream(last))
+			assert.Equal(t, f.quarantine.Suspects(&quarantine.Keys{Parts: []string{"s/shared"}}), !sound)
+		})
+	}
+}
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -51,7 +51,7 @@
 		e, err := events.Next()
 		if err == io.EOF && forwarded > 0 {
 			c.Load.Succeeded()
-			if !response.CloseDelimited {
+			if !response.CloseDelimited || forwarded > maxEventsBeforeCrash {
 				x.handler.options.Quarantine.Completed(&x.keys)
 			}
 			x.finish("answered", http.StatusOK, "")
