route/quarantine: processes let probes through at different times

Cause: processes adopted the end of the quarantine as they were told it, which undid the random length of each, and a process told nobody that it had let a request through. Change: a process that adopts a quarantine ends it up to a quarter of the time left later, and a probe is news. Evidence: TestProcessesLetProbesThroughOneAfterTheOther (5 probes at once before) and TestProbesAreNews failed before.

--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 	maxAge = time.Hour
 	// maxCount limits the number of quarantines in received notices.
 	maxCount = 8
+	// probeSpread divides the time left of a quarantine that another process has begun to give the maximum by which it ends
+	// later here, so that processes let probes through at different times.
+	probeSpread = 4
 )
 
 const (
@@ -134,7 +138,8 @@
 		return false
 	}
 	count := max(1, min(in.Count, maxCount))
-	until := now.Add(min(age(in.LeftMilliseconds), 2*maxQuarantine))
+	left := min(age(in.LeftMilliseconds), 2*maxQuarantine)
+	until := now.Add(left + rand.N(left/probeSpread+1))
 	known := q.quarantined[in.Part]
 	if known == nil {
 		if len(q.quarantined) >= maxQuarantined {
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -198,6 +198,7 @@
 	}
 	current.extend(now)
 	q.publish()
+	q.notify()
 	q.options.Log.Info().Str("Key", key).Int("Quarantines", current.count).Msg("quarantine ended, letting one request through")
 	return Decision{Key: key}
 }
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -403,3 +403,58 @@
 	}
 	assert.Assert(t, key("other", func(*quarantine.Content) {}) != same)
 }
+
+// Guards against all processes letting a request through at the same moment when a quarantine that they share ends.
+func TestProcessesLetProbesThroughOneAfterTheOther(t *testing.T) {
+	const (
+		// allowed is less than the requests with a deadly part that may reach upstreams once it is known.
+		allowed = 2
+		// newsDelay exceeds the time after which other processes know of a probe.
+		newsDelay = 60 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		processes := []*quarantine.Quarantine{newQuarantine()}
+		crash(processes[0], 3, "deadly")
+		for range 4 {
+			q := newQuarantine()
+			tell(processes[0], q)
+			processes = append(processes, q)
+		}
+		probes := func() int {
+			n := 0
+			for _, q := range processes {
+				if q.Check(newRequest("deadly")).Probe() {
+					n++
+				}
+			}
+			return n
+		}
+		sent := 0
+		for sent == 0 {
+			time.Sleep(newsDelay)
+			sent = probes()
+		}
+		assert.Assert(t, sent <= allowed, "%d probes at once", sent)
+		for _, from := range processes {
+			for _, to := range processes {
+				tell(from, to)
+			}
+		}
+		for range 30 * time.Second / newsDelay {
+			time.Sleep(newsDelay)
+			assert.Equal(t, probes(), 0)
+		}
+	})
+}
+
+// Guards against other processes learning late that a request has been let through.
+func TestProbesAreNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		crash(q, 3, "deadly")
+		time.Sleep(2 * time.Minute)
+		news := q.Changed()
+		assert.Assert(t, q.Check(newRequest("deadly")).Probe())
+		<-news
+	})
+}
