route/forward: long bodies of requests share a limited memory

Cause: each body was limited, their sum was not; buffers grew by doubling and each sending copied the body. Change: bodies beyond 64 KiB take from a quarter of the VM's memory; a request that gets none within 0.5 s is refused as not run. A body of known length is read into one buffer and sent without a copy.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -49,6 +49,8 @@
 	// progress have ended, answerTime the part of it in which those that were interrupted are answered.
 	stopMargin = 700 * time.Millisecond
 	answerTime = 300 * time.Millisecond
+	// requestMemoryFraction is the fraction of the memory of the VM that long bodies of requests may take.
+	requestMemoryFraction = 0.25
 )
 
 // Entry is a running entry process.
@@ -203,17 +205,18 @@
 		return fmt.Errorf("open readiness listener: %w", err)
 	}
 	handler := forward.New(forward.Options{
-		Directory:   e.directory,
-		Ready:       e.stateKnown,
-		Stopping:    e.refusing.Load,
-		Interrupted: e.interrupted,
-		Placement:   e.placement,
-		Pool:        e.pool,
-		RetryBudget: allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
-		Quarantine:  e.quarantine,
-		Format:      e.platform.Format,
-		Log:         e.journal.Logger(journal.Routing),
-		Metrics:     e.metrics,
+		Directory:    e.directory,
+		Ready:        e.stateKnown,
+		Stopping:     e.refusing.Load,
+		Interrupted:  e.interrupted,
+		RequestBytes: int64(requestMemoryFraction * float64(s.MemoryMegabytes) * (1 << 20)),
+		Placement:    e.placement,
+		Pool:         e.pool,
+		RetryBudget:  allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
+		Quarantine:   e.quarantine,
+		Format:       e.platform.Format,
+		Log:          e.journal.Logger(journal.Routing),
+		Metrics:      e.metrics,
 	})
 	e.callers = &http.Server{
 		Handler:           alice.New(e.countInProgress, e.closeWhileLeaving).Then(handler),
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,9 @@
 // to other calls and interim responses.
 const maxHeadBytes = 256 << 10
 
+// maxCopiedBytes is the maximum length of a body that is copied behind the header, to be sent with it at once.
+const maxCopiedBytes = 16 << 10
+
 // maxMismatchedResponses limits the responses read for one call while they belong to other calls.
 const maxMismatchedResponses = 3
 
@@ -91,7 +95,7 @@
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: reused}
 	}
-	if _, err := c.Write(call.encode()); err != nil {
+	if _, err := call.encode().WriteTo(c.Conn); err != nil {
 		r.Close()
 		return nil, brokenError(ctx, "send", err)
 	}
@@ -102,18 +106,21 @@
 	return r, nil
 }
 
-// encode returns the call as an HTTP/1.1 message.
-func (call *Call) encode() []byte {
+// encode returns the call as an HTTP/1.1 message. A long body is not copied.
+func (call *Call) encode() *net.Buffers {
 	var b bytes.Buffer
-	b.Grow(1024 + len(call.Body))
+	b.Grow(1024 + min(len(call.Body), maxCopiedBytes))
 	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	if len(call.Body) > 0 || call.Method == http.MethodPost || call.Method == http.MethodPut || call.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
 	}
 	_ = call.Header.Write(&b)
 	b.WriteString("\r\n")
+	if len(call.Body) > maxCopiedBytes {
+		return &net.Buffers{b.Bytes(), call.Body}
+	}
 	b.Write(call.Body)
-	return b.Bytes()
+	return &net.Buffers{b.Bytes()}
 }
 
 // readHeader reads the header of the response to call, up to maxHeadBytes. It discards late responses to earlier calls;
--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -1,12 +1,17 @@
 package forward
 
 import (
+	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 )
 
@@ -22,6 +27,16 @@
 	refusalBodyTimeout = 100 * time.Millisecond
 )
 
+const (
+	// defaultRequestBytes is Options.RequestBytes if that is 0.
+	defaultRequestBytes = 64 << 20
+	// requestMemoryTimeout is the time for which a request waits for memory for its body.
+	requestMemoryTimeout = 500 * time.Millisecond
+)
+
+// errNoMemory means that there is no memory for the body of a request.
+var errNoMemory = errors.New("no memory for the body")
+
 // errTooLarge means that the body of a response exceeds maxResponseBytes or does not fit into the memory for bodies.
 var errTooLarge = errors.New("answer is too large")
 
@@ -39,6 +54,63 @@
 	return true
 }
 
+// requestMemory is the memory for the bodies of requests beyond the first bodyBlockBytes of each.
+type requestMemory struct {
+	size int64
+	free *semaphore.Weighted
+}
+
+func newRequestMemory(size int64) requestMemory {
+	size = cmp.Or(size, defaultRequestBytes)
+	return requestMemory{size: size, free: semaphore.NewWeighted(size)}
+}
+
+// reserveBody reserves memory for a body of up to n bytes until the exchange ends. It waits for up to requestMemoryTimeout
+// and returns errNoMemory if there is none.
+func (x *exchange) reserveBody(n int64) error {
+	m := &x.handler.requests
+	n = min(n, m.size)
+	ctx, cancel := context.WithTimeout(x.r.Context(), requestMemoryTimeout)
+	defer cancel()
+	if m.free.Acquire(ctx, n) != nil {
+		return errNoMemory
+	}
+	x.reservedBody = n
+	return nil
+}
+
+// releaseBody releases the memory that reserveBody has reserved.
+func (x *exchange) releaseBody() {
+	x.handler.requests.free.Release(x.reservedBody)
+	x.reservedBody = 0
+}
+
+// readAll reads the complete body of the request, of which limit is the maximum length.
+func (x *exchange) readAll(limit int64) ([]byte, error) {
+	body := http.MaxBytesReader(x.w, x.r.Body, limit)
+	length := x.r.ContentLength
+	if length > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if length > bodyBlockBytes {
+		if err := x.reserveBody(length); err != nil {
+			return nil, err
+		}
+		data := make([]byte, length)
+		_, err := io.ReadFull(body, data)
+		return data, err
+	}
+	begin, err := io.ReadAll(io.LimitReader(body, bodyBlockBytes))
+	if err != nil || len(begin) < bodyBlockBytes {
+		return begin, err
+	}
+	if err := x.reserveBody(limit); err != nil {
+		return nil, err
+	}
+	rest, err := io.ReadAll(body)
+	return append(begin, rest...), err
+}
+
 // readResponse reads the complete body of a response. The memory is reserved until the exchange ends.
 func (x *exchange) readResponse(response *channel.Response) ([]byte, error) {
 	if response.Length > maxResponseBytes {
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -94,8 +94,9 @@
 	// pauseLeft is the time until an upstream may take the request after the pause that it has asked for, set if all
 	// have asked for one.
 	pauseLeft time.Duration
-	// reserved is the memory reserved for bodies of responses, in bytes.
-	reserved int64
+	// reserved is the memory reserved for bodies of responses, reservedBody that for the body of the request, in bytes.
+	reserved     int64
+	reservedBody int64
 	// errorResponse is the latest 5xx response to a retryable request. It is forwarded if no further attempt succeeds.
 	errorResponse *bufferedResponse
 }
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -48,6 +48,8 @@
 	Interrupted context.Context
 	Placement   *placement.Placement
 	Pool        *channel.Pool
+	// RequestBytes is the memory for long bodies of requests, 0 for a default.
+	RequestBytes int64
 	// RetryBudget limits the retries to each service.
 	RetryBudget *allowance.RetryBudget
 	// Quarantine tells which requests crash upstreams.
@@ -66,6 +68,7 @@
 	// sentToLimited counts the attempts at upstreams that name a rate limit.
 	sentToLimited *metrics.Counter
 	bodies        bodyMemory
+	requests      requestMemory
 }
 
 // New returns a handler and registers its metrics in o.Metrics.
@@ -75,6 +78,7 @@
 		latency:   o.Metrics.NewHistogram("oriolehub_request_seconds"),
 		firstPart: o.Metrics.NewHistogram("oriolehub_request_first_part_seconds"),
 
+		requests:      newRequestMemory(o.RequestBytes),
 		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
 	}
 }
@@ -83,6 +87,7 @@
 // completed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, w: w, r: r, started: time.Now(), caller: h.options.Format.ParseRequest(r.Header)}
+	defer x.releaseBody()
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
@@ -173,13 +178,17 @@
 		return false
 	}
 	stop := x.whenInterrupted(func() { _ = c.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readAll(limit)
 	interrupted := !stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && interrupted:
 		x.refuse(errStopping.Error(), stoppingRetryAfter)
 		return false
+	case errors.Is(err, errNoMemory):
+		x.w.Header().Set("Connection", "close")
+		x.refuse(err.Error(), busyRetryAfter)
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.w.Header().Set("Connection", "close")
 		x.fail(http.StatusRequestTimeout, "body not received in time")
--- /dev/null
+++ b/internal/route/forward/requestbody_test.go
@@ -0,0 +1,83 @@
+package forward_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/standin/desired"
+)
+
+// limitBodies sets the maximum length of the bodies of requests.
+func (f *fixture) limitBodies(n int64) {
+	c := *f.directory.Current().Configuration
+	c.Version++
+	c.Limits = hub.RequestLimits{MaxBodyBytes: n}
+	f.publisher.PublishConfiguration(c)
+	f.refresh()
+}
+
+// sendBody begins a request with a body of a length, -1 for an unknown one, and returns the writer of its body and a channel
+// with the status of the response.
+func (f *fixture) sendBody(t *testing.T, length int64) (*io.PipeWriter, <-chan int) {
+	t.Helper()
+	body, w := io.Pipe()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.server.URL+"/many/x", body)
+	assert.NilError(t, err)
+	r.Host, r.ContentLength = "h.test", length
+	r.Header = http.Header{desired.HeaderKey: {"k1"}, desired.HeaderRequestId: {"req-1"}}
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			t.Error(err)
+			status <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	return w, status
+}
+
+// Guards against bodies of requests, each within the limit, that together exceed the memory of the process.
+func TestLongBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	const (
+		maxBody = 4 << 20
+		// together is the number of the longest bodies that fit into the memory for them.
+		together = 16
+	)
+	f := withTestEntry(t, withTestUpstream(t, respond(http.StatusOK, "whole")))
+	f.limitBodies(maxBody)
+	finish := func(w *io.PipeWriter, status <-chan int) {
+		_, err := w.Write([]byte("x"))
+		assert.NilError(t, err)
+		assert.NilError(t, w.Close())
+		assert.Equal(t, <-status, http.StatusOK)
+	}
+	var writers []*io.PipeWriter
+	var answers []<-chan int
+	for range together {
+		w, status := f.sendBody(t, maxBody)
+		_, err := w.Write(make([]byte, maxBody-1))
+		assert.NilError(t, err)
+		writers, answers = append(writers, w), append(answers, status)
+	}
+	for _, length := range []int64{maxBody, -1} {
+		w, status := f.sendBody(t, length)
+		go func() { _, _ = w.Write(make([]byte, maxBody-1)) }()
+		assert.Equal(t, <-status, http.StatusServiceUnavailable, "length %d", length)
+	}
+	assert.Equal(t, f.post(t, "/many/x").status, http.StatusOK, "a short body")
+	finish(writers[0], answers[0])
+	w, status := f.sendBody(t, maxBody)
+	_, err := w.Write(make([]byte, maxBody-1))
+	assert.NilError(t, err)
+	finish(w, status)
+	for i := 1; i < together; i++ {
+		finish(writers[i], answers[i])
+	}
+}
