route/quarantine: parts of a service named request-... are not taken for requests

A key with the prefix of the keys of requests was taken for one, also if it is that of a part, SERVICE/PART, of a service with such a name. TestPartsOfAnyServiceAreParts failed before.

--- a/internal/route/quarantine/key.go
+++ b/internal/route/quarantine/key.go
@@ -77,8 +77,10 @@
 	return append(slices.Clone(k.Parts), k.Request)
 }
 
-// isRequestKey reports whether a key is that of a request and not of a part of a prompt.
-func isRequestKey(k string) bool { return strings.HasPrefix(k, requestKeyPrefix) }
+// isRequestKey reports whether a key is that of a request and not of a part of a prompt, whose service may have any name.
+func isRequestKey(k string) bool {
+	return strings.HasPrefix(k, requestKeyPrefix) && !strings.Contains(k, "/")
+}
 
 // isPlain reports whether s consists of letters, digits and "-_.", which take one byte each in JSON.
 func isPlain(s string) bool {
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -458,3 +458,23 @@
 		<-news
 	})
 }
+
+// Guards against parts that are taken for requests because of the name of their service.
+func TestPartsOfAnyServiceAreParts(t *testing.T) {
+	for _, service := range []string{"request-1", "request-", "hash-1"} {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuarantine()
+			for i := range 3 {
+				q.Crashed(upstream(i), prompt(service, "deadly"))
+			}
+			assert.DeepEqual(t, q.Quarantined(), []string{service + "/deadly"})
+			other := newQuarantine()
+			tell(q, other)
+			assert.Assert(t, other.Check(prompt(service, "deadly")).Blocked(), service)
+			other = newQuarantine()
+			other.Merge(hub.QuarantineNotice{Crashes: q.Notices()[1].Crashes})
+			other.Crashed(upstream(9), prompt(service, "deadly"))
+			assert.Assert(t, other.Check(prompt(service, "deadly")).Blocked(), service)
+		})
+	}
+}
