--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -79,18 +79,6 @@
 	changed chan struct{}
 }
 
-// record is one upstream that crashed before it had answered a request.
-type record struct {
-	upstream directory.Key
-	// parts are the suspected parts in the order of the prompt.
-	parts []string
-	// request is the key of the request, empty if it is not suspected.
-	request string
-	// told is true if other processes are told of the crash.
-	told bool
-	at   time.Time
-}
-
 // period is the current quarantine of one key.
 type period struct {
 	until time.Time
@@ -258,42 +246,6 @@
 	}
 }
 
-// tellOf makes other processes be told of the crashes under a request, and returns whether there are any of which they were
-// not yet.
-func (q *Quarantine) tellOf(request string) bool {
-	changed := false
-	for i := range q.records {
-		r := &q.records[i]
-		if r.request == request && request != "" && !r.told {
-			r.told, changed = true, true
-		}
-	}
-	return changed
-}
-
-// selectSuspected returns up to maxSuspected of the parts in the order of the prompt: those that are suspected already,
-// then random ones.
-func (q *Quarantine) selectSuspected(parts []string) []string {
-	if len(parts) <= maxSuspected {
-		return parts
-	}
-	var known, others []int
-	for _, at := range rand.Perm(len(parts)) {
-		if q.suspected[parts[at]] {
-			known = append(known, at)
-		} else {
-			others = append(others, at)
-		}
-	}
-	chosen := append(known, others...)[:maxSuspected]
-	slices.Sort(chosen)
-	out := make([]string, len(chosen))
-	for i, at := range chosen {
-		out[i] = parts[at]
-	}
-	return out
-}
-
 // Completed records a complete response to a request, which ends the suspicion of it and of its parts.
 func (q *Quarantine) Completed(k *Keys) {
 	q.mu.Lock()
@@ -309,124 +261,6 @@
 	}
 }
 
-// soundOf returns the map of sound parts or requests in which a key belongs.
-func (q *Quarantine) soundOf(key string) map[string]time.Time {
-	if isRequestKey(key) {
-		return q.soundRequests
-	}
-	return q.soundParts
-}
-
-// setSound records a complete response at the given time to a request with a key.
-func (q *Quarantine) setSound(key string, at time.Time) {
-	sound := q.soundOf(key)
-	if at.Before(sound[key]) {
-		return
-	}
-	if _, ok := sound[key]; !ok && len(sound) >= maxSound {
-		dropSound(sound, at)
-	}
-	sound[key] = at
-	if q.quarantined[key] == nil && !q.suspected[key] {
-		return
-	}
-	told := q.removeSuspicion(key)
-	if q.quarantined[key] != nil {
-		told = true
-		delete(q.quarantined, key)
-		q.publish()
-		q.options.Log.Info().Str("Key", key).Msg("answered completely, quarantine lifted")
-	}
-	if told {
-		q.announceSound(key, at)
-	}
-}
-
-// dropSound removes the expired keys from sound, and any others until a quarter of the room is free.
-func dropSound(sound map[string]time.Time, now time.Time) {
-	for key, at := range sound {
-		if now.Sub(at) > soundTTL {
-			delete(sound, key)
-		}
-	}
-	for key := range sound {
-		if len(sound) <= maxSound*3/4 {
-			return
-		}
-		delete(sound, key)
-	}
-}
-
-// announceSound tells other processes that a part or a request is sound.
-func (q *Quarantine) announceSound(key string, at time.Time) {
-	_, known := q.cleared[key]
-	if !known && len(q.cleared) >= maxQuarantined {
-		return
-	}
-	q.cleared[key] = at
-	if !known {
-		q.notify()
-	}
-}
-
-func (q *Quarantine) isSound(key string, now time.Time) bool {
-	at, ok := q.soundOf(key)[key]
-	return ok && now.Sub(at) <= soundTTL
-}
-
-// updateSuspected computes the set of keys in the records.
-func (q *Quarantine) updateSuspected() {
-	q.suspected = map[string]bool{}
-	for _, r := range q.records {
-		for _, p := range r.parts {
-			q.suspected[p] = true
-		}
-		if r.request != "" {
-			q.suspected[r.request] = true
-		}
-	}
-}
-
-// removeSuspicion removes a key from all records and returns whether other processes have been told of one of them.
-func (q *Quarantine) removeSuspicion(key string) bool {
-	told := false
-	for i := range q.records {
-		r := &q.records[i]
-		if r.request == key {
-			r.request = ""
-			told = told || r.told
-		}
-		before := len(r.parts)
-		r.parts = slices.DeleteFunc(r.parts, func(p string) bool { return p == key })
-		told = told || len(r.parts) < before
-	}
-	q.records = slices.DeleteFunc(q.records, func(r record) bool { return r.empty() })
-	q.updateSuspected()
-	return told
-}
-
-// empty reports whether nothing is suspected of the crash.
-func (r *record) empty() bool { return len(r.parts) == 0 && r.request == "" }
-
-// add adds a record unless it is empty or known. It returns whether it was added.
-func (q *Quarantine) add(r record, now time.Time) bool {
-	q.expire(now)
-	if r.empty() || slices.ContainsFunc(q.records, r.same) {
-		return false
-	}
-	if len(q.records) >= maxRecords {
-		q.records = slices.Delete(q.records, 0, 1)
-	}
-	at, _ := slices.BinarySearchFunc(q.records, r.at, func(r record, at time.Time) int { return r.at.Compare(at) })
-	q.records = slices.Insert(q.records, at, r)
-	q.updateSuspected()
-	return true
-}
-
-func (r *record) same(other record) bool {
-	return r.upstream == other.upstream && r.request == other.request && slices.Equal(r.parts, other.parts)
-}
-
 // expire removes the records and clearances that no longer count and the quarantines that ended long ago.
 func (q *Quarantine) expire(now time.Time) {
 	before := len(q.records)
