route/forward: bodies of unknown length keep only the memory that they need

TestBodiesOfUnknownLengthKeepWhatTheyNeed failed before (16 of 40 reached upstreams); what is not needed is released once the body has been read.

--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -79,10 +79,11 @@
 	return nil
 }
 
-// releaseBody releases the memory that reserveBody has reserved.
-func (x *exchange) releaseBody() {
-	x.handler.requests.free.Release(x.reservedBody)
-	x.reservedBody = 0
+// keepReserved releases the memory that reserveBody has reserved beyond n bytes.
+func (x *exchange) keepReserved(n int64) {
+	n = min(n, x.reservedBody)
+	x.handler.requests.free.Release(x.reservedBody - n)
+	x.reservedBody = n
 }
 
 // readAll reads the complete body of the request, of which limit is the maximum length.
@@ -108,7 +109,9 @@
 		return nil, err
 	}
 	rest, err := io.ReadAll(body)
-	return append(begin, rest...), err
+	data := append(begin, rest...)
+	x.keepReserved(int64(len(data)))
+	return data, err
 }
 
 // readResponse reads the complete body of a response. The memory is reserved until the exchange ends.
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -87,7 +87,7 @@
 // completed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, w: w, r: r, started: time.Now(), caller: h.options.Format.ParseRequest(r.Header)}
-	defer x.releaseBody()
+	defer x.keepReserved(0)
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
--- a/internal/route/forward/requestbody_test.go
+++ b/internal/route/forward/requestbody_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
@@ -81,3 +83,44 @@
 		finish(writers[i], answers[i])
 	}
 }
+
+// Guards against bodies of unknown length that keep as much memory as the longest ones for the time of their requests.
+func TestBodiesOfUnknownLengthKeepWhatTheyNeed(t *testing.T) {
+	const (
+		maxBody  = 4 << 20
+		length   = 100 << 10
+		requests = 40
+	)
+	release := make(chan struct{})
+	var upstreams []*upstream
+	for range 10 {
+		upstreams = append(upstreams, withTestUpstream(t, func(r *http.Request, c net.Conn) bool {
+			<-release
+			return respond(http.StatusOK, "whole")(r, c)
+		}))
+	}
+	f := withTestEntry(t, upstreams...)
+	f.limitBodies(maxBody)
+	var answers []<-chan int
+	for n := range requests {
+		w, status := f.sendBody(t, -1)
+		_, err := w.Write(make([]byte, length))
+		assert.NilError(t, err)
+		assert.NilError(t, w.Close())
+		answers = append(answers, status)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			running := 0
+			for _, u := range upstreams {
+				running += u.count()
+			}
+			if running > n {
+				return poll.Success()
+			}
+			return poll.Continue("%d requests have reached upstreams", running)
+		})
+	}
+	close(release)
+	for _, status := range answers {
+		assert.Equal(t, <-status, http.StatusOK)
+	}
+}
