--- a/internal/route/channel/abort_test.go
+++ b/internal/route/channel/abort_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -12,25 +11,18 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/standin/faulty"
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
 // Guards against the rest of a cancelled call that reaches its upstream later from the sender's buffers.
 func TestUnsentRestOfCancelledCallIsDropped(t *testing.T) {
-	const smallReceiveBuffer = 4 << 10
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var optionErr error
-		err := c.Control(func(fd uintptr) {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-		})
-		return errors.Join(err, optionErr)
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	listener, err := faulty.ListenSlowly(t.Context())
 	assert.NilError(t, err)
 	defer listener.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	call := testCall("a")
-	call.Body = make([]byte, 16*smallReceiveBuffer)
+	call.Body = make([]byte, 16*faulty.SmallReceiveBuffer)
 	call.Trace = &channel.Trace{}
 	sent := make(chan error, 1)
 	go func() {
--- a/internal/route/forward/memory_test.go
+++ b/internal/route/forward/memory_test.go
@@ -1,26 +1,22 @@
 package forward_test
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/standin/faulty"
 )
 
 // flood returns a script that answers each request with begin and then with text without end, until the connection is closed.
 func flood(begin, text string) script {
-	block := strings.Repeat(text, 1+(16<<10)/len(text))
 	return func(_ *http.Request, c net.Conn) bool {
-		_, err := io.WriteString(c, begin)
-		for err == nil {
-			_, err = io.WriteString(c, block)
-		}
+		faulty.Flood(c, begin, text)
 		return false
 	}
 }
--- a/internal/upstream/attempt/outside_test.go
+++ b/internal/upstream/attempt/outside_test.go
@@ -2,45 +2,31 @@
 
 import (
 	"context"
-	"io"
 	"math"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolehub/oriolehub/internal/standin/faulty"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
 // Guards against a head without end that fills the memory of the side process.
 func TestHeadWithoutEndEndsTheAttempt(t *testing.T) {
 	const enough = 9 << 20
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := faulty.StartFlood("HTTP/1.1 200 OK\r\n", "A: "+strings.Repeat("b", 1000)+"\r\n")
 	assert.NilError(t, err)
-	defer listener.Close()
-	var written atomic.Int64
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
-		_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-		for line := "A: " + strings.Repeat("b", 1000) + "\r\n"; err == nil; written.Add(int64(len(line))) {
-			_, err = io.WriteString(c, line)
-		}
-	}()
-	base, err := url.Parse("http://" + listener.Addr().String())
+	defer server.Close()
+	base, err := url.Parse("http://" + server.Address)
 	assert.NilError(t, err)
 	a := newAttempt("a", "r", true, func(error) {})
 	NewRunner(base, false, func(int) {}).Run(t.Context(), a, &message.RunRequest{Method: http.MethodGet, Target: "/", Idempotent: true})
 	assert.Equal(t, a.State(), StateBroken)
-	assert.Assert(t, written.Load() < enough, "%d bytes", written.Load())
+	written := <-server.Written
+	assert.Assert(t, written < enough, "%d bytes", written)
 }
 
 // Guards against an offset from another process that is taken for a negative one and ends the process.
