--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -51,8 +51,8 @@
 		e, err := events.Next()
 		if err == io.EOF && forwarded > 0 {
 			c.Load.Succeeded()
-			if !response.CloseDelimited {
-				x.handler.options.Quarantine.Completed(x.parts)
+			if !response.CloseDelimited || forwarded > maxEventsBeforeCrash {
+				x.handler.options.Quarantine.Completed(&x.keys)
 			}
 			x.finish("answered", http.StatusOK, "")
 			return nil
--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 	HeaderRateLimit = "Rate-Limit"
 	// HeaderParts lists the shared parts of the prompt.
 	HeaderParts = "Parts"
+	// HeaderPrompt identifies the whole prompt.
+	HeaderPrompt = "Prompt"
 )
 
 // ErrMalformed means that a value is not valid JSON of the expected type.
@@ -106,6 +109,7 @@
 		HasKey:      h.Get(HeaderKey) != "",
 		LastEvent:   h.Get(HeaderLastEvent),
 		SharedParts: strings.Fields(h.Get(HeaderParts)),
+		Prompt:      h.Get(HeaderPrompt),
 	}
 }
 
@@ -170,6 +174,7 @@
 	for _, i := range instances {
 		entries = append(entries, listing.Entry{Key: UpstreamPrefix + i.Id, Value: encode(i), Revision: p.revision})
 	}
+	slices.SortFunc(entries, func(a, b listing.Entry) int { return strings.Compare(a.Key, b.Key) })
 	p.publish(mirror.DocumentUpstreams, encode(entries))
 }
 
--- /dev/null
+++ b/internal/upstream/engine/client_test.go
@@ -0,0 +1,24 @@
+package engine_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/standin/faulty"
+	"github.com/oriolehub/oriolehub/internal/upstream/engine"
+)
+
+// Guards against an engine in trouble that fills the memory of its side process with a head without end.
+func TestHeadWithoutEndIsLimited(t *testing.T) {
+	const enough = 9 << 20
+	server, err := faulty.StartFlood("HTTP/1.1 200 OK\r\n", "A: "+strings.Repeat("b", 1000)+"\r\n")
+	assert.NilError(t, err)
+	defer server.Close()
+	_, err = engine.New("http://"+server.Address, nil).Status(t.Context())
+	assert.ErrorIs(t, err, hub.ErrUnavailable)
+	total := <-server.Written
+	assert.Assert(t, total < enough, "%d bytes", total)
+}
