--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -239,10 +239,11 @@
 // Guards against requests that reach a stopping process late, on connections opened before: they must neither be passed on,
 // since they would be cut when the time for the stop is up, nor be dropped without an answer.
 func TestRequestsLateInAPlannedStopAreRefused(t *testing.T) {
+	const unlimited = 1 << 30
 	f := startTestFleet(t, 2, 0)
 	f.waitUntilServing(t)
 	for _, e := range f.engines {
-		e.SetEvents(800)
+		e.SetEvents(unlimited)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
@@ -281,6 +282,9 @@
 		assert.Assert(t, resp.Header.Get("Retry-After") != "" && resp.Close, name)
 	}
 	assert.Equal(t, len(f.engines[0].Accounts())+len(f.engines[1].Accounts()), ran, "a late request has run")
+	for _, e := range f.engines {
+		e.SetEvents(1)
+	}
 	assert.NilError(t, <-done)
 	<-stopped
 }
