route/placement: entry processes divide the free slots that an engine reports

Cause: a report of an engine with a free slot reaches all entry processes at once, and each that has requests waiting sends one there. The engine queues all but one; under lasting overload every request is served slightly too late and few are refused. Ruled out: the time that requests wait in the entry process (at most a quarter of the objective). Change: the report divides the free slots among the processes in a rotating order; reported slowness counts in the choice; the share of requests without room is kept for each service.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -93,6 +93,8 @@
 	Slots int
 	// ReadPerSecond is the number of prompt tokens that the engine processes per second.
 	ReadPerSecond float64
+	// Pass is the time that an engine of normal speed takes from one event of its streams to the next while it reads no prompt.
+	Pass time.Duration
 	// UsualPrompt is the mean prompt length in tokens.
 	UsualPrompt int
 	Layers      int
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -60,6 +60,7 @@
 	// synchronized is true once the directory has shown what the store had when this process first asked it.
 	synchronized atomic.Bool
 	placement    *placement.Placement
+	order        *entryOrder
 	pool         *channel.Pool
 	// collector holds the reports to pass on.
 	collector *beacon.Collector
@@ -82,12 +83,14 @@
 	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout)), collector: beacon.NewCollector()}
 	e.interrupted, e.interrupt = context.WithCancel(context.Background())
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
+	e.order = newEntryOrder(s.Id, e.aliveEntries)
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
 		Domain:      s.Domain,
 		Region:      s.Region,
 		SwitchBound: e.switchBound,
 		Entries:     e.estimatedEntries,
+		Turn:        e.order.turn,
 		RateShare:   allowance.NewRateShares(s.Id, e.knownEntries, e.assumedEntries).Of,
 	})
 	if err := e.listen(nil, e.record, e.checkReady); err != nil {
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -14,6 +14,8 @@
 	// otherSendersFactor multiplies the prompt tokens sent by this process to account for those that other processes
 	// send at the same time and that no report includes yet.
 	otherSendersFactor = 1.5
+	// passesToFirstEvent is the mean number of passes from the arrival of a request to the first event of its response.
+	passesToFirstEvent = 1.5
 )
 
 // Load is the estimated load and the availability of one instance of an upstream. It is safe for concurrent use.
@@ -39,6 +41,8 @@
 type timedReport struct {
 	hub.SentReport
 	at time.Time
+	// allotment is the part of the reported free slots that this process may use.
+	allotment allotment
 }
 
 func newLoad() *Load { return &Load{availability: availability{created: time.Now()}} }
@@ -49,9 +53,11 @@
 	if last := l.report.Load(); last != nil && last.Epoch == r.Epoch && last.Number >= r.Number {
 		return false
 	}
-	l.others.Store(max(0, int64(r.Running+r.Waiting)-l.running.Load()))
+	running := l.running.Load()
+	others := max(0, int64(r.Running+r.Waiting)-running)
+	l.others.Store(others)
 	l.othersWaiting.Store(max(0, int64(r.Waiting)-l.pendingRequests.Load()))
-	l.report.Store(&timedReport{SentReport: r, at: time.Now()})
+	l.report.Store(&timedReport{SentReport: r, at: time.Now(), allotment: newAllotment(r.Address, r.Number, running, running+others)})
 	l.reportedAt.Store(l.now())
 	if r.Leaving {
 		l.Leaves()
@@ -99,6 +105,16 @@
 	return time.Duration(pace * tokens / e.ReadPerSecond * float64(time.Second))
 }
 
+// slowness returns the time by which the first event of a response comes later because the upstream reports that it is slower
+// than its model: an engine completes a pass before it begins to read, and writes the first event in another one.
+func (l *Load) slowness(e *hub.EngineModel) time.Duration {
+	r := l.recentReport()
+	if r == nil || r.Pace <= 1 {
+		return 0
+	}
+	return time.Duration((r.Pace - 1) * passesToFirstEvent * float64(e.Pass))
+}
+
 // reportsStopped reports whether the upstream's side process has sent reports and none within maxReportAge.
 func (l *Load) reportsStopped() bool { return l.report.Load() != nil && l.recentReport() == nil }
 
@@ -120,6 +136,17 @@
 	return r != nil && r.Fetched >= version
 }
 
+// hasSlot reports whether this process may send a further request to the upstream, which runs up to limit requests at once and
+// has total according to this process. If the upstream sends reports and there are other entry processes, the process keeps to
+// its allotment.
+func (l *Load) hasSlot(t Turn, limit, total int) bool {
+	r := l.recentReport()
+	if r == nil || t.Entries <= 1 {
+		return total < limit
+	}
+	return total < limit+allowedWaiting && !r.allotment.exhausted(t, limit, l.running.Load())
+}
+
 // loading reports whether, according to a recent report, the upstream is loading weights.
 func (l *Load) loading() bool {
 	r := l.recentReport()
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -57,6 +57,8 @@
 	SwitchBound func() time.Duration
 	// Entries returns the number of live entry processes.
 	Entries func() int
+	// Turn returns the place of this process in the order of all entry processes; nil means that there is no other.
+	Turn func() Turn
 	// RateShare returns this process's share, in requests per second, of the rate limit of an upstream.
 	RateShare func(upstream string, perSecond float64) float64
 }
@@ -72,6 +74,8 @@
 	queues map[queueKey]*queue.Queue
 	// room holds, by service, the channel that is closed when an upstream may have room.
 	room map[string]chan struct{}
+	// pressures holds the pressure of each service.
+	pressures sync.Map
 }
 
 // listedEngine is a listed run of an engine.
@@ -287,6 +291,14 @@
 	return s.Engine != nil && r.Backlog > 0 && l.prefillTime(s.Engine) > r.Backlog
 }
 
+// turn returns the place of this process in the order of all entry processes.
+func (p *Placement) turn() Turn {
+	if p.options.Turn == nil {
+		return Turn{Entries: 1}
+	}
+	return p.options.Turn()
+}
+
 // limit returns the maximum number of concurrent requests at an upstream.
 func (p *Placement) limit(s *directory.Service, u *directory.Upstream) int {
 	if s.Engine != nil {
@@ -303,7 +315,7 @@
 func (p *Placement) score(s *directory.Service, u *directory.Upstream, l *Load, total int) time.Duration {
 	score := time.Duration(total) * plainRunningCost
 	if e := s.Engine; e != nil {
-		score = time.Duration(total)*runningCost + l.prefillTime(e)
+		score = time.Duration(total)*runningCost + l.prefillTime(e) + l.slowness(e)
 	}
 	switch {
 	case u.Domain == p.options.Domain:
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -30,6 +30,8 @@
 	reports uint64
 	// entries is the number of entry processes.
 	entries int
+	// turn is the place of the process in the order of the entry processes.
+	turn placement.Turn
 }
 
 func withTestPlacement(t testing.TB) *fixture {
@@ -43,9 +45,10 @@
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return f.entries },
+		Turn:      func() placement.Turn { return f.turn },
 		RateShare: func(_ string, limit float64) float64 { return limit / float64(f.entries) },
 	})
-	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, Layers: 2, Chunks: 2}
+	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, Pass: 50 * time.Millisecond, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.PublishConfiguration(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
 	f.directives(hub.Directives{})
 	return f
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -14,6 +14,8 @@
 	// coldRate is the rate at which this process may send requests to a cold upstream, in requests per second; 0 means
 	// no limit.
 	coldRate float64
+	// turn is the place of this process in the order of all entry processes.
+	turn Turn
 
 	// best is the upstream with the lowest score among those with room, nil if none has room.
 	best      *directory.Upstream
@@ -30,7 +32,7 @@
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
 func (p *Placement) search(snapshot *directory.Snapshot, service *directory.Service, r *Requirements) *search {
 	entries := p.options.Entries()
-	f := &search{now: time.Now(), service: service, coldRate: service.ColdPerSecond / float64(max(1, entries))}
+	f := &search{now: time.Now(), service: service, coldRate: service.ColdPerSecond / float64(max(1, entries)), turn: p.turn()}
 	sampled := maxSampled
 	if entries > fewEntries {
 		sampled = crowdSampled
@@ -53,7 +55,7 @@
 		}
 		f.candidates++
 		total := l.total()
-		if total >= p.limit(service, u) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
+		if !l.hasSlot(f.turn, p.limit(service, u), total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
 		if score := p.score(service, u, l, total); f.best == nil || score < f.bestScore {
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -29,6 +29,25 @@
 // priorities and fairly between client accounts. It returns ErrNoRoom, ErrNoUpstream, ErrPaused or the cause of
 // ctx.
 func (p *Placement) Acquire(ctx context.Context, r *Requirements, timeout time.Duration) (Choice, error) {
+	c, err := p.acquire(ctx, r, timeout)
+	if refused := errors.Is(err, ErrNoRoom); refused || err == nil {
+		p.pressure(r.Service).add(refused, time.Now())
+	}
+	return c, err
+}
+
+// Pressure returns the recent share of the requests of a service for which no upstream had room, from 0 to 1.
+func (p *Placement) Pressure(service string) float64 { return p.pressure(service).share(time.Now()) }
+
+func (p *Placement) pressure(service string) *pressure {
+	if known, ok := p.pressures.Load(service); ok {
+		return known.(*pressure)
+	}
+	known, _ := p.pressures.LoadOrStore(service, &pressure{})
+	return known.(*pressure)
+}
+
+func (p *Placement) acquire(ctx context.Context, r *Requirements, timeout time.Duration) (Choice, error) {
 	q := p.queue(r)
 	if q.Empty() && !p.higherPriorityWaits(r) {
 		c, ok := p.Choose(r)
