route/forward: refused callers return later under overload; engines learn the priority of requests

Cause: a request that found no room was told to return after 0.25 s, into the same overload, and refused again; callers return once. The engine's own queue ignored the priorities of routes and accounts. Change: the Retry-After time follows the recent share of requests without room and is spread; requests carry a priority. Seen: go test ./internal/route/forward -run 'Priority|Busy': ok.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -77,12 +77,12 @@
 // call returns the call that sends the request to the chosen upstream. A resumed stream continues after the last event
 // that was forwarded.
 func (x *exchange) call(c *placement.Choice, remaining time.Duration) *channel.Call {
-	a := hub.Attempt{Instance: c.Upstream.Id, Remaining: remaining, Priority: -1}
+	a := hub.Attempt{Instance: c.Upstream.Id, Remaining: remaining, Priority: x.upstreamPriority()}
 	if x.account != nil {
 		a.Account = x.account.Name
 	}
 	if x.relay != nil {
-		a.LastEvent, a.Priority = x.relay.sequence.Last(), highestUpstreamPriority
+		a.LastEvent = x.relay.sequence.Last()
 	}
 	return &channel.Call{
 		Method:        x.r.Method,
@@ -97,6 +97,19 @@
 	}
 }
 
+// upstreamPriority returns the priority of the request at the upstream.
+func (x *exchange) upstreamPriority() int {
+	p := x.requirements().Priority
+	switch {
+	case p == resumedPriority:
+		return highestUpstreamPriority
+	case p >= missedObjectivePriority:
+		return lowestUpstreamPriority
+	default:
+		return min(highestUpstreamPriority+1+max(0, p), lowestUpstreamPriority-1)
+	}
+}
+
 // needsNewConnection reports whether the attempt must not use a connection on which other requests have been sent. On a
 // new one no other response can be taken for that to the request: not a second copy of the response to an earlier request
 // or to an earlier attempt of the same one, which has the same ID, and not a response without an ID.
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -31,6 +31,7 @@
 	// upstream.
 	resumedPriority         = -1
 	highestUpstreamPriority = 0
+	lowestUpstreamPriority  = 9
 	// missedObjectivePriority is added to the priority of requests whose objective is already missed, so that they
 	// wait behind all others.
 	missedObjectivePriority = 100
@@ -94,6 +95,8 @@
 	// pauseLeft is the time until an upstream may take the request after the pause that it has asked for, set if all
 	// have asked for one.
 	pauseLeft time.Duration
+	// toldRetryAfter is the Retry-After time of a refusal.
+	toldRetryAfter time.Duration
 	// reserved is the memory reserved for bodies of responses, reservedBody that for the body of the request, in bytes.
 	reserved     int64
 	reservedBody int64
@@ -300,7 +303,7 @@
 	if errors.Is(err, placement.ErrNoUpstream) || errors.Is(err, errOtherVersion) {
 		return fraction(max(busyRetryAfter, time.Until(x.deadline)), noUpstreamRetryFraction)
 	}
-	return busyRetryAfter
+	return busyRetry(x.handler.options.Placement.Pressure(x.service), time.Until(x.deadline))
 }
 
 // fraction returns d multiplied by f.
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -220,6 +220,7 @@
 // refuse responds with status 503 and a Retry-After header. It must only be used if the request has not run and will
 // not run later, since callers may repeat any request after it.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
+	x.toldRetryAfter = retryAfter
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	x.fail(http.StatusServiceUnavailable, reason)
 }
@@ -251,5 +252,8 @@
 	if reason != "" {
 		line = line.Str("Reason", reason)
 	}
+	if status == http.StatusServiceUnavailable && outcome == "own" {
+		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
+	}
 	line.Int("Sent", x.sent).Int("MayHaveRun", x.runs).Msg("request ended")
 }
--- /dev/null
+++ b/internal/route/forward/retryafter_test.go
@@ -0,0 +1,49 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+)
+
+// Guards against refused callers that return all at once or, in a lasting overload, too soon to find room.
+func TestBusyRetryGrowsWithPressure(t *testing.T) {
+	const left = 6 * time.Second
+	for _, tc := range []struct {
+		pressure      float64
+		from, through time.Duration
+	}{
+		{0, busyRetryAfter / 2, busyRetryAfter},
+		{fullPressure, fraction(left, noUpstreamRetryFraction) / 2, fraction(left, noUpstreamRetryFraction)},
+		{1, fraction(left, noUpstreamRetryFraction) / 2, fraction(left, noUpstreamRetryFraction)},
+	} {
+		shortest, longest := time.Hour, time.Duration(0)
+		for range 1000 {
+			d := busyRetry(tc.pressure, left)
+			shortest, longest = min(shortest, d), max(longest, d)
+		}
+		assert.Assert(t, shortest >= tc.from && longest <= tc.through+1, "pressure %g: %v to %v", tc.pressure, shortest, longest)
+		assert.Assert(t, longest-shortest > (tc.through-tc.from)/2, "pressure %g: returns are not spread", tc.pressure)
+	}
+	assert.Assert(t, busyRetry(1, 0) <= busyRetryAfter+1)
+}
+
+// Guards against urgent requests that wait at an engine behind less urgent ones, and against resumed streams that wait behind
+// new requests.
+func TestPriorityAtTheUpstream(t *testing.T) {
+	urgent := &exchange{route: &hub.Route{Priority: 0, Timeout: 6 * time.Second}}
+	normal := &exchange{route: &hub.Route{Priority: 2, Timeout: 6 * time.Second}}
+	account := &exchange{route: &hub.Route{Priority: 2, Timeout: 6 * time.Second}, account: &hub.Account{HasPriority: true, Priority: 1}}
+	returned := &exchange{route: &hub.Route{Timeout: 6 * time.Second}, caller: hub.RequestInfo{Wait: time.Second}}
+	resumed := &exchange{route: &hub.Route{Priority: 2}, relay: &relay{}}
+	lowest := &exchange{route: &hub.Route{Priority: 99, Timeout: 6 * time.Second}}
+	order := []*exchange{resumed, urgent, account, normal, lowest, returned}
+	for i := 1; i < len(order); i++ {
+		before, after := order[i-1].upstreamPriority(), order[i].upstreamPriority()
+		assert.Assert(t, before < after, "place %d: %d, %d", i, before, after)
+		assert.Assert(t, before >= 0 && after <= 9)
+	}
+}
