--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -73,6 +73,9 @@
 	Name string
 	// ColdPerSecond limits the requests per second sent to an upstream while it is cold; 0 means no limit.
 	ColdPerSecond float64
+	// MaxConnections is the number of connections that each upstream accepts from all entry processes together; 0 means no
+	// limit.
+	MaxConnections int
 	// Engine is the performance model of the service's engines, nil for a plain service.
 	Engine *EngineModel
 	// Origin is set only for the service from which the published weights are read.
