route/channel: share of an upstream's connections; calls of which no byte was sent

The pool had no limit of open connections and kept up to 24 idle ones per upstream. Entry processes together overran upstreams, which reset the connections, and once-only requests on them ended with 502 although no server had them.

Each process now holds at most its share of the limit, and closes an idle connection before a new one would exceed it. Idle connections follow the demand of calls that reuse them. A connection that the upstream has ended before the first byte, a handshake that ends with a reset, and a write of which the kernel accepted nothing mean "not sent".

go test -race ./internal/route/channel: ok.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -18,6 +18,13 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrBroken means that no complete response to a call was received from the connection; the call may have run.
 	ErrBroken = errors.New("connection broke")
+	// ErrNoConnection means that this process holds as many connections to the upstream as it may, all of them in use.
+	ErrNoConnection = errors.New("no connection to the upstream is free")
+	// ErrReset means that the upstream has ended a new connection, presumably because of its limit of connections. It is
+	// used only for calls with MaxConnections.
+	ErrReset = errors.New("upstream reset a new connection")
+	// errEnded means that the upstream has sent bytes, closed or reset a new connection before a call was sent.
+	errEnded = errors.New("connection ended before the call")
 )
 
 // maxHeadBytes limits the bytes that are read before the end of the response's header, including responses that belong
@@ -45,6 +52,10 @@
 	OnHeader func(status int, h http.Header)
 	// NewConnection requires a connection on which no call has been sent before.
 	NewConnection bool
+	// Service is the name of the upstream's service in metrics, MaxConnections the number of connections that the upstream
+	// accepts from all entry processes, 0 for no limit.
+	Service        string
+	MaxConnections int
 	// Trace, if not nil, records how the call was sent.
 	Trace *Trace
 }
@@ -78,6 +89,8 @@
 	complete bool
 	// close is true if the connection must not be reused.
 	close bool
+	// closed is true once Close has been called.
+	closed bool
 }
 
 // Send sends a call to the upstream at address and returns the response once its header has been read.
@@ -86,22 +99,19 @@
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
 	}
-	c, reused, err := p.get(ctx, address, call.NewConnection)
+	c, reused, err := p.get(ctx, address, call)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return nil, p.dialError(address, call, err)
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
 	r.stop = context.AfterFunc(ctx, c.abort)
-	if call.Trace != nil {
-		*call.Trace = Trace{SentAt: time.Now(), Reused: reused}
-	}
-	if _, err := call.encode().WriteTo(c.Conn); err != nil {
+	if err := r.send(call); err != nil {
 		r.Close()
-		return nil, brokenError(ctx, "send", err)
+		return nil, p.sendError(ctx, c, call, reused, err)
 	}
 	if err := r.readHeader(call); err != nil {
 		r.Close()
-		return nil, brokenError(ctx, "read answer", err)
+		return nil, p.sendError(ctx, c, call, reused, &sentError{op: "read answer", err: err})
 	}
 	return r, nil
 }
@@ -184,21 +194,17 @@
 // Close returns the connection to the pool if the body has been read completely and no data follows it.
 // Otherwise it aborts the connection.
 func (r *Response) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
 	stopped := r.stop()
 	if stopped && r.complete && !r.close && r.conn.reader.Buffered() == 0 {
 		r.pool.put(r.conn, r.Header.Get("Keep-Alive"))
 		return
 	}
-	r.conn.abort()
+	r.pool.drop(r.conn)
 }
 
 // SetReadTimeout makes reads of the body fail once d has passed from now.
 func (r *Response) SetReadTimeout(d time.Duration) { _ = r.conn.SetReadDeadline(time.Now().Add(d)) }
-
-// brokenError wraps ErrBroken around the cause of ctx if it is done, else around err. op is the failed operation.
-func brokenError(ctx context.Context, op string, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return fmt.Errorf("%w: %s: %w", ErrBroken, op, cause)
-	}
-	return fmt.Errorf("%w: %s: %w", ErrBroken, op, err)
-}
--- a/internal/route/channel/limit.go
+++ b/internal/route/channel/limit.go
@@ -16,16 +16,21 @@
 	source io.Reader
 	// left is the number of bytes that may still be read, or noLimit.
 	left int
+	// total is the number of bytes read.
+	total int64
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.left == noLimit {
-		return r.source.Read(p)
+		n, err := r.source.Read(p)
+		r.total += int64(n)
+		return n, err
 	}
 	if r.left == 0 {
 		return 0, errTooLong
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.total += int64(n)
 	return n, err
 }
--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -7,8 +7,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
@@ -21,15 +25,38 @@
 	// maxIdlePerAddress limits the idle connections to one upstream.
 	maxIdlePerAddress = 24
 	readBufferBytes   = 4 << 10
+	// entriesTTL is the time for which the number of entry processes is used before it is determined again.
+	entriesTTL = 250 * time.Millisecond
 )
 
+// Options are the settings and dependencies of a Pool. All but Dial may be zero.
+type Options struct {
+	Dial socket.DialFunc
+	// Entries returns the number of entry processes that share the connections of an upstream.
+	Entries func() int
+	Log     *log.Logger
+	Metrics *metrics.Set
+}
+
 // Pool is a pool of connections to upstreams. It is safe for concurrent use.
 type Pool struct {
-	dial socket.DialFunc
+	options Options
+	entries atomic.Pointer[timedEntries]
+	// backingOff is the number of upstreams of which fewer connections than the share may be in effect.
+	backingOff atomic.Int64
+	resets     resets
 
 	mu sync.Mutex
-	// idle holds the idle connections by address, the most recently used one last.
-	idle map[string][]*conn
+	// upstreams holds the state of the connections by address.
+	upstreams map[string]*upstreamConns
+	// series holds the services for which metrics are registered.
+	series map[string]bool
+}
+
+// timedEntries is a number of entry processes with the time at which it was determined.
+type timedEntries struct {
+	n  int
+	at time.Time
 }
 
 // conn is a connection to the upstream at address.
@@ -41,6 +68,11 @@
 	reader *bufio.Reader
 	// until is the time after which the idle connection must not be used.
 	until time.Time
+	// openedAt is the time at which the connection was established, dialTime the time which that took.
+	openedAt time.Time
+	dialTime time.Duration
+	// shared is true while a call is in progress that may reuse connections.
+	shared bool
 }
 
 // abort resets the connection. Bytes of a call that are still in the send buffer are dropped; after a close they would
@@ -52,91 +84,205 @@
 	_ = c.Close()
 }
 
-// NewPool returns an empty pool that opens its connections with dial.
-func NewPool(dial socket.DialFunc) *Pool {
-	return &Pool{dial: dial, idle: map[string][]*conn{}}
+// NewPool returns an empty pool that opens its connections with dial and is the only user of the upstreams.
+func NewPool(dial socket.DialFunc) *Pool { return New(Options{Dial: dial}) }
+
+// New returns an empty pool and registers its metrics.
+func New(o Options) *Pool {
+	p := &Pool{options: o, upstreams: map[string]*upstreamConns{}, series: map[string]bool{}}
+	p.resets.register(o.Metrics)
+	return p
+}
+
+// Allowed returns the number of connections to the upstream at address that this process may hold now, if the upstream
+// accepts limit connections from all entry processes; 0 means no limit.
+func (p *Pool) Allowed(address string, limit int) int {
+	if limit <= 0 {
+		return unlimited
+	}
+	now := time.Now()
+	share, _ := shareOf(limit, p.entriesAt(now))
+	if p.backingOff.Load() == 0 {
+		return share
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u := p.upstreams[address]; u != nil {
+		return u.backoff.allowed(share, now)
+	}
+	return share
+}
+
+// entriesAt returns the number of entry processes, which is determined every entriesTTL.
+func (p *Pool) entriesAt(now time.Time) int {
+	if p.options.Entries == nil {
+		return 1
+	}
+	if e := p.entries.Load(); e != nil && now.Sub(e.at) < entriesTTL {
+		return e.n
+	}
+	n := p.options.Entries()
+	p.entries.Store(&timedEntries{n: n, at: now})
+	return n
 }
 
-// get returns an idle connection to address, or opens a new one if there is none or if newConnection is true.
-// reused is true for an idle connection. The error is that of dial.
-func (p *Pool) get(ctx context.Context, address string, newConnection bool) (c *conn, reused bool, err error) {
-	for !newConnection {
+// get returns an idle connection to address, or opens a new one if there is none or if the call requires that.
+// reused is true for an idle connection. The error is that of dial or ErrNoConnection.
+func (p *Pool) get(ctx context.Context, address string, call *Call) (c *conn, reused bool, err error) {
+	for !call.NewConnection {
 		c := p.takeIdle(address)
 		if c == nil {
 			break
 		}
 		if time.Now().Before(c.until) && reusable(c.Conn) {
+			p.begin(c)
 			return c, true, nil
 		}
 		_ = c.Close()
+		p.closed(address)
+	}
+	if err := p.reserve(address, call); err != nil {
+		return nil, false, err
 	}
-	netConn, err := p.dial(ctx, address)
+	began := time.Now()
+	netConn, err := p.options.Dial(ctx, address)
 	if err != nil {
+		p.closed(address)
 		return nil, false, err
 	}
 	limit := &limitedReader{source: netConn, left: noLimit}
-	return &conn{Conn: netConn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, false, nil
+	c = &conn{Conn: netConn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), openedAt: time.Now()}
+	c.dialTime = c.openedAt.Sub(began)
+	if !call.NewConnection {
+		p.begin(c)
+	}
+	return c, false, nil
 }
 
 // Probe opens a new connection to address and closes it. The error is that of dial.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+	p.mu.Lock()
+	p.upstream(address).open++
+	p.mu.Unlock()
+	defer p.closed(address)
+	c, err := p.options.Dial(ctx, address)
 	if err != nil {
 		return err
 	}
 	return c.Close()
 }
 
+// upstream returns the state of the connections to address.
+func (p *Pool) upstream(address string) *upstreamConns {
+	u := p.upstreams[address]
+	if u == nil {
+		u = &upstreamConns{}
+		p.upstreams[address] = u
+	}
+	return u
+}
+
 // takeIdle removes the most recently used idle connection to address from the pool, or returns nil.
 func (p *Pool) takeIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	if u := p.upstreams[address]; u != nil {
+		return u.takeIdle()
+	}
+	return nil
+}
+
+// reserve counts a connection to address that is about to be opened. Before it would exceed the share of this process, an
+// idle one is closed; if there is none, reserve returns ErrNoConnection.
+func (p *Pool) reserve(address string, call *Call) error {
+	now := time.Now()
+	entries := p.entriesAt(now)
+	p.mu.Lock()
+	u := p.upstream(address)
+	u.service, u.limit = call.Service, call.MaxConnections
+	p.observe(u.service)
+	toClose, ok := u.reserve(entries, now)
+	p.mu.Unlock()
+	if toClose != nil {
+		_ = toClose.Close()
+	}
+	if !ok {
+		return ErrNoConnection
+	}
+	return nil
+}
+
+// begin counts a call on c that may reuse connections.
+func (p *Pool) begin(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.shared = true
+	p.upstream(c.address).begin(time.Now())
+}
+
+// end counts the end of a call on c.
+func (p *Pool) end(u *upstreamConns, c *conn) {
+	if c.shared {
+		c.shared = false
+		u.shared--
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+}
+
+// closed counts the end of a connection to address.
+func (p *Pool) closed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstream(address).open--
+}
+
+// drop aborts a connection after a call that was not completed.
+func (p *Pool) drop(c *conn) {
+	c.abort()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u := p.upstream(c.address)
+	p.end(u, c)
+	u.open--
 }
 
 // put returns a connection to the pool after a complete response has been read from it. keepAlive is the response's
-// Keep-Alive header. The connection is closed if the pool already holds maxIdlePerAddress connections to its address.
+// Keep-Alive header. The connection is closed if the pool holds enough idle connections to its address.
 func (p *Pool) put(c *conn, keepAlive string) {
-	c.until = time.Now().Add(idleTimeout(keepAlive))
-	if err := c.SetDeadline(time.Time{}); err != nil {
-		_ = c.Close()
-		return
-	}
+	now := time.Now()
+	entries := p.entriesAt(now)
+	c.until = now.Add(idleTimeout(keepAlive))
+	deadlineErr := c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerAddress {
+	u := p.upstream(c.address)
+	p.end(u, c)
+	if deadlineErr != nil || !u.put(c, entries, now) {
 		_ = c.Close()
-		return
+		u.open--
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Sweep closes the idle connections that have reached their idle timeout.
+// Sweep closes the idle connections that have reached their idle timeout or are no longer needed, and forgets upstreams
+// without connections.
 func (p *Pool) Sweep() {
+	now := time.Now()
+	entries := p.entriesAt(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now.Before(c.until) {
-				kept = append(kept, c)
-				continue
-			}
+	backingOff := 0
+	for address, u := range p.upstreams {
+		for _, c := range u.expire(entries, now) {
 			_ = c.Close()
 		}
-		if len(kept) == 0 {
-			delete(p.idle, address)
-			continue
+		share, _ := shareOf(u.limit, entries)
+		switch {
+		case u.unused(entries, now):
+			delete(p.upstreams, address)
+		case !u.backoff.over(share, now):
+			backingOff++
 		}
-		p.idle[address] = kept
 	}
+	p.backingOff.Store(int64(backingOff))
 }
 
 // idleTimeout returns the time for which an idle connection may be kept, given the upstream's Keep-Alive header, such
