route/forward: requests wait for connections, and are refused as not run when no byte was sent

An upstream at which this process uses its share of connections has no room. After a reset by the limit of connections there is one immediate retry; further ones follow after 50 to 100 ms.

TestWhatCallersAreTold tells for each ending of a connection what the caller is told. Before, it failed for five endings of fourteen: reset, closed and half-closed after accept and seen before the request, a write of which nothing was accepted (502 in place of 503, or of 200 with another upstream), and bytes before the request (200 in place of 503).

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -79,15 +79,19 @@
 
 // StartEntry starts an entry process, which runs until Stop.
 func StartEntry(s settings.Node, j *journal.Journal, p Platform) (*Entry, error) {
-	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout)), collector: beacon.NewCollector()}
+	e := &Entry{started: time.Now(), collector: beacon.NewCollector()}
 	e.interrupted, e.interrupt = context.WithCancel(context.Background())
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
+	e.pool = channel.New(channel.Options{
+		Dial: socket.Dialer(upstreamDialTimeout), Entries: e.estimatedEntries, Log: j.Logger(journal.Routing), Metrics: e.metrics,
+	})
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
 		Domain:      s.Domain,
 		Region:      s.Region,
 		SwitchBound: e.switchBound,
 		Entries:     e.estimatedEntries,
+		Connections: e.pool.Allowed,
 		RateShare:   allowance.NewRateShares(s.Id, e.knownEntries, e.assumedEntries).Of,
 	})
 	if err := e.listen(nil, e.record, e.checkReady); err != nil {
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -38,13 +38,14 @@
 	defer timer.stop()
 	response, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
-		x.upstreamFailed(c)
+		x.notSent(c, err)
 		return err
 	}
 	x.runs++
 	x.decision = quarantine.Decision{}
 	if err != nil {
 		x.upstreamFailed(c)
+		x.countReset(err)
 		err = x.brokenError(ctx, err)
 		x.reportCrash(c, err)
 		return err
@@ -85,15 +86,17 @@
 		a.LastEvent, a.Priority = x.relay.sequence.Last(), highestUpstreamPriority
 	}
 	return &channel.Call{
-		Method:        x.r.Method,
-		Target:        x.target(),
-		Host:          x.r.Host,
-		Header:        x.handler.options.Format.UpstreamHeader(x.r.Header, a),
-		Body:          x.body,
-		Mismatched:    x.mismatched,
-		OnHeader:      func(status int, h http.Header) { x.observe(c, status, h) },
-		NewConnection: x.needsNewConnection(c),
-		Trace:         &x.trace,
+		Method:         x.r.Method,
+		Target:         x.target(),
+		Host:           x.r.Host,
+		Header:         x.handler.options.Format.UpstreamHeader(x.r.Header, a),
+		Body:           x.body,
+		Mismatched:     x.mismatched,
+		OnHeader:       func(status int, h http.Header) { x.observe(c, status, h) },
+		NewConnection:  x.needsNewConnection(c),
+		Service:        x.service,
+		MaxConnections: x.maxConnections(),
+		Trace:          &x.trace,
 	}
 }
 
--- /dev/null
+++ b/internal/route/forward/connections.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/route/placement"
+)
+
+const (
+	// immediateRetries is the number of retries after resets by connection limits that are made at once.
+	immediateRetries = 1
+	// resetRetryDelay is the minimum time before each further one, and half of the maximum. It is of the order of the time
+	// that a request occupies a connection.
+	resetRetryDelay = 50 * time.Millisecond
+)
+
+// maxConnections returns the number of connections that each upstream of the service accepts, 0 if there is no limit.
+func (x *exchange) maxConnections() int {
+	if s := x.handler.options.Directory.Current().Service(x.service); s != nil {
+		return s.MaxConnections
+	}
+	return 0
+}
+
+// notSent records an attempt of which no byte was sent. An upstream at the limit of its connections is treated like one
+// without a free slot: it is spared for a short time and may be chosen again.
+func (x *exchange) notSent(c *placement.Choice, err error) {
+	switch {
+	case errors.Is(err, channel.ErrNoConnection):
+	case errors.Is(err, channel.ErrReset):
+		x.countReset(err)
+		c.Load.Refused()
+		c.Load.Failed()
+	default:
+		x.upstreamFailed(c)
+	}
+}
+
+// countReset counts an attempt that ended with a reset by the connection limit of an upstream.
+func (x *exchange) countReset(err error) {
+	if errors.Is(err, channel.ErrReset) {
+		x.resets++
+	}
+}
+
+// waitAfterResets delays the retry after an attempt that failed with err, if the request has been reset by connection
+// limits more than immediateRetries times: many requests that are repeated at once would only be reset again.
+func (x *exchange) waitAfterResets(ctx context.Context, err error) {
+	if errors.Is(err, channel.ErrReset) && x.resets > immediateRetries {
+		_ = hub.Sleep(ctx, resetRetryDelay+rand.N(resetRetryDelay))
+	}
+}
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -83,6 +83,8 @@
 	tried []directory.Key
 	// refusedBy lists the upstreams that refused the request.
 	refusedBy []directory.Key
+	// resets is the number of attempts that ended with a reset by the connection limit of an upstream.
+	resets int
 	// relay is the state of the response stream, nil until the first event has been forwarded.
 	relay *relay
 	// keys are the keys under which the quarantine knows the request.
@@ -133,6 +135,7 @@
 			x.giveUp(ctx, err)
 			return
 		}
+		x.waitAfterResets(ctx, err)
 	}
 }
 
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -159,6 +159,12 @@
 // withTestEntry starts a server with the routes once, many, slow, stream and bound on host h.test, and lists upstreams
 // as the service of all of them.
 func withTestEntry(t *testing.T, upstreams ...*upstream) *fixture {
+	t.Helper()
+	return withTestPool(t, channel.NewPool(socket.Dialer(testTimeout)), upstreams...)
+}
+
+// withTestPool is withTestEntry with a given pool of connections.
+func withTestPool(t *testing.T, pool *channel.Pool, upstreams ...*upstream) *fixture {
 	t.Helper()
 	log := journal.Discard().Logger(journal.Routing)
 	c := catalog.New(1)
@@ -167,7 +173,8 @@
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 },
-		RateShare: func(_ string, limit float64) float64 { return limit },
+		Connections: pool.Allowed,
+		RateShare:   func(_ string, limit float64) float64 { return limit },
 	})
 	set := metrics.NewSet()
 	f.quarantine = quarantine.New(quarantine.Options{Log: log, Metrics: set})
@@ -176,7 +183,7 @@
 		Directory:   f.directory,
 		Ready:       func() bool { return f.directory.Current().Ready() },
 		Placement:   f.placement,
-		Pool:        channel.NewPool(socket.Dialer(testTimeout)),
+		Pool:        pool,
 		RetryBudget: allowance.NewRetryBudget(10*time.Second, func() allowance.Bounds { return allowance.Bounds{Ratio: 0.2, Slack: 10} }, func() int { return 1 }),
 		Format:      desired.CallFormat{},
 		Log:         log,
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -57,6 +57,9 @@
 	SwitchBound func() time.Duration
 	// Entries returns the number of live entry processes.
 	Entries func() int
+	// Connections returns the number of connections to the upstream at address that this process may use now, if the
+	// upstream accepts limit connections from all entry processes. It may be nil.
+	Connections func(address string, limit int) int
 	// RateShare returns this process's share, in requests per second, of the rate limit of an upstream.
 	RateShare func(upstream string, perSecond float64) float64
 }
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -30,6 +30,8 @@
 	reports uint64
 	// entries is the number of entry processes.
 	entries int
+	// connections is the number of connections to each address that may be used, without a limit if not set.
+	connections map[string]int
 }
 
 func withTestPlacement(t testing.TB) *fixture {
@@ -44,6 +46,12 @@
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return f.entries },
 		RateShare: func(_ string, limit float64) float64 { return limit / float64(f.entries) },
+		Connections: func(address string, limit int) int {
+			if n, ok := f.connections[address]; ok {
+				return n
+			}
+			return limit
+		},
 	})
 	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.PublishConfiguration(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -52,6 +52,9 @@
 			continue
 		}
 		f.candidates++
+		if p.connectionsUsed(service, u, l) {
+			continue
+		}
 		total := l.total()
 		if total >= p.limit(service, u) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
