route/channel: idle connections beyond a smaller share are closed; observe every new connection after a reset

A process that heard of more entry processes kept idle connections that were now the others' until they expired (TestConnectionsAreGivenUpForMoreProcesses failed: 12 of 6 connections open).

After a reset by the limit, new connections are observed before any call for 5 s, not only before once-only calls: a reset that is seen after the call was sent uses up an attempt and the retry budget of a retryable request. Demand is remembered for as long as a connection may be idle.

--- a/internal/route/channel/demand.go
+++ b/internal/route/channel/demand.go
@@ -3,8 +3,8 @@
 import "time"
 
 // demandWindow is the time for which the highest number of concurrent calls is remembered at least, and half of the time
-// for which it is at most.
-const demandWindow = 2 * time.Second
+// for which it is at most. No connection is idle for longer.
+const demandWindow = maxIdleTime
 
 // demand is the highest number of concurrent calls within the last demandWindow to twice that.
 type demand struct {
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -45,10 +45,10 @@
 
 // checkNew returns an error if the upstream has already sent bytes on the new connection, closed or reset it. A reset by the
 // connection limit arrives about one round trip after the connection was established. Only if the upstream has reset others
-// recently, checkNew waits that long for it, and only for calls that are not repeated once they are sent.
+// recently, checkNew waits that long for it.
 func (r *Response) checkNew(call *Call) error {
 	c := r.conn
-	if !call.NewConnection || call.MaxConnections <= 0 || !r.pool.suspected(c.address) {
+	if call.MaxConnections <= 0 || !r.pool.suspected(c.address) {
 		if !reusable(c.Conn) {
 			return errEnded
 		}
--- a/internal/route/channel/share.go
+++ b/internal/route/channel/share.go
@@ -13,9 +13,9 @@
 	// recoveryInterval is the time after a reset by the upstream's connection limit in which one more connection is allowed.
 	// It exceeds the time in which other processes that see resets at the same moment close theirs.
 	recoveryInterval = 100 * time.Millisecond
-	// suspicionTime is the time after a reset by the connection limit for which a new connection is observed before a
-	// once-only call is sent on it.
-	suspicionTime = 2 * time.Second
+	// suspicionTime is the time after a reset by the connection limit for which new connections are observed before a call
+	// is sent on them. A queue at an upstream, during which it accepts fewer connections, lasts for seconds.
+	suspicionTime = 5 * time.Second
 	// minSettleTime and maxSettleTime limit the time for which a new connection is observed.
 	minSettleTime = 5 * time.Millisecond
 	maxSettleTime = 30 * time.Millisecond
--- a/internal/route/channel/upstream.go
+++ b/internal/route/channel/upstream.go
@@ -78,11 +78,11 @@
 	return true
 }
 
-// expire removes the idle connections that have reached their idle timeouts, and the least recently used ones beyond the
-// limit, and returns them.
+// expire removes the idle connections that have reached their idle timeouts, and the least recently used ones that are not
+// needed or exceed the share, and returns them.
 func (u *upstreamConns) expire(entries int, now time.Time) []*conn {
 	var expired []*conn
-	surplus := len(u.idle) - u.idleLimit(entries, now)
+	surplus := max(len(u.idle)-u.idleLimit(entries, now), u.open-u.allowed(entries, now))
 	kept := u.idle[:0]
 	for i, c := range u.idle {
 		if i < surplus || !now.Before(c.until) {
