--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -80,10 +80,13 @@
 
 // StartEntry starts an entry process, which runs until Stop.
 func StartEntry(s settings.Node, j *journal.Journal, p Platform) (*Entry, error) {
-	e := &Entry{started: time.Now(), pool: channel.NewPool(socket.Dialer(upstreamDialTimeout)), collector: beacon.NewCollector()}
+	e := &Entry{started: time.Now(), collector: beacon.NewCollector()}
 	e.interrupted, e.interrupt = context.WithCancel(context.Background())
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
 	e.order = newEntryOrder(s.Id, e.aliveEntries)
+	e.pool = channel.New(channel.Options{
+		Dial: socket.Dialer(upstreamDialTimeout), Entries: e.estimatedEntries, Log: j.Logger(journal.Routing), Metrics: e.metrics,
+	})
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
 		Domain:      s.Domain,
@@ -91,6 +94,7 @@
 		SwitchBound: e.switchBound,
 		Entries:     e.estimatedEntries,
 		Turn:        e.order.turn,
+		Connections: e.pool.Allowed,
 		RateShare:   allowance.NewRateShares(s.Id, e.knownEntries, e.assumedEntries).Of,
 	})
 	if err := e.listen(nil, e.record, e.checkReady); err != nil {
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -59,6 +59,9 @@
 	Entries func() int
 	// Turn returns the place of this process in the order of all entry processes; nil means that there is no other.
 	Turn func() Turn
+	// Connections returns the number of connections to the upstream at address that this process may use now, if the
+	// upstream accepts limit connections from all entry processes. It may be nil.
+	Connections func(address string, limit int) int
 	// RateShare returns this process's share, in requests per second, of the rate limit of an upstream.
 	RateShare func(upstream string, perSecond float64) float64
 }
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -32,6 +32,8 @@
 	entries int
 	// turn is the place of the process in the order of the entry processes.
 	turn placement.Turn
+	// connections is the number of connections to each address that may be used, without a limit if not set.
+	connections map[string]int
 }
 
 func withTestPlacement(t testing.TB) *fixture {
@@ -47,6 +49,12 @@
 		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return f.entries },
 		Turn:      func() placement.Turn { return f.turn },
 		RateShare: func(_ string, limit float64) float64 { return limit / float64(f.entries) },
+		Connections: func(address string, limit int) int {
+			if n, ok := f.connections[address]; ok {
+				return n
+			}
+			return limit
+		},
 	})
 	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, Pass: 50 * time.Millisecond, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.PublishConfiguration(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -54,6 +54,9 @@
 			continue
 		}
 		f.candidates++
+		if p.connectionsUsed(service, u, l) {
+			continue
+		}
 		total := l.total()
 		if !l.hasSlot(f.turn, p.limit(service, u), total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
