route/concurrency: limit the requests in flight at new, recovered and slow upstreams

A server that has just started gets a share of its slots, which doubles with each round of responses that are as fast as those of the other upstreams; one that gets slower or fails requests gets fewer. placement compares the limit with the total that it estimates for all entry processes.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -16,6 +16,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/settings"
 	"github.com/oriolehub/oriolehub/internal/route/allowance"
 	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/route/concurrency"
 	"github.com/oriolehub/oriolehub/internal/route/forward"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/state/beacon"
@@ -89,6 +90,9 @@
 		SwitchBound: e.switchBound,
 		Entries:     e.estimatedEntries,
 		RateShare:   allowance.NewRateShares(s.Id, e.knownEntries, e.assumedEntries).Of,
+		Concurrency: concurrency.Settings{Enabled: s.Concurrency.Enabled, InitialShare: s.Concurrency.InitialShare},
+		Log:         j.Logger(journal.Routing),
+		Metrics:     e.metrics,
 	})
 	if err := e.listen(nil, e.record, e.checkReady); err != nil {
 		return nil, err
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -37,6 +37,7 @@
 	// MemoryMegabytes is the memory limit of the process in MiB, 0 for none.
 	MemoryMegabytes int
 	Bounds          NodeBounds
+	Concurrency     NodeConcurrency
 	Log             Log
 }
 
@@ -73,6 +74,15 @@
 	RepeatWindow Duration
 }
 
+// NodeConcurrency are the settings of an entry process for the limits of the requests in flight at new, recovered and slow
+// upstreams.
+type NodeConcurrency struct {
+	// Enabled is false if upstreams always get all of their slots.
+	Enabled bool
+	// InitialShare is the share of its slots that a new or recovered upstream gets at first.
+	InitialShare float64
+}
+
 // DefaultNode returns the settings of a process on the platform for keys that the settings file does not set.
 func DefaultNode() Node {
 	return Node{
@@ -86,6 +96,7 @@
 			RepeatSlack:  20,
 			RepeatWindow: Duration(10 * time.Second),
 		},
+		Concurrency: NodeConcurrency{Enabled: true, InitialShare: 0.25},
 	}
 }
 
@@ -133,5 +144,7 @@
 	requirePositive(d, "Bounds.RepeatWindow", b.RepeatWindow)
 	d.require(b.RepeatRatio >= 0, "Bounds.RepeatRatio", "must be 0 or greater")
 	d.require(b.RepeatSlack >= 0, "Bounds.RepeatSlack", "must be 0 or greater")
+	share := n.Concurrency.InitialShare
+	d.require(share > 0 && share <= 1, "Concurrency.InitialShare", "must be above 0 and at most 1")
 	checkLog(d, &n.Log)
 }
--- a/internal/process/settings/node_test.go
+++ b/internal/process/settings/node_test.go
@@ -60,6 +60,9 @@
   Switch: 0s
   RepeatRatio: -1
   Unknown: 1
+Concurrency:
+  Enabled: sometimes
+  InitialShare: 1.5
 Log:
   Level: loud
 `
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -194,6 +194,9 @@
 	if success && !response.CloseDelimited {
 		x.handler.options.Quarantine.Completed(&x.keys)
 	}
+	if success {
+		c.ResponseCompleted()
+	}
 	x.writeResponse(buffered)
 	return nil
 }
--- /dev/null
+++ b/internal/route/forward/interval.go
@@ -0,0 +1,32 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/placement"
+)
+
+// meanOf is the number of intervals between events whose mean is compared with other upstreams. Single intervals vary with
+// the prompts that an engine reads in between.
+const meanOf = 8
+
+// intervalMeter measures the intervals between the events of a stream as the time for which events are waited for, so that
+// a caller that reads slowly does not make the upstream look slow.
+type intervalMeter struct {
+	// events is the number of events so far, waited the time for which the latest of them were waited for.
+	events int
+	waited time.Duration
+}
+
+// add counts an event that was waited for. The wait for the first event is not an interval.
+func (m *intervalMeter) add(c *placement.Choice, waited time.Duration) {
+	m.events++
+	if m.events == 1 {
+		return
+	}
+	m.waited += waited
+	if (m.events-1)%meanOf == 0 {
+		c.IntervalPassed(m.waited / meanOf)
+		m.waited = 0
+	}
+}
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -44,11 +44,14 @@
 func (x *exchange) relayStream(ctx context.Context, c *placement.Choice, response *channel.Response, timer *attemptTimer) error {
 	events := stream.NewReader(response)
 	forwarded := 0
+	var intervals intervalMeter
 	if x.relay != nil {
 		x.relay.resumed++
 	}
 	for {
+		waitedFrom := time.Now()
 		e, err := events.Next()
+		waited := time.Since(waitedFrom)
 		if err == io.EOF && forwarded > 0 {
 			c.Load.Succeeded()
 			if !response.CloseDelimited || forwarded > maxEventsBeforeCrash {
@@ -68,6 +71,10 @@
 		}
 		timer.stop()
 		c.ResponseStarted()
+		if !e.Comment {
+			c.ResponseArrived()
+			intervals.add(c, waited)
+		}
 		if err := x.writeEvent(e, response); err != nil {
 			x.upstreamFailed(c)
 			return err
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/route/concurrency"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
@@ -33,6 +34,8 @@
 	cold          tokenBucket
 	limited       tokenBucket
 	share         rateShare
+	// limiter is the limit of the requests in flight at the upstream.
+	limiter *concurrency.Limiter
 }
 
 // timedReport is a report with the time at which it was received.
@@ -41,22 +44,27 @@
 	at time.Time
 }
 
-func newLoad() *Load { return &Load{availability: availability{created: time.Now()}} }
+func newLoad(l *concurrency.Limiter) *Load {
+	return &Load{availability: availability{created: time.Now()}, limiter: l}
+}
 
 // Report stores an upstream's report and estimates the load of other processes from it. It returns false if r is not
 // newer than the last report of the same side process, as a copy that came over another process.
 func (l *Load) Report(r hub.SentReport) bool {
-	if last := l.report.Load(); last != nil && last.Epoch == r.Epoch && last.Number >= r.Number {
+	last := l.report.Load()
+	if last != nil && last.Epoch == r.Epoch && last.Number >= r.Number {
 		return false
 	}
 	l.others.Store(max(0, int64(r.Running+r.Waiting)-l.running.Load()))
 	l.othersWaiting.Store(max(0, int64(r.Waiting)-l.pendingRequests.Load()))
-	l.report.Store(&timedReport{SentReport: r, at: time.Now()})
+	next := &timedReport{SentReport: r, at: time.Now()}
+	l.report.Store(next)
 	l.reportedAt.Store(l.now())
 	if r.Leaving {
 		l.Leaves()
 	}
 	l.reportRateLimit(r.RateLimit)
+	l.reported(next, last)
 	return true
 }
 
@@ -89,14 +97,22 @@
 
 // prefillTime returns the estimated time that the upstream takes to process the prompts that wait there.
 func (l *Load) prefillTime(e *hub.EngineModel) time.Duration {
-	tokens := otherSendersFactor * float64(l.pendingTokens.Load())
 	pace := 1.0
 	if r := l.recentReport(); r != nil {
 		pace = max(pace, r.Pace)
+	}
+	return time.Duration(pace * l.waitingTokens(e, otherSendersFactor) / e.ReadPerSecond * float64(time.Second))
+}
+
+// waitingTokens returns the estimated number of prompt tokens that wait at the upstream. Those that this process has sent
+// are multiplied by factor.
+func (l *Load) waitingTokens(e *hub.EngineModel, factor float64) float64 {
+	tokens := factor * float64(l.pendingTokens.Load())
+	if r := l.recentReport(); r != nil {
 		others := float64(l.othersWaiting.Load()) * float64(e.UsualPrompt)
 		tokens += max(0, others-time.Since(r.at).Seconds()*e.ReadPerSecond)
 	}
-	return time.Duration(pace * tokens / e.ReadPerSecond * float64(time.Second))
+	return tokens
 }
 
 // reportsStopped reports whether the upstream's side process has sent reports and none within maxReportAge.
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -10,7 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/route/concurrency"
 	"github.com/oriolehub/oriolehub/internal/route/queue"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
@@ -59,6 +63,11 @@
 	Entries func() int
 	// RateShare returns this process's share, in requests per second, of the rate limit of an upstream.
 	RateShare func(upstream string, perSecond float64) float64
+	// Concurrency are the settings of the limits of the requests in flight at new, recovered and slow upstreams.
+	Concurrency concurrency.Settings
+	// Log and Metrics are nil if changes of these limits are not logged and counted.
+	Log     *log.Logger
+	Metrics *metrics.Set
 }
 
 // Placement chooses upstreams and estimates their load. It is safe for concurrent use, except Refresh.
@@ -67,6 +76,10 @@
 	loads   atomic.Pointer[map[directory.Key]*Load]
 	// engines holds the listed engines by address.
 	engines atomic.Pointer[map[netip.AddrPort]listedEngine]
+	monitor *concurrency.Monitor
+	// peers and listed are used by Refresh only. listed holds the time at which a service first had upstreams.
+	peers  map[peersKey]*concurrency.Peers
+	listed map[string]time.Time
 
 	mu     sync.Mutex
 	queues map[queueKey]*queue.Queue
@@ -131,11 +144,22 @@
 	// pendingTokens is the number of prompt tokens that the Load counts until the response starts.
 	pendingTokens int64
 	released      bool
+	// chosenAt is the time of the choice, explained the time that the prompts that wait at the upstream, with that of the
+	// request, take by the engine's model. arrived is true once the response has arrived.
+	chosenAt  time.Time
+	explained time.Duration
+	arrived   bool
 }
 
 // New returns a Placement without upstreams.
 func New(o Options) *Placement {
-	p := &Placement{options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{}}
+	p := &Placement{
+		options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{},
+		peers: map[peersKey]*concurrency.Peers{}, listed: map[string]time.Time{},
+	}
+	if o.Metrics != nil {
+		p.monitor = concurrency.NewMonitor(o.Log, o.Metrics, p.heldBack)
+	}
 	p.loads.Store(&map[directory.Key]*Load{})
 	p.engines.Store(&map[netip.AddrPort]listedEngine{})
 	return p
@@ -162,10 +186,7 @@
 	s := p.options.Directory.Current()
 	for name, service := range s.Services() {
 		for _, u := range service.Upstreams {
-			l := known[u.Key()]
-			if l == nil {
-				l = newLoad()
-			}
+			l := p.load(known, service, u)
 			next[u.Key()] = l
 			if address, err := netip.ParseAddrPort(u.Address); err == nil && service.Engine != nil {
 				engines[address] = listedEngine{service: name, born: u.Born, load: l}
@@ -173,6 +194,7 @@
 		}
 		defer p.wake(name)
 	}
+	p.setPeers(s, next)
 	keepUnlisted(next, known)
 	p.loads.Store(&next)
 	p.engines.Store(&engines)
@@ -223,14 +245,16 @@
 	}
 	running := l.total()
 	l.running.Add(1)
+	l.limiter.Started(running, search.now)
 	held := l.held(u)
 	c := Choice{
-		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: search.candidates, ReportAge: l.reportAge(), placement: p,
+		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: search.candidates, ReportAge: l.reportAge(), placement: p, chosenAt: search.now,
 	}
 	if service.Engine != nil {
 		c.pendingTokens = int64(cmp.Or(r.PromptTokens, service.Engine.UsualPrompt, 1))
 		l.pendingTokens.Add(c.pendingTokens)
 		l.pendingRequests.Add(1)
+		c.explained = l.modelTime(service.Engine)
 	}
 	return c, true
 }
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -25,6 +25,13 @@
 	// pauseLeft is the shortest time after which an upstream that has asked for a pause, or has got what its rate limit
 	// allows, may run the request, 0 if there is none.
 	pauseLeft time.Duration
+
+	// held is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
+	// in flight. others is the number of candidates that get all of their slots and have not failed recently.
+	held      *directory.Upstream
+	heldLoad  *Load
+	heldScore time.Duration
+	others    int
 }
 
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
@@ -39,7 +46,7 @@
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
 	for i := range service.Upstreams {
-		if i >= sampled && f.best != nil {
+		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyHeld()) {
 			break
 		}
 		u := service.Upstreams[(first+i)%len(service.Upstreams)]
@@ -52,17 +59,48 @@
 			continue
 		}
 		f.candidates++
+		f.countOther(l)
 		total := l.total()
 		if total >= p.limit(service, u) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		if score := p.score(service, u, l, total); f.best == nil || score < f.bestScore {
-			f.best, f.bestLoad, f.bestScore = u, l, score
-		}
+		f.add(u, l, p.score(service, u, l, total), total)
 	}
+	f.useHeld()
 	return f
 }
 
+// add adds a candidate with a free slot.
+func (f *search) add(u *directory.Upstream, l *Load, score time.Duration, total int) {
+	switch {
+	case !l.limiter.Room(total, f.now):
+		if f.held == nil || score < f.heldScore {
+			f.held, f.heldLoad, f.heldScore = u, l, score
+		}
+	case f.best == nil || score < f.bestScore:
+		f.best, f.bestLoad, f.bestScore = u, l, score
+	}
+}
+
+// countOther counts a candidate with load l that a request may wait for rather than exceed the limit of another.
+func (f *search) countOther(l *Load) {
+	if !l.limiter.Held() && !l.avoided() {
+		f.others++
+	}
+}
+
+// onlyHeld reports whether there is an upstream with a free slot, and all candidates have limits below their slots or have
+// failed recently.
+func (f *search) onlyHeld() bool { return f.held != nil && f.others == 0 }
+
+// useHeld chooses an upstream beyond its limit if only such ones or those that have failed recently can serve, so that
+// limits don't refuse requests when all upstreams start at once.
+func (f *search) useHeld() {
+	if f.onlyHeld() && (f.best == nil || f.bestScore >= avoidedCost && f.heldScore < f.bestScore) {
+		f.best, f.bestLoad, f.bestScore = f.held, f.heldLoad, f.heldScore
+	}
+}
+
 // addPaused counts an upstream that may run the request only after left.
 func (f *search) addPaused(left time.Duration) {
 	if f.pauseLeft == 0 || left < f.pauseLeft {
