--- a/internal/route/concurrency/limiter.go
+++ b/internal/route/concurrency/limiter.go
@@ -18,9 +18,11 @@
 	// latencySlack and intervalSlack are the excess over the expected time that is normal. Network delays vary by that much.
 	latencySlack  = 25 * time.Millisecond
 	intervalSlack = 10 * time.Millisecond
-	// troubleMemory is the time after a late response, a slow interval or a failure during which reports don't raise the
-	// limit: they may be false.
+	// troubleMemory is the time after a late response or a slow interval during which reports don't raise the limit, since
+	// they may be false. After failures it is failureMemory for each consecutive one, if that is less: a lost connection may
+	// not be the fault of the upstream.
 	troubleMemory = 2 * time.Second
+	failureMemory = 500 * time.Millisecond
 )
 
 // Limiter is the limit of the requests in flight at one instance of an upstream. The limit is compared with the estimated
@@ -48,9 +50,9 @@
 	paceAt time.Time
 	// failures is the number of consecutive failures.
 	failures int
-	// troubleAt is the time of the last late response or failure, slowIntervalAt that of the last slow interval, onTimeAt
-	// that of the last response that was on time.
-	troubleAt      time.Time
+	// troubleUntil is the end of the time in which reports don't raise the limit. slowIntervalAt is the time of the last slow
+	// interval, onTimeAt that of the last response that was on time.
+	troubleUntil   time.Time
 	slowIntervalAt time.Time
 	onTimeAt       time.Time
 	// changedAt is the time of the last change of the limit, heldSince the time since which held is true.
@@ -68,9 +70,12 @@
 		f.Store(-1)
 	}
 	if fresh {
+		now := time.Now()
+		p.update(now)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.restart(reasonListed, time.Now())
+		l.restart(reasonListed, now)
+		l.permits.grant(l.limitAt(now), int(p.entries.Load()), p.at(now))
 	}
 	return l
 }
@@ -84,13 +89,17 @@
 // Held reports whether the limit is below the slots.
 func (l *Limiter) Held() bool { return l.held.Load() && l.Limit() < int(l.slots.Load()) }
 
-// Room reports whether one more request may be sent to the upstream, where total is the estimated number in flight.
+// Room reports whether one more request may be sent to the upstream, where total is the estimated number in flight. If most
+// upstreams are below their slots, limits don't apply: there would be no room for what the limited ones don't get.
 func (l *Limiter) Room(total int, now time.Time) bool {
-	limit := l.limitAt(now)
+	limit, slots := l.limitAt(now), int(l.slots.Load())
+	if l.peers.mostHeld() {
+		limit = slots
+	}
 	if total >= limit {
 		return false
 	}
-	return limit >= int(l.slots.Load()) || l.permits.left(l.peers.at(now))
+	return limit >= slots || l.permits.left(l.peers.at(now))
 }
 
 // Started counts a request that is sent to the upstream, where total is the estimated number in flight before it.
@@ -113,7 +122,7 @@
 	defer l.mu.Unlock()
 	v := l.latency.observe(latency, explained, now)
 	if v == late || v == slow {
-		l.troubleAt = now
+		l.troubleUntil = now.Add(troubleMemory)
 	} else {
 		l.failures = 0
 	}
@@ -127,7 +136,7 @@
 	if v == slow {
 		l.shrink(target, reasonSlow, now)
 	}
-	if within(l.slowIntervalAt, troubleMemory, now) {
+	if !l.slowIntervalAt.IsZero() && now.Sub(l.slowIntervalAt) < troubleMemory {
 		target = min(target, l.share(l.interval.ratio))
 	}
 	// All entry processes see this round of responses and each of them only its part.
@@ -158,7 +167,7 @@
 	if l.interval.observe(mean, 0, now) != slow {
 		return
 	}
-	l.troubleAt, l.slowIntervalAt = now, now
+	l.troubleUntil, l.slowIntervalAt = now.Add(troubleMemory), now
 	l.shrink(l.share(l.interval.ratio), reasonSlow, now)
 }
 
@@ -171,7 +180,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures++
-	l.troubleAt = now
+	l.troubleUntil = now.Add(min(troubleMemory, time.Duration(l.failures)*failureMemory))
 	limit := max(l.floor(), l.current()/2)
 	if l.failures >= failuresToRestart {
 		limit = min(limit, l.initial())
@@ -261,7 +270,4 @@
 }
 
 // inTrouble reports whether a response was late or an attempt failed a short time ago.
-func (l *Limiter) inTrouble(now time.Time) bool { return within(l.troubleAt, troubleMemory, now) }
-
-// within reports whether t is set and at most d before now.
-func within(t time.Time, d time.Duration, now time.Time) bool { return !t.IsZero() && now.Sub(t) <= d }
+func (l *Limiter) inTrouble(now time.Time) bool { return now.Before(l.troubleUntil) }
--- a/internal/route/concurrency/peers.go
+++ b/internal/route/concurrency/peers.go
@@ -10,6 +10,9 @@
 // updateInterval is the interval at which the references are computed again from the times of all peers.
 const updateInterval = 250 * time.Millisecond
 
+// minPeers is the number of upstreams from which on the majority tells whether single ones are slow.
+const minPeers = 3
+
 // Peers are the upstreams of one service in one region. Those of other regions are further away, so that their times do
 // not compare. It is safe for concurrent use.
 type Peers struct {
@@ -19,7 +22,9 @@
 	countEntries func() int
 	entries      atomic.Int64
 	members      atomic.Pointer[[]*Limiter]
-	created      time.Time
+	// held is the number of members below their slots at the last update.
+	held    atomic.Int64
+	created time.Time
 	// updateAt is the time of the next update, in nanoseconds since created.
 	updateAt atomic.Int64
 	// mu is held during an update; ranked is its buffer.
@@ -42,7 +47,28 @@
 }
 
 // SetMembers replaces the members.
-func (p *Peers) SetMembers(members []*Limiter) { p.members.Store(&members) }
+func (p *Peers) SetMembers(members []*Limiter) {
+	p.members.Store(&members)
+	p.countHeld()
+}
+
+// countHeld counts the members below their slots.
+func (p *Peers) countHeld() {
+	held := int64(0)
+	for _, l := range *p.members.Load() {
+		if l.Held() {
+			held++
+		}
+	}
+	p.held.Store(held)
+}
+
+// mostHeld reports whether more than half of the members are below their slots, in which case the cause is the whole service
+// or this process. Of less than minPeers members that is not said.
+func (p *Peers) mostHeld() bool {
+	members := len(*p.members.Load())
+	return members >= minPeers && 2*p.held.Load() > int64(members)
+}
 
 // update computes the references of all members again if updateInterval has passed.
 func (p *Peers) update(now time.Time) {
@@ -54,6 +80,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.entries.Store(int64(max(1, p.countEntries())))
+	p.countHeld()
 	p.updateReference(func(l *Limiter) (float64, bool) { return l.latencyLevel(now) }, func(l *Limiter, v float64) { l.latency.reference.Store(v) })
 	p.updateReference(func(l *Limiter) (float64, bool) { return l.intervalLevel(now) }, func(l *Limiter, v float64) { l.interval.reference.Store(v) })
 	p.updateReference(func(l *Limiter) (float64, bool) { return l.reportedPace(now) }, func(l *Limiter, v float64) { l.paceReference.Store(v) })
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/route/allowance"
 	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/route/concurrency"
 	"github.com/oriolehub/oriolehub/internal/route/forward"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/route/quarantine"
@@ -167,7 +168,8 @@
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 },
-		RateShare: func(_ string, limit float64) float64 { return limit },
+		RateShare:   func(_ string, limit float64) float64 { return limit },
+		Concurrency: concurrency.Settings{Enabled: true, InitialShare: 0.25},
 	})
 	set := metrics.NewSet()
 	f.quarantine = quarantine.New(quarantine.Options{Log: log, Metrics: set})
--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/process/journal"
+	"github.com/oriolehub/oriolehub/internal/route/concurrency"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
 	"github.com/oriolehub/oriolehub/internal/state/catalog"
@@ -43,7 +44,8 @@
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return f.entries },
-		RateShare: func(_ string, limit float64) float64 { return limit / float64(f.entries) },
+		RateShare:   func(_ string, limit float64) float64 { return limit / float64(f.entries) },
+		Concurrency: concurrency.Settings{Enabled: true, InitialShare: 0.25},
 	})
 	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.PublishConfiguration(hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", ColdPerSecond: 10, Engine: engine}}})
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -27,11 +27,11 @@
 	pauseLeft time.Duration
 
 	// held is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
-	// in flight. others is the number of candidates that get all of their slots and have not failed recently.
+	// in flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
 	held      *directory.Upstream
 	heldLoad  *Load
 	heldScore time.Duration
-	others    int
+	hasOthers bool
 }
 
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
@@ -59,7 +59,7 @@
 			continue
 		}
 		f.candidates++
-		f.countOther(l)
+		f.hasOthers = f.hasOthers || !l.limiter.Held() && !l.avoided()
 		total := l.total()
 		if total >= p.limit(service, u) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
@@ -82,21 +82,15 @@
 	}
 }
 
-// countOther counts a candidate with load l that a request may wait for rather than exceed the limit of another.
-func (f *search) countOther(l *Load) {
-	if !l.limiter.Held() && !l.avoided() {
-		f.others++
-	}
-}
-
 // onlyHeld reports whether there is an upstream with a free slot, and all candidates have limits below their slots or have
 // failed recently.
-func (f *search) onlyHeld() bool { return f.held != nil && f.others == 0 }
+func (f *search) onlyHeld() bool { return f.held != nil && !f.hasOthers }
 
-// useHeld chooses an upstream beyond its limit if only such ones or those that have failed recently can serve, so that
-// limits don't refuse requests when all upstreams start at once.
+// useHeld chooses an upstream beyond its limit if otherwise only ones that have failed recently can serve, so that limits
+// don't refuse requests when all upstreams start at once.
 func (f *search) useHeld() {
-	if f.onlyHeld() && (f.best == nil || f.bestScore >= avoidedCost && f.heldScore < f.bestScore) {
+	bestFails := f.best != nil && f.bestScore >= avoidedCost
+	if f.best == nil && f.onlyHeld() || bestFails && f.held != nil && f.heldScore < f.bestScore {
 		f.best, f.bestLoad, f.bestScore = f.held, f.heldLoad, f.heldScore
 	}
 }
