--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -27,6 +27,13 @@
 	// pauseLeft is the shortest time after which an upstream that has asked for a pause, or has got what its rate limit
 	// allows, may run the request, 0 if there is none.
 	pauseLeft time.Duration
+
+	// held is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
+	// in flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
+	held      *directory.Upstream
+	heldLoad  *Load
+	heldScore time.Duration
+	hasOthers bool
 }
 
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
@@ -41,7 +48,7 @@
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
 	for i := range service.Upstreams {
-		if i >= sampled && f.best != nil {
+		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyHeld()) {
 			break
 		}
 		u := service.Upstreams[(first+i)%len(service.Upstreams)]
@@ -54,6 +61,7 @@
 			continue
 		}
 		f.candidates++
+		f.hasOthers = f.hasOthers || !l.limiter.Held() && !l.avoided()
 		if p.connectionsUsed(service, u, l) {
 			continue
 		}
@@ -61,13 +69,37 @@
 		if !l.hasSlot(f.turn, p.limit(service, u), total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		if score := p.score(service, u, l, total); f.best == nil || score < f.bestScore {
-			f.best, f.bestLoad, f.bestScore = u, l, score
-		}
+		f.add(u, l, p.score(service, u, l, total), total)
 	}
+	f.useHeld()
 	return f
 }
 
+// add adds a candidate with a free slot.
+func (f *search) add(u *directory.Upstream, l *Load, score time.Duration, total int) {
+	switch {
+	case !l.limiter.Room(total, f.now):
+		if f.held == nil || score < f.heldScore {
+			f.held, f.heldLoad, f.heldScore = u, l, score
+		}
+	case f.best == nil || score < f.bestScore:
+		f.best, f.bestLoad, f.bestScore = u, l, score
+	}
+}
+
+// onlyHeld reports whether there is an upstream with a free slot, and all candidates have limits below their slots or have
+// failed recently.
+func (f *search) onlyHeld() bool { return f.held != nil && !f.hasOthers }
+
+// useHeld chooses an upstream beyond its limit if otherwise only ones that have failed recently can serve, so that limits
+// don't refuse requests when all upstreams start at once.
+func (f *search) useHeld() {
+	bestFails := f.best != nil && f.bestScore >= avoidedCost
+	if f.best == nil && f.onlyHeld() || bestFails && f.held != nil && f.heldScore < f.bestScore {
+		f.best, f.bestLoad, f.bestScore = f.held, f.heldLoad, f.heldScore
+	}
+}
+
 // addPaused counts an upstream that may run the request only after left.
 func (f *search) addPaused(left time.Duration) {
 	if f.pauseLeft == 0 || left < f.pauseLeft {
