--- a/internal/route/forward/interval.go
+++ b/internal/route/forward/interval.go
@@ -1,10 +1,6 @@
 package forward
 
-import (
-	"time"
-
-	"github.com/oriolehub/oriolehub/internal/route/placement"
-)
+import "time"
 
 // meanOf is the number of intervals between events whose mean is compared with other upstreams. Single intervals vary with
 // the prompts that an engine reads in between.
@@ -18,15 +14,17 @@
 	waited time.Duration
 }
 
-// add counts an event that was waited for. The wait for the first event is not an interval.
-func (m *intervalMeter) add(c *placement.Choice, waited time.Duration) {
+// add counts an event that was waited for. After each meanOf intervals it returns their mean. The wait for the first event
+// is not an interval.
+func (m *intervalMeter) add(waited time.Duration) (mean time.Duration, complete bool) {
 	m.events++
 	if m.events == 1 {
-		return
+		return 0, false
 	}
 	m.waited += waited
-	if (m.events-1)%meanOf == 0 {
-		c.IntervalPassed(m.waited / meanOf)
-		m.waited = 0
+	if (m.events-1)%meanOf != 0 {
+		return 0, false
 	}
+	mean, m.waited = m.waited/meanOf, 0
+	return mean, true
 }
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -73,7 +73,9 @@
 		c.ResponseStarted()
 		if !e.Comment {
 			c.ResponseArrived()
-			intervals.add(c, waited)
+			if mean, ok := intervals.add(waited); ok {
+				c.IntervalPassed(mean)
+			}
 		}
 		if err := x.writeEvent(e, response); err != nil {
 			x.upstreamFailed(c)
