--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -33,6 +33,9 @@
 	Limits   RequestLimits
 }
 
+// OlderThan reports whether the desired state is older than other, in place of which it must not be adopted.
+func (c *Configuration) OlderThan(other *Configuration) bool { return c.Version < other.Version }
+
 // Route maps the requests that match a host and a path prefix to services.
 type Route struct {
 	Name       string
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -169,7 +169,7 @@
 		d.options.Log.Error().Uint64("Revision", doc.Revision).Uint64("InForce", next.Revision).Err(err).Msg("cannot decode desired state, keeping the previous one")
 		return
 	}
-	if next.Configuration != nil && c.Version < next.Configuration.Version {
+	if next.Configuration != nil && c.OlderThan(next.Configuration) {
 		d.rejected[doc.Name] = doc.Revision
 		d.options.Log.Warn().Uint64("Revision", doc.Revision).Uint64("Version", c.Version).Uint64("InForce", next.Configuration.Version).Msg("store holds an older desired state than the one in force, keeping that")
 		return
