cli: config check, the check of a desired state before it is sent

Exit codes as in design 0008: 0 without findings, 1 with findings, 2 if the check cannot run. Before, the program exits with 2 and 'unknown command "config check"'.

--- a/cmd/oriolehub/cmds/cmds.go
+++ b/cmd/oriolehub/cmds/cmds.go
@@ -43,6 +43,7 @@
 			queries.RolloutWatch(),
 			queries.Status(),
 			queries.Explain(),
+			queries.ConfigCheck(),
 			queries.SettingsCheck(),
 			queries.SettingsShow(),
 			version(),
--- a/internal/cli/table/types.go
+++ b/internal/cli/table/types.go
@@ -30,8 +30,8 @@
 	Meaning string
 }{
 	{ExitOK, "done"},
-	{ExitFailed, "the command failed"},
-	{ExitUsage, "invalid command line, e.g. an unknown command or flag or a missing argument"},
+	{ExitFailed, "the command failed, or config check has findings"},
+	{ExitUsage, "invalid command line, e.g. an unknown command or flag or a missing argument, or config check cannot run"},
 	{ExitInvalid, "a rules or settings file is invalid; nothing was changed"},
 	{ExitConflict, "the rules have been changed since the base revision; nothing was changed"},
 	{ExitUnknown, "it is unknown whether the change took effect; the command can be repeated"},
