wire/listener: limits on connections and on the memory held for them

A new package for the listeners that callers outside our control reach: a listener that closes the connection with the least recent progress when its limit is reached, a byte budget shared by all connections, and the charge for request headers while they are read. Nothing uses it yet.

--- /dev/null
+++ b/internal/wire/listener/conn.go
@@ -0,0 +1,269 @@
+package listener
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// writeChunk is the number of bytes after which a write counts as progress.
+	writeChunk = 16 << 10
+	// bodyProgress is the number of bytes after which the receipt of a body counts as progress. A caller that sends single
+	// bytes makes none.
+	bodyProgress = 4 << 10
+)
+
+// The phases of a connection. One that no http.Server serves stays in phaseNew.
+const (
+	// phaseNew: no request has been received.
+	phaseNew int32 = iota
+	// phaseHeader: a part of a request header has been received.
+	phaseHeader
+	// phaseActive: a request is in progress.
+	phaseActive
+	// phaseIdle: the last request has ended.
+	phaseIdle
+)
+
+// Conn is a connection of a Listener.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	address  string
+
+	current atomic.Int32
+	// progressAt is the time of the last progress, writingAt that at which the write in progress began or last progressed, 0
+	// if there is none.
+	progressAt atomic.Int64
+	writingAt  atomic.Int64
+	// receiving is true while the body of a request is read, unmarked counts its bytes since the last progress.
+	receiving atomic.Bool
+	unmarked  atomic.Int64
+	kept      atomic.Bool
+	// held is the number of bytes of bodies that are held for the connection, charged that for its request header.
+	held    atomic.Int64
+	charged atomic.Int64
+	header  headerReader
+	// writeDeadline is the deadline that the user of the connection has set, in Unix nanoseconds, 0 for none.
+	writeDeadline atomic.Int64
+	closed        atomic.Bool
+}
+
+func newConn(l *Listener, inner net.Conn) *Conn {
+	c := &Conn{Conn: inner, listener: l}
+	if host, _, err := net.SplitHostPort(inner.RemoteAddr().String()); err == nil {
+		c.address = host
+	}
+	c.progress()
+	return c
+}
+
+// Keep exempts the connection from being closed in favour of others, because its peer is known.
+func (c *Conn) Keep() { c.kept.Store(true) }
+
+// Close closes the connection. What is held for it is released by those who acquired it.
+func (c *Conn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.listener.mu.Lock()
+		c.listener.remove(c)
+		c.listener.mu.Unlock()
+	}
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending direction, which http.Server does before it closes a connection with unread data. It does
+// nothing if the connection cannot be closed by half.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Read implements net.Conn. It fails with ErrNoMemory if there is no memory for the request header that is read.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.listener.options.HTTP && c.phase() != phaseActive {
+		return c.readHeader(p)
+	}
+	n, err := c.header.readRest(p)
+	if n == 0 {
+		n, err = c.Conn.Read(p)
+	}
+	c.received(p[:n])
+	return n, err
+}
+
+// received records the receipt of data that are not part of a request header.
+func (c *Conn) received(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	if !c.listener.options.HTTP {
+		c.progress()
+		return
+	}
+	c.header.remember(data)
+	if c.receiving.Load() && c.unmarked.Add(int64(len(data))) >= bodyProgress {
+		c.unmarked.Store(0)
+		c.progress()
+	}
+}
+
+// Write implements net.Conn. It fails with a timeout if the peer does not accept a part of the data in time.
+func (c *Conn) Write(p []byte) (int, error) {
+	written := 0
+	c.writingAt.Store(int64(c.listener.now()) + 1)
+	defer c.writingAt.Store(0)
+	for {
+		part := p[written:min(len(p), written+writeChunk)]
+		if err := c.limitWrite(); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			if n > 0 && !c.listener.options.HTTP {
+				c.progress()
+			}
+			c.countTimeout(err)
+			return written, err
+		}
+		c.writingAt.Store(int64(c.listener.now()) + 1)
+	}
+}
+
+// limitWrite sets the deadline for the next part of a write.
+func (c *Conn) limitWrite() error {
+	timeout := c.listener.options.WriteTimeout
+	if timeout == 0 {
+		return nil
+	}
+	deadline := time.Now().Add(timeout)
+	if set := c.writeDeadline.Load(); set != 0 && set < deadline.UnixNano() {
+		deadline = time.Unix(0, set)
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// countTimeout counts a write that failed because the peer did not read.
+func (c *Conn) countTimeout(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.writeDeadline.Load() == 0 {
+		c.listener.count(reasonUnread)
+		setReset(c.Conn)
+	}
+}
+
+// SetWriteDeadline implements net.Conn. The write timeout of the listener applies as well.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.storeWriteDeadline(t)
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.storeWriteDeadline(t)
+	return c.Conn.SetDeadline(t)
+}
+
+func (c *Conn) storeWriteDeadline(t time.Time) {
+	if t.IsZero() {
+		c.writeDeadline.Store(0)
+		return
+	}
+	c.writeDeadline.Store(t.UnixNano())
+}
+
+func (c *Conn) progress() { c.progressAt.Store(int64(c.listener.now())) }
+
+func (c *Conn) phase() int32 { return c.current.Load() }
+
+// setState follows the state that an http.Server reports: it becomes active once a request header is complete and idle once
+// the response has been sent.
+func (c *Conn) setState(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		c.current.Store(phaseActive)
+	case http.StateIdle:
+		c.endRequest()
+		c.progress()
+		c.current.Store(phaseIdle)
+	case http.StateClosed, http.StateHijacked:
+		c.releaseHeader()
+		c.current.Store(phaseActive)
+	}
+}
+
+// standing is the place of a connection in the order in which connections are closed in favour of others.
+type standing struct {
+	rank       int
+	progressAt int64
+}
+
+// The ranks of connections: a request that is stalled, no request so far, and no request after one was served.
+const (
+	rankStalled = iota
+	rankUnused
+	rankIdle
+)
+
+func (s standing) before(other standing) bool {
+	if s.rank != other.rank {
+		return s.rank < other.rank
+	}
+	return s.progressAt < other.progressAt
+}
+
+// standing returns the place of c, or false if c must not be closed.
+func (c *Conn) standing(now time.Duration) (standing, bool) {
+	at, grace, rank := c.progressAt.Load(), newcomerGrace, rankUnused
+	switch c.phase() {
+	case phaseHeader:
+		rank = rankStalled
+	case phaseIdle:
+		rank = rankIdle
+	case phaseActive:
+		rank, grace = rankStalled, stallTime
+		if !c.receiving.Load() {
+			at = c.writingAt.Load()
+			if at == 0 {
+				return standing{}, false
+			}
+		}
+	}
+	if c.kept.Load() || int64(now)-at < int64(grace) {
+		return standing{}, false
+	}
+	return standing{rank: rank, progressAt: at}, true
+}
+
+// setBuffers bounds the memory that the kernel holds for the connection.
+func (c *Conn) setBuffers() {
+	size := c.listener.options.SocketBuffer
+	s, ok := c.Conn.(interface {
+		SetReadBuffer(bytes int) error
+		SetWriteBuffer(bytes int) error
+	})
+	if size == 0 || !ok {
+		return
+	}
+	// An error means that the connection has ended, which the next read or write reports.
+	_ = s.SetReadBuffer(size)
+	_ = s.SetWriteBuffer(size)
+}
+
+// setReset makes the next Close reset the connection, so that the kernel keeps nothing for a peer that reads nothing.
+func setReset(c net.Conn) {
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+}
+
+func closeAtOnce(c net.Conn) {
+	setReset(c)
+	_ = c.Close()
+}
+
--- /dev/null
+++ b/internal/wire/listener/header.go
@@ -0,0 +1,149 @@
+package listener
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// fieldCost is the memory in bytes that is charged for each line of a request header beside its length: the entry in the
+	// map of fields, the value slice, and a copy of both that is sent to an upstream.
+	fieldCost = 256
+	// readerBytes is the size of the read buffer of http.Server. Up to as many bytes of the next request may have been read
+	// with the end of a request.
+	readerBytes = 4 << 10
+	// headerMemoryTimeout is the time for which the reading of a request header waits for memory.
+	headerMemoryTimeout = 500 * time.Millisecond
+	// refusalTimeout is the time limit for sending refusal.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+// refusal is the response to a request whose header does not fit into the memory. Nothing has been sent to an upstream.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// ErrNoMemory means that there is no memory for a request header.
+var ErrNoMemory = errors.New("no memory for the request header")
+
+// headerReader charges for a request header while it is read. Only the goroutine that serves the connection uses it.
+type headerReader struct {
+	// rest is what was received after the end of a header. It is held back, because it may begin the next header.
+	rest []byte
+	// blank is true if the bytes so far end with an end of line, which another one makes the end of the header.
+	blank bool
+	// tail is the cost of the bytes that http.Server may have read beyond the end of the last body.
+	tail int64
+}
+
+// readRest returns bytes that were held back.
+func (h *headerReader) readRest(p []byte) (int, error) {
+	n := copy(p, h.rest)
+	h.rest = h.rest[n:]
+	if len(h.rest) == 0 {
+		h.rest = nil
+	}
+	return n, nil
+}
+
+// remember notes what may have been read beyond the end of a body.
+func (h *headerReader) remember(data []byte) {
+	// A single byte is read while a request is in progress to notice that the caller has left.
+	if len(data) > 1 {
+		h.tail = cost(data[max(0, len(data)-readerBytes):])
+	}
+}
+
+// end returns the length of the part of data up to the end of the header, or of all of data.
+func (h *headerReader) end(data []byte) int {
+	for i, b := range data {
+		switch {
+		case b == '\n' && h.blank:
+			h.blank = false
+			return i + 1
+		case b == '\n':
+			h.blank = true
+		case b != '\r':
+			h.blank = false
+		}
+	}
+	return len(data)
+}
+
+// cost returns the memory that is charged for bytes of a header.
+func cost(data []byte) int64 {
+	return int64(len(data) + fieldCost*bytes.Count(data, []byte{'\n'}))
+}
+
+// readHeader reads a part of a request header, up to its end, and charges for it.
+func (c *Conn) readHeader(p []byte) (int, error) {
+	h := &c.header
+	n, err := h.readRest(p)
+	if n == 0 {
+		n, err = c.Conn.Read(p)
+	}
+	if n == 0 {
+		return 0, err
+	}
+	if c.phase() != phaseHeader {
+		c.progress()
+		c.current.Store(phaseHeader)
+	}
+	if end := h.end(p[:n]); end < n {
+		h.rest = append(bytes.Clone(p[end:n]), h.rest...)
+		n = end
+	}
+	if !c.charge(cost(p[:n])) {
+		c.refuse()
+		return 0, ErrNoMemory
+	}
+	return n, err
+}
+
+// charge acquires n bytes for the request header. If they are not free, connections with incomplete headers are closed.
+func (c *Conn) charge(n int64) bool {
+	b := c.listener.options.Headers
+	if b == nil {
+		return true
+	}
+	reclaim := func() {
+		c.listener.reclaim(func(other *Conn) bool {
+			return other != c && other.phase() != phaseActive && other.charged.Load() > 0
+		})
+	}
+	if !b.acquire(context.Background(), n, headerMemoryTimeout, reclaim) {
+		return false
+	}
+	c.charged.Add(n)
+	return true
+}
+
+// refuse responds that the request has not run.
+func (c *Conn) refuse() {
+	c.listener.count(reasonHeader)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Conn.Write([]byte(refusal))
+	_ = c.Close()
+}
+
+// endRequest releases the memory for the header of a request that has ended. What may have been read of the next header stays
+// charged until the end of the next request. If there is no memory for that, the connection is closed.
+func (c *Conn) endRequest() {
+	c.releaseHeader()
+	tail := c.header.tail
+	c.header.tail, c.header.blank = 0, false
+	if b := c.listener.options.Headers; b == nil || tail == 0 {
+		return
+	} else if !b.TryAcquire(tail) {
+		c.listener.count(reasonHeader)
+		_ = c.Close()
+		return
+	}
+	c.charged.Add(tail)
+}
+
+func (c *Conn) releaseHeader() {
+	if b := c.listener.options.Headers; b != nil {
+		b.Release(c.charged.Swap(0))
+	}
+}
--- /dev/null
+++ b/internal/wire/listener/header_test.go
@@ -0,0 +1,113 @@
+package listener_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
+)
+
+// largestHeader returns a request header of the maximum length that callers may send, 16,384 bytes, with about 4,000 fields,
+// followed by the part of a body.
+func largestHeader(body string) string {
+	begin := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + fmt.Sprint(len(body)) + "\r\n"
+	return begin + strings.Repeat("a:\r\n", (16<<10-len(begin)-2)/4) + "\r\n" + body
+}
+
+func withHeaderBudget(t *testing.T, size int64, handler http.HandlerFunc) (*pipeListener, *listener.Budget) {
+	t.Helper()
+	b, err := listener.NewBudget("headers", size, nil)
+	assert.NilError(t, err)
+	inner, _ := serve(t, listener.Options{MaxConnections: 20, Headers: b}, handler)
+	return inner, b
+}
+
+// Guards against valid requests that are refused, and against memory that stays charged after the request.
+func TestLargestHeaderIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, b := withHeaderBudget(t, 2<<20, ok)
+		c := inner.dial("::1")
+		for range 3 {
+			send(t, c, largestHeader(""))
+			assert.Equal(t, status(t, c), http.StatusOK)
+			synctest.Wait()
+			assert.Equal(t, b.Used(), int64(0))
+		}
+		send(t, c, largestHeader("body"))
+		assert.Equal(t, status(t, c), http.StatusOK)
+		synctest.Wait()
+		assert.Assert(t, b.Used() < 1<<10, "%d bytes", b.Used())
+		assert.NilError(t, c.Close())
+		synctest.Wait()
+		assert.Equal(t, b.Used(), int64(0))
+	})
+}
+
+// Guards against incomplete headers of many short fields that exceed the memory, and against those that stay incomplete
+// keeping out other callers.
+func TestIncompleteHeadersStayWithinTheMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, b := withHeaderBudget(t, 2<<20, ok)
+		var crowd []net.Conn
+		for range 10 {
+			c := inner.dial("::1")
+			crowd = append(crowd, c)
+			go func() { _, _ = c.Write([]byte(strings.TrimSuffix(largestHeader(""), "\r\n"))) }()
+			synctest.Wait()
+			assert.Assert(t, b.Used() <= b.Size())
+		}
+		time.Sleep(grace)
+		c := inner.dial("::1")
+		send(t, c, largestHeader(""))
+		assert.Equal(t, status(t, c), http.StatusOK)
+		open := 0
+		for _, c := range crowd {
+			if isOpen(t, c) {
+				open++
+			}
+			assert.NilError(t, c.Close())
+		}
+		assert.Assert(t, open < 2, "%d open", open)
+		synctest.Wait()
+		assert.Equal(t, b.Used(), int64(0))
+	})
+}
+
+// Guards against a refusal of a header that is not answered: the caller would not know that its request has not run.
+func TestHeaderWithoutMemoryIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, _ := withHeaderBudget(t, 600, ok)
+		c := inner.dial("::1")
+		go func() { _, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n\r\n")) }()
+		assert.Equal(t, status(t, c), http.StatusServiceUnavailable)
+	})
+}
+
+// Guards against pipelined requests whose headers are read with an earlier request and not charged for.
+func TestPipelinedHeadersAreCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seen, proceed := make(chan int64), make(chan struct{})
+		var b *listener.Budget
+		inner, b := withHeaderBudget(t, 4<<20, func(http.ResponseWriter, *http.Request) {
+			seen <- b.Used()
+			<-proceed
+		})
+		c := inner.dial("::1")
+		const fields = 500
+		one := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", fields) + "\r\n"
+		go func() { _, _ = c.Write([]byte(one + one + one)) }()
+		for range 3 {
+			assert.Assert(t, <-seen >= fields*256)
+			go func() { assert.Check(t, status(t, c) == http.StatusOK) }()
+			proceed <- struct{}{}
+			synctest.Wait()
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/listener/hold.go
@@ -0,0 +1,60 @@
+package listener
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+type contextKey struct{}
+
+// ConnContext is the hook of http.Server that makes the connection known to FromContext.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := c.(*Conn); ok {
+		return context.WithValue(ctx, contextKey{}, conn)
+	}
+	return ctx
+}
+
+// FromContext returns the connection of a request, nil if it is not one of a Listener. The methods Acquire, Release and
+// Receive may be called on nil.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
+
+// Receive marks the begin of the receipt of a body and returns a function that marks its end. A connection whose peer stops
+// sending meanwhile may be closed in favour of others.
+func (c *Conn) Receive() (end func()) {
+	if c == nil {
+		return func() {}
+	}
+	c.unmarked.Store(0)
+	c.progress()
+	c.receiving.Store(true)
+	return func() { c.receiving.Store(false) }
+}
+
+// Acquire acquires n bytes of b that are held for the connection. If they are not free, it waits for up to wait and closes
+// stalled connections that hold memory.
+func (c *Conn) Acquire(ctx context.Context, b *Budget, n int64, wait time.Duration) bool {
+	if c == nil {
+		return b.acquire(ctx, n, wait, nil)
+	}
+	reclaim := func() {
+		c.listener.reclaim(func(other *Conn) bool { return other != c && other.held.Load() > 0 })
+	}
+	if !b.acquire(ctx, n, wait, reclaim) {
+		return false
+	}
+	c.held.Add(n)
+	return true
+}
+
+// Release returns n bytes of b that Acquire has acquired.
+func (c *Conn) Release(b *Budget, n int64) {
+	b.Release(n)
+	if c != nil {
+		c.held.Add(-n)
+	}
+}
--- /dev/null
+++ b/internal/wire/listener/listener.go
@@ -0,0 +1,195 @@
+package listener
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+)
+
+const (
+	// newcomerGrace is the time after its last progress during which a connection that awaits or sends a request header is
+	// not closed in favour of others. Otherwise a crowd that connects all the time would displace callers whose request is on
+	// its way.
+	newcomerGrace = 250 * time.Millisecond
+	// stallTime is the time without progress after which a request in progress counts as stalled.
+	stallTime = 2 * time.Second
+)
+
+// ErrOptions means that the options of a listener are contradictory or set no limit.
+var ErrOptions = errors.New("invalid limits of a listener")
+
+// Options are the limits of a Listener.
+type Options struct {
+	// Name labels the metrics and log lines.
+	Name string
+	// MaxConnections is the number of open connections. It must be positive.
+	MaxConnections int
+	// MaxPerAddress is the number of open connections from one IP address, 0 for no such limit. It must not be set where a
+	// load balancer hides the addresses of callers.
+	MaxPerAddress int
+	// HTTP means that an http.Server serves the connections and that its ConnState and ConnContext hooks are those of the
+	// listener.
+	HTTP bool
+	// Headers is the memory for request headers, nil for no limit. It requires HTTP.
+	Headers *Budget
+	// WriteTimeout is the time within which a peer must accept a part of writeChunk bytes, 0 for no limit.
+	WriteTimeout time.Duration
+	// SocketBuffer is the size in bytes of the receive and send buffers that the kernel holds for a connection, 0 for the
+	// system's default.
+	SocketBuffer int
+	// Metrics and Log may be nil.
+	Metrics *metrics.Set
+	Log     *log.Logger
+}
+
+// Listener is a net.Listener that limits its open connections. At the limit, a new connection takes the place of the one
+// without progress for the longest time. A connection with a request in progress that advances is never closed for another.
+type Listener struct {
+	net.Listener
+	options Options
+	epoch   time.Time
+	counts  counts
+
+	mu          sync.Mutex
+	connections map[*Conn]struct{}
+	perAddress  map[string]int
+}
+
+// New returns a listener that accepts the connections of inner, or ErrOptions.
+func New(inner net.Listener, o Options) (*Listener, error) {
+	switch {
+	case o.MaxConnections <= 0:
+		return nil, fmt.Errorf("%w: %s: MaxConnections is %d", ErrOptions, o.Name, o.MaxConnections)
+	case o.MaxPerAddress < 0 || o.WriteTimeout < 0 || o.SocketBuffer < 0:
+		return nil, fmt.Errorf("%w: %s: negative limit", ErrOptions, o.Name)
+	case o.Headers != nil && !o.HTTP:
+		return nil, fmt.Errorf("%w: %s: Headers without HTTP", ErrOptions, o.Name)
+	}
+	l := &Listener{
+		Listener: inner, options: o, epoch: time.Now(),
+		connections: map[*Conn]struct{}{}, perAddress: map[string]int{},
+	}
+	l.counts.register(l)
+	return l, nil
+}
+
+// Accept returns the next connection. It closes connections that exceed a limit and cannot replace another one.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConn(l, inner)
+		if l.admit(c) {
+			c.setBuffers()
+			return c, nil
+		}
+		l.count(reasonRefused)
+		closeAtOnce(inner)
+	}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.connections)
+}
+
+// admit adds c if there is room or another connection can be closed.
+func (l *Listener) admit(c *Conn) bool {
+	l.mu.Lock()
+	var victim *Conn
+	limit := l.options.MaxPerAddress
+	switch {
+	case limit > 0 && l.perAddress[c.address] >= limit:
+		victim = l.leastRecent(func(other *Conn) bool { return other.address == c.address })
+	case len(l.connections) >= l.options.MaxConnections:
+		victim = l.leastRecent(nil)
+	default:
+		l.add(c)
+		l.mu.Unlock()
+		return true
+	}
+	if victim == nil {
+		l.mu.Unlock()
+		return false
+	}
+	l.remove(victim)
+	l.add(c)
+	l.mu.Unlock()
+	l.closeFor(victim, reasonLimit)
+	return true
+}
+
+// leastRecent returns the connection among those that pick selects that is closed first, nil if none may be closed.
+// The caller holds l.mu. The search takes time proportional to the connections, but runs only at a limit.
+func (l *Listener) leastRecent(pick func(*Conn) bool) *Conn {
+	var out *Conn
+	var first standing
+	now := l.now()
+	for c := range l.connections {
+		if pick != nil && !pick(c) {
+			continue
+		}
+		if s, ok := c.standing(now); ok && (out == nil || s.before(first)) {
+			out, first = c, s
+		}
+	}
+	return out
+}
+
+// reclaim closes the connection among those that pick selects that is closed first, if there is one.
+func (l *Listener) reclaim(pick func(*Conn) bool) {
+	l.mu.Lock()
+	victim := l.leastRecent(pick)
+	if victim != nil {
+		l.remove(victim)
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		l.closeFor(victim, reasonMemory)
+	}
+}
+
+// closeFor closes a connection that had to yield.
+func (l *Listener) closeFor(c *Conn, reason string) {
+	l.count(reason)
+	if c.phase() != phaseIdle {
+		setReset(c.Conn)
+	}
+	_ = c.Close()
+}
+
+// add and remove register connections. The caller holds l.mu.
+func (l *Listener) add(c *Conn) {
+	l.connections[c] = struct{}{}
+	l.perAddress[c.address]++
+}
+
+func (l *Listener) remove(c *Conn) {
+	if _, ok := l.connections[c]; !ok {
+		return
+	}
+	delete(l.connections, c)
+	if l.perAddress[c.address]--; l.perAddress[c.address] == 0 {
+		delete(l.perAddress, c.address)
+	}
+}
+
+// now returns the time since the listener was opened.
+func (l *Listener) now() time.Duration { return time.Since(l.epoch) }
+
+// ConnState is the hook of http.Server that follows the requests of each connection.
+func (l *Listener) ConnState(c net.Conn, s http.ConnState) {
+	if conn, ok := c.(*Conn); ok {
+		conn.setState(s)
+	}
+}
