--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -55,6 +55,7 @@
 
 func newConn(l *Listener, inner net.Conn) *Conn {
 	c := &Conn{Conn: inner, listener: l}
+	c.current.Store(phaseNew)
 	if host, _, err := net.SplitHostPort(inner.RemoteAddr().String()); err == nil {
 		c.address = host
 	}
@@ -266,4 +267,3 @@
 	setReset(c)
 	_ = c.Close()
 }
-
