--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,10 @@
 test: ## Runs all tests with the race detector.
 	go test -race -count=1 $(if $(SKIP),-skip '^($(SKIP))$$') ./...
 
+.PHONY: crowd
+crowd: ## Runs the tests with crowds of uncontrolled callers, one at a time and without the race detector.
+	go test -tags crowd -count=1 -p 1 -parallel 1 -timeout 20m -run '^TestCrowd' $(if $(SKIP),-skip '^($(SKIP))$$') ./cmd/oriolehub
+
 lint: ## Checks formatting, go vet, staticcheck and generated pages.
 	_scripts/lint.sh
 
