process/node, route/forward: limits on what callers can make an entry process hold

Cause: connections, request headers while they are read, the first 64 KiB of each body and the readiness listener had no limits for all callers together; a caller that did not read its response held it without end, and one that stopped within a body that no handler reads held its connection without end.

Change: both listeners are wrapped by wire/listener. Headers, short and long bodies, and short and long responses have budgets that follow from the memory. A body must advance within 10 s, and a reader of a response within 30 s; stalled connections are closed first when a limit is reached. Requests without memory are refused as not run. The readiness listener has its own limits. An entry process with less than 64 MiB of memory or 264 descriptors does not start.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -21,6 +21,7 @@
 	"github.com/oriolehub/oriolehub/internal/state/beacon"
 	"github.com/oriolehub/oriolehub/internal/state/delegate"
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
@@ -49,8 +50,6 @@
 	// progress have ended, answerTime the part of it in which those that were interrupted are answered.
 	stopMargin = 700 * time.Millisecond
 	answerTime = 300 * time.Millisecond
-	// requestMemoryFraction is the fraction of the memory of the VM that long bodies of requests may take.
-	requestMemoryFraction = 0.25
 )
 
 // Entry is a running entry process.
@@ -196,39 +195,55 @@
 // serve opens the listeners for callers and for readiness checks and starts to serve on them.
 func (e *Entry) serve() error {
 	s := &e.settings
-	callers, err := net.Listen("tcp", s.Listen)
+	descriptors, err := descriptorsOf(s)
+	if err != nil {
+		return err
+	}
+	l, err := limitsOf(s, descriptors)
+	if err != nil {
+		return err
+	}
+	opened, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return fmt.Errorf("open caller listener: %w", err)
 	}
+	callers, err := e.limitCallers(opened, &l)
+	if err != nil {
+		return err
+	}
 	ready, err := net.Listen("tcp", s.ReadyListen)
 	if err != nil {
 		return fmt.Errorf("open readiness listener: %w", err)
 	}
 	handler := forward.New(forward.Options{
-		Directory:    e.directory,
-		Ready:        e.stateKnown,
-		Stopping:     e.refusing.Load,
-		Interrupted:  e.interrupted,
-		RequestBytes: int64(requestMemoryFraction * float64(s.MemoryMegabytes) * (1 << 20)),
-		Placement:    e.placement,
-		Pool:         e.pool,
-		RetryBudget:  allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
-		Quarantine:   e.quarantine,
-		Format:       e.platform.Format,
-		Log:          e.journal.Logger(journal.Routing),
-		Metrics:      e.metrics,
+		Directory:   e.directory,
+		Ready:       e.stateKnown,
+		Stopping:    e.refusing.Load,
+		Interrupted: e.interrupted,
+		Memory:      l.bodies(),
+		BodyTimeout: s.Callers.BodyTimeout.Std(),
+		Placement:   e.placement,
+		Pool:        e.pool,
+		RetryBudget: allowance.NewRetryBudget(s.Bounds.RepeatWindow.Std(), e.retryBounds, e.estimatedEntries),
+		Quarantine:  e.quarantine,
+		Format:      e.platform.Format,
+		Log:         e.journal.Logger(journal.Routing),
+		Metrics:     e.metrics,
 	})
 	e.callers = &http.Server{
-		Handler:           alice.New(e.countInProgress, e.closeWhileLeaving).Then(handler),
+		Handler:           alice.New(listener.LimitBodies(s.Callers.BodyTimeout.Std()), e.countInProgress, e.closeWhileLeaving).Then(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          e.journal.Logger(journal.Process).Std("", 0),
+		ConnState:         callers.ConnState,
+		ConnContext:       callers.ConnContext,
 	}
-	e.ready = &http.Server{Handler: alice.New(noStore).ThenFunc(e.handleReady), ReadHeaderTimeout: headerTimeout}
 	e.listener = callers
+	if err := e.serveReady(ready, &l); err != nil {
+		return err
+	}
 	go func() { _ = e.callers.Serve(callers) }()
-	go func() { _ = e.ready.Serve(ready) }()
 	return nil
 }
 
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -36,8 +36,12 @@
 	LinkMegabits float64
 	// MemoryMegabytes is the memory limit of the process in MiB, 0 for none.
 	MemoryMegabytes int
-	Bounds          NodeBounds
-	Log             Log
+	// MaxDescriptors is the number of file descriptors that the process may open, 0 for the limit that the system sets.
+	MaxDescriptors int
+	// Callers are the limits on the callers of an entry process.
+	Callers CallerLimits
+	Bounds  NodeBounds
+	Log     Log
 }
 
 // ChangedKeys returns the top-level keys whose values differ between a and b.
@@ -73,11 +77,25 @@
 	RepeatWindow Duration
 }
 
+// CallerLimits are the limits on the callers of an entry process that do not follow from its memory and file descriptors.
+type CallerLimits struct {
+	// MaxConnections is the number of connections of callers, 0 for a number that follows from MemoryMegabytes and
+	// MaxDescriptors.
+	MaxConnections int
+	// MaxPerAddress is the number of connections from one IP address, 0 for no such limit.
+	MaxPerAddress int
+	// BodyTimeout is the time within which a further part of the body of a request must be received, WriteTimeout that
+	// within which the caller must accept a further part of a response.
+	BodyTimeout  Duration
+	WriteTimeout Duration
+}
+
 // DefaultNode returns the settings of a process on the platform for keys that the settings file does not set.
 func DefaultNode() Node {
 	return Node{
 		AdminListen: "127.0.0.1:0",
 		Log:         Log{Level: "info", Format: "json"},
+		Callers:     CallerLimits{BodyTimeout: Duration(10 * time.Second), WriteTimeout: Duration(30 * time.Second)},
 		Bounds: NodeBounds{
 			Stop:         Duration(8 * time.Second),
 			Switch:       Duration(8 * time.Second),
@@ -100,6 +118,24 @@
 	return parse(file, data, DefaultNode(), func(d *decoder, n *Node) { checkNode(d, n, side) })
 }
 
+const (
+	// MinMemoryMegabytes is the minimum memory of an entry process: it must hold a request of the maximum size beside others.
+	MinMemoryMegabytes = 64
+	// ReservedDescriptors is the number of file descriptors that stay free for files. MinDescriptors leaves some for callers and
+	// upstreams.
+	ReservedDescriptors = 200
+	MinDescriptors      = ReservedDescriptors + 64
+)
+
+func checkCallers(d *decoder, n *Node) {
+	d.require(n.MemoryMegabytes <= 0 || n.MemoryMegabytes >= MinMemoryMegabytes, "MemoryMegabytes", "must be 0 or at least %d for an entry process", MinMemoryMegabytes)
+	d.require(n.MaxDescriptors == 0 || n.MaxDescriptors >= MinDescriptors, "MaxDescriptors", "must be 0 or at least %d", MinDescriptors)
+	d.require(n.Callers.MaxConnections >= 0, "Callers.MaxConnections", "must be 0 or greater")
+	d.require(n.Callers.MaxPerAddress >= 0, "Callers.MaxPerAddress", "must be 0 or greater")
+	requirePositive(d, "Callers.BodyTimeout", n.Callers.BodyTimeout)
+	requirePositive(d, "Callers.WriteTimeout", n.Callers.WriteTimeout)
+}
+
 func checkNode(d *decoder, n *Node, side bool) {
 	d.require(n.Id != "", "Id", "missing or empty; set it to an ID that is unique in the deployment")
 	d.require(n.Domain != "", "Domain", "missing or empty; set it to the failure domain of this VM")
@@ -123,6 +159,7 @@
 	} else {
 		checkAddress(d, "Listen", n.Listen)
 		checkAddress(d, "ReadyListen", n.ReadyListen)
+		checkCallers(d, n)
 	}
 	d.require(n.LinkMegabits >= 0, "LinkMegabits", "must be 0 or greater")
 	d.require(n.MemoryMegabytes >= 0, "MemoryMegabytes", "must be 0 or greater")
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -185,7 +185,7 @@
 	if response.Status >= 500 {
 		x.upstreamFailed(c)
 		if x.route.Retryable() {
-			x.errorResponse = buffered
+			x.keepError(buffered)
 			return fmt.Errorf("%w: status %d", errFailed, response.Status)
 		}
 	} else {
@@ -198,6 +198,12 @@
 	return nil
 }
 
+// keepError stores a 5xx response in place of an earlier one, with the memory for its body.
+func (x *exchange) keepError(b *bufferedResponse) {
+	x.errorMemory.release()
+	x.errorResponse, x.errorMemory, x.responseMemory = b, x.responseMemory, holding{}
+}
+
 // writeResponse sends a buffered response to the caller.
 func (x *exchange) writeResponse(b *bufferedResponse) {
 	x.handler.options.Format.CallerHeader(x.w.Header(), b.header)
--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -1,128 +1,88 @@
 package forward
 
 import (
-	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 )
 
 const (
 	// maxResponseBytes limits the body of a response that is not a stream.
 	maxResponseBytes = 4 << 20
-	// maxBufferedBytes limits the memory for all bodies beyond the first bodyBlockBytes of each.
-	maxBufferedBytes = 16 << 20
-	bodyBlockBytes   = 64 << 10
+	// firstBodyBytes is the memory that is held first for a body of unknown length.
+	firstBodyBytes int64 = 4 << 10
 	// maxRefusalBytes is the maximum length of a refusal's body that is read, and refusalBodyTimeout the time for that,
 	// so that the connection can be reused.
 	maxRefusalBytes    = 4 << 10
 	refusalBodyTimeout = 100 * time.Millisecond
 )
 
-const (
-	// defaultRequestBytes is Options.RequestBytes if that is 0.
-	defaultRequestBytes = 64 << 20
-	// requestMemoryTimeout is the time for which a request waits for memory for its body.
-	requestMemoryTimeout = 500 * time.Millisecond
-)
-
 // errNoMemory means that there is no memory for the body of a request.
 var errNoMemory = errors.New("no memory for the body")
 
 // errTooLarge means that the body of a response exceeds maxResponseBytes or does not fit into the memory for bodies.
 var errTooLarge = errors.New("answer is too large")
 
-// bodyMemory is the memory for the bodies of responses that are read completely before they are forwarded.
-type bodyMemory struct {
-	used atomic.Int64
-}
-
-// reserve reserves n bytes and returns false if that would exceed maxBufferedBytes.
-func (m *bodyMemory) reserve(n int64) bool {
-	if m.used.Add(n) > maxBufferedBytes {
-		m.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-// requestMemory is the memory for the bodies of requests beyond the first bodyBlockBytes of each.
-type requestMemory struct {
-	size int64
-	free *semaphore.Weighted
-}
-
-func newRequestMemory(size int64) requestMemory {
-	size = cmp.Or(size, defaultRequestBytes)
-	return requestMemory{size: size, free: semaphore.NewWeighted(size)}
-}
-
-// reserveBody reserves memory for a body of up to n bytes until the exchange ends. It waits for up to requestMemoryTimeout
-// and returns errNoMemory if there is none.
-func (x *exchange) reserveBody(n int64) error {
-	m := &x.handler.requests
-	n = min(n, m.size)
-	ctx, cancel := context.WithTimeout(x.r.Context(), requestMemoryTimeout)
-	defer cancel()
-	if m.free.Acquire(ctx, n) != nil {
-		return errNoMemory
-	}
-	x.reservedBody = n
-	return nil
-}
-
-// keepReserved releases the memory that reserveBody has reserved beyond n bytes.
-func (x *exchange) keepReserved(n int64) {
-	n = min(n, x.reservedBody)
-	x.handler.requests.free.Release(x.reservedBody - n)
-	x.reservedBody = n
-}
-
 // readAll reads the complete body of the request, of which limit is the maximum length.
-func (x *exchange) readAll(limit int64) ([]byte, error) {
-	body := http.MaxBytesReader(x.w, x.r.Body, limit)
+func (x *exchange) readAll(limit int64, body *bodyReader) ([]byte, error) {
+	end := listener.FromContext(x.r.Context()).Receive()
+	defer end()
 	length := x.r.ContentLength
 	if length > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	if length > bodyBlockBytes {
-		if err := x.reserveBody(length); err != nil {
-			return nil, err
+	if length >= 0 {
+		if !x.holdRequest(length) {
+			return nil, errNoMemory
 		}
 		data := make([]byte, length)
 		_, err := io.ReadFull(body, data)
 		return data, err
 	}
-	begin, err := io.ReadAll(io.LimitReader(body, bodyBlockBytes))
-	if err != nil || len(begin) < bodyBlockBytes {
-		return begin, err
-	}
-	if err := x.reserveBody(limit); err != nil {
-		return nil, err
+	return x.readUnknown(limit, body)
+}
+
+// readUnknown reads a body of unknown length. It holds memory only for what has been received.
+func (x *exchange) readUnknown(limit int64, body *bodyReader) ([]byte, error) {
+	size := min(limit+1, firstBodyBytes)
+	var data []byte
+	for {
+		if len(data) == cap(data) {
+			if !x.holdRequest(size) {
+				return nil, errNoMemory
+			}
+			data = append(make([]byte, 0, size), data...)
+			x.requestMemory.keepLast()
+			if size *= 2; size >= limit {
+				size = limit + 1
+			}
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	rest, err := io.ReadAll(body)
-	data := append(begin, rest...)
-	x.keepReserved(int64(len(data)))
-	return data, err
 }
 
-// readResponse reads the complete body of a response. The memory is reserved until the exchange ends.
+// readResponse reads the complete body of a response. The memory is held until the exchange ends.
 func (x *exchange) readResponse(response *channel.Response) ([]byte, error) {
 	if response.Length > maxResponseBytes {
 		return nil, fmt.Errorf("%w: %w: %d bytes", channel.ErrBroken, errTooLarge, response.Length)
 	}
-	body := make([]byte, 0, max(512, min(response.Length, bodyBlockBytes)))
+	x.responseMemory.release()
+	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := x.grow(body)
+			grown, err := x.grow(body, response.Length)
 			if err != nil {
 				return nil, err
 			}
@@ -140,18 +100,21 @@
 }
 
 // grow returns body with more capacity, or an error if that exceeds a limit.
-func (x *exchange) grow(body []byte) ([]byte, error) {
+func (x *exchange) grow(body []byte, length int64) ([]byte, error) {
 	if len(body) > maxResponseBytes {
 		return nil, fmt.Errorf("%w: %w: over %d bytes", channel.ErrBroken, errTooLarge, maxResponseBytes)
 	}
-	size := min(2*cap(body), maxResponseBytes+1)
-	if size > bodyBlockBytes {
-		if !x.handler.bodies.reserve(int64(size)) {
-			return nil, fmt.Errorf("%w: %w: no memory for over %d bytes", channel.ErrBroken, errTooLarge, len(body))
-		}
-		x.reserved += int64(size)
+	size := min(max(firstBodyBytes, 2*int64(cap(body))), maxResponseBytes+1)
+	if length >= 0 && (len(body) > 0 || length < size) {
+		// The length is believed only once a part of the body has come. One byte more shows the end without growing again.
+		size = max(length+1, int64(len(body))+1)
+	}
+	if !x.holdResponse(size) {
+		return nil, fmt.Errorf("%w: %w: no memory for over %d bytes", channel.ErrBroken, errTooLarge, len(body))
 	}
-	return append(make([]byte, 0, size), body...), nil
+	grown := append(make([]byte, 0, size), body...)
+	x.responseMemory.keepLast()
+	return grown, nil
 }
 
 // discardRefusal reads the body of a refusal if that is short and comes at once.
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -94,9 +94,11 @@
 	// pauseLeft is the time until an upstream may take the request after the pause that it has asked for, set if all
 	// have asked for one.
 	pauseLeft time.Duration
-	// reserved is the memory reserved for bodies of responses, reservedBody that for the body of the request, in bytes.
-	reserved     int64
-	reservedBody int64
+	// requestMemory, responseMemory and errorMemory are the memory that is held for the body of the request, of the response
+	// that is read and of errorResponse.
+	requestMemory  holding
+	responseMemory holding
+	errorMemory    holding
 	// errorResponse is the latest 5xx response to a retryable request. It is forwarded if no further attempt succeeds.
 	errorResponse *bufferedResponse
 }
@@ -112,7 +114,6 @@
 	defer interrupt(nil)
 	stop := x.whenInterrupted(func() { interrupt(errStopping) })
 	defer stop()
-	defer func() { x.handler.bodies.used.Add(-x.reserved) }()
 	for {
 		if x.decision = x.checkQuarantine(); x.decision.Blocked() {
 			x.giveUp(ctx, errQuarantined)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -48,8 +48,10 @@
 	Interrupted context.Context
 	Placement   *placement.Placement
 	Pool        *channel.Pool
-	// RequestBytes is the memory for long bodies of requests, 0 for a default.
-	RequestBytes int64
+	// Memory is the memory for bodies, BodyTimeout the time within which a further part of a body must be received, 0 for
+	// a default.
+	Memory      Memory
+	BodyTimeout time.Duration
 	// RetryBudget limits the retries to each service.
 	RetryBudget *allowance.RetryBudget
 	// Quarantine tells which requests crash upstreams.
@@ -67,8 +69,7 @@
 	firstPart *metrics.Histogram
 	// sentToLimited counts the attempts at upstreams that name a rate limit.
 	sentToLimited *metrics.Counter
-	bodies        bodyMemory
-	requests      requestMemory
+	memory        budgets
 }
 
 // New returns a handler and registers its metrics in o.Metrics.
@@ -78,7 +79,7 @@
 		latency:   o.Metrics.NewHistogram("oriolehub_request_seconds"),
 		firstPart: o.Metrics.NewHistogram("oriolehub_request_first_part_seconds"),
 
-		requests:      newRequestMemory(o.RequestBytes),
+		memory:        newBudgets(o.Memory, o.Metrics),
 		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
 	}
 }
@@ -87,7 +88,7 @@
 // completed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, w: w, r: r, started: time.Now(), caller: h.options.Format.ParseRequest(r.Header)}
-	defer x.keepReserved(0)
+	defer x.releaseMemory()
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
@@ -173,12 +174,8 @@
 		limit = defaultMaxBodyBytes
 	}
 	c := http.NewResponseController(x.w)
-	if err := c.SetReadDeadline(x.deadline); err != nil {
-		x.fail(http.StatusInternalServerError, "cannot limit the time for the body: "+err.Error())
-		return false
-	}
 	stop := x.whenInterrupted(func() { _ = c.SetReadDeadline(time.Now()) })
-	body, err := x.readAll(limit)
+	body, err := x.readAll(limit, &bodyReader{exchange: x, control: c, body: http.MaxBytesReader(x.w, x.r.Body, limit)})
 	interrupted := !stop()
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -40,7 +40,7 @@
 	// if there is none.
 	progressAt atomic.Int64
 	writingAt  atomic.Int64
-	// receiving is true while the body of a request is read, unmarked counts its bytes since the last progress.
+	// receiving is true while the body of a request is awaited, unmarked counts its bytes since the last progress.
 	receiving atomic.Bool
 	unmarked  atomic.Int64
 	kept      atomic.Bool
@@ -189,6 +189,7 @@
 	case http.StateActive:
 		c.current.Store(phaseActive)
 	case http.StateIdle:
+		c.receiving.Store(false)
 		c.endRequest()
 		c.progress()
 		c.current.Store(phaseIdle)
@@ -218,9 +219,10 @@
 	return s.progressAt < other.progressAt
 }
 
-// standing returns the place of c, or false if c must not be closed.
-func (c *Conn) standing(now time.Duration) (standing, bool) {
-	at, grace, rank := c.progressAt.Load(), newcomerGrace, rankUnused
+// standing returns the place of c, or false if c must not be closed. grace is the time without progress before which a
+// connection without a request in progress is not closed.
+func (c *Conn) standing(now, grace time.Duration) (standing, bool) {
+	at, rank := c.progressAt.Load(), rankUnused
 	switch c.phase() {
 	case phaseHeader:
 		rank = rankStalled
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -23,8 +24,26 @@
 	return c
 }
 
-// Receive marks the begin of the receipt of a body and returns a function that marks its end. A connection whose peer stops
-// sending meanwhile may be closed in favour of others.
+// LimitBodies returns a middleware for the requests of an http.Server: the body of a request must make progress within
+// timeout. It applies also to the part of a body that the handler does not read, which http.Server discards. A handler that
+// sets read deadlines of its own replaces the timeout.
+func LimitBodies(timeout time.Duration) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.ContentLength != 0 {
+				FromContext(r.Context()).Receive()
+				// Without a deadline the caller could hold the connection, which is closed instead.
+				if http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) != nil {
+					panic(http.ErrAbortHandler)
+				}
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// Receive marks the begin of the receipt of a body and returns a function that marks its end. The end of the request marks it
+// too. A connection whose peer stops sending meanwhile may be closed in favour of others.
 func (c *Conn) Receive() (end func()) {
 	if c == nil {
 		return func() {}
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -110,9 +110,11 @@
 	limit := l.options.MaxPerAddress
 	switch {
 	case limit > 0 && l.perAddress[c.address] >= limit:
-		victim = l.leastRecent(func(other *Conn) bool { return other.address == c.address })
+		victim = l.leastRecent(newcomerGrace, func(other *Conn) bool { return other.address == c.address })
 	case len(l.connections) >= l.options.MaxConnections:
-		victim = l.leastRecent(nil)
+		if victim = l.leastRecent(newcomerGrace, nil); victim == nil {
+			victim = l.leastRecentOfBusiest(c.address)
+		}
 	default:
 		l.add(c)
 		l.mu.Unlock()
@@ -129,9 +131,25 @@
 	return true
 }
 
-// leastRecent returns the connection among those that pick selects that is closed first, nil if none may be closed.
-// The caller holds l.mu. The search takes time proportional to the connections, but runs only at a limit.
-func (l *Listener) leastRecent(pick func(*Conn) bool) *Conn {
+// leastRecentOfBusiest returns the connection that is closed for one from the given address although all are recent, nil if
+// there is none. It is one of the address that has the most, if that has more: a crowd that reconnects all the time does not
+// keep out others.
+func (l *Listener) leastRecentOfBusiest(newcomer string) *Conn {
+	busiest := newcomer
+	for address, n := range l.perAddress {
+		if n > l.perAddress[busiest] {
+			busiest = address
+		}
+	}
+	if l.perAddress[busiest] <= l.perAddress[newcomer]+1 {
+		return nil
+	}
+	return l.leastRecent(0, func(c *Conn) bool { return c.address == busiest })
+}
+
+// leastRecent returns the connection among those that pick selects that is closed first, nil if none may be closed. One that
+// awaits or sends a request header may be closed only if it made no progress for the time grace. The caller holds l.mu. The search takes time proportional to the connections, but runs only at a limit.
+func (l *Listener) leastRecent(grace time.Duration, pick func(*Conn) bool) *Conn {
 	var out *Conn
 	var first standing
 	now := l.now()
@@ -139,7 +157,7 @@
 		if pick != nil && !pick(c) {
 			continue
 		}
-		if s, ok := c.standing(now); ok && (out == nil || s.before(first)) {
+		if s, ok := c.standing(now, grace); ok && (out == nil || s.before(first)) {
 			out, first = c, s
 		}
 	}
@@ -149,7 +167,7 @@
 // reclaim closes the connection among those that pick selects that is closed first, if there is one.
 func (l *Listener) reclaim(pick func(*Conn) bool) {
 	l.mu.Lock()
-	victim := l.leastRecent(pick)
+	victim := l.leastRecent(newcomerGrace, pick)
 	if victim != nil {
 		l.remove(victim)
 	}
