--- a/internal/process/settings/node_test.go
+++ b/internal/process/settings/node_test.go
@@ -67,6 +67,28 @@
 	golden.Assert(t, err.Error()+"\n", "../_fixtures/node-faults.golden")
 }
 
+// Guards against limits on callers that leave no room to serve, or none at all.
+func TestCallerLimitsWithFaults(t *testing.T) {
+	text := `Id: "entry-0"
+Domain: "a"
+Region: "north"
+Listen: "10.0.0.1:80"
+ReadyListen: "10.0.0.1:1"
+ControlListen: "10.0.0.1:2"
+ReportListen: "10.0.0.1:3"
+Store: "10.0.0.9:8007"
+MemoryMegabytes: 63
+MaxDescriptors: 263
+Callers:
+  MaxConnections: -1
+  MaxPerAddress: -1
+  BodyTimeout: 0s
+  WriteTimeout: -1s
+`
+	_, err := ParseNode("entry.yaml", []byte(text), false)
+	golden.Assert(t, err.Error()+"\n", "../_fixtures/caller-limits-faults.golden")
+}
+
 // Guards against defaults that change by accident.
 func TestNodeDefaults(t *testing.T) {
 	text, err := Encode(DefaultNode())
--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -159,6 +159,12 @@
 // withTestEntry starts a server with the routes once, many, slow, stream and bound on host h.test, and lists upstreams
 // as the service of all of them.
 func withTestEntry(t *testing.T, upstreams ...*upstream) *fixture {
+	t.Helper()
+	return withLimitedEntry(t, func(h http.Handler) *httptest.Server { return httptest.NewServer(h) }, func(*forward.Options) {}, upstreams...)
+}
+
+// withLimitedEntry is like withTestEntry, with options that limit changes and a server that serve starts.
+func withLimitedEntry(t *testing.T, serve func(http.Handler) *httptest.Server, limit func(*forward.Options), upstreams ...*upstream) *fixture {
 	t.Helper()
 	log := journal.Discard().Logger(journal.Routing)
 	c := catalog.New(1)
@@ -171,7 +177,7 @@
 	})
 	set := metrics.NewSet()
 	f.quarantine = quarantine.New(quarantine.Options{Log: log, Metrics: set})
-	handler := forward.New(forward.Options{
+	o := forward.Options{
 		Quarantine:  f.quarantine,
 		Directory:   f.directory,
 		Ready:       func() bool { return f.directory.Current().Ready() },
@@ -181,8 +187,9 @@
 		Format:      desired.CallFormat{},
 		Log:         log,
 		Metrics:     set,
-	})
-	f.server = httptest.NewServer(handler)
+	}
+	limit(&o)
+	f.server = serve(forward.New(o))
 	t.Cleanup(f.server.Close)
 	f.configure("k1")
 	f.list(upstreams, false)
--- a/internal/wire/listener/listener_test.go
+++ b/internal/wire/listener/listener_test.go
@@ -177,6 +177,34 @@
 	})
 }
 
+// Guards against a crowd that keeps all connections by opening new ones all the time.
+func TestACrowdThatReconnectsDoesNotKeepOutOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, _ := serve(t, listener.Options{MaxConnections: 3}, ok)
+		for range 3 {
+			inner.dial("::1")
+		}
+		other := inner.dial("::2")
+		assert.Assert(t, isOpen(t, other))
+		again := inner.dial("::1")
+		assert.Assert(t, !isOpen(t, again) && isOpen(t, other))
+	})
+}
+
+// Guards against callers that hold a connection by never sending the rest of a body that the handler does not read.
+func TestUnreadBodiesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = 5 * time.Second
+		handler := listener.LimitBodies(timeout)(http.HandlerFunc(ok))
+		inner, l := serve(t, listener.Options{MaxConnections: 3}, handler.ServeHTTP)
+		c := inner.dial("::1")
+		send(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nbegin")
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		time.Sleep(2 * timeout)
+		assert.Equal(t, l.Open(), 0)
+	})
+}
+
 // Guards against connections of known peers that are closed in favour of connections from unknown callers.
 func TestKeptConnectionsAreNotClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
