--- a/internal/route/forward/forward_test.go
+++ b/internal/route/forward/forward_test.go
@@ -157,16 +157,42 @@
 	quarantine *quarantine.Quarantine
 }
 
+// fixtureOptions replace parts of a fixture. Nil fields select the default.
+type fixtureOptions struct {
+	pool *channel.Pool
+	// serve starts the server.
+	serve func(http.Handler) *httptest.Server
+	// limit changes the options of the handler.
+	limit func(*forward.Options)
+}
+
 // withTestEntry starts a server with the routes once, many, slow, stream and bound on host h.test, and lists upstreams
 // as the service of all of them.
 func withTestEntry(t *testing.T, upstreams ...*upstream) *fixture {
 	t.Helper()
-	return withTestPool(t, channel.NewPool(socket.Dialer(testTimeout)), upstreams...)
+	return withFixtureOptions(t, fixtureOptions{}, upstreams...)
 }
 
 // withTestPool is withTestEntry with a given pool of connections.
 func withTestPool(t *testing.T, pool *channel.Pool, upstreams ...*upstream) *fixture {
 	t.Helper()
+	return withFixtureOptions(t, fixtureOptions{pool: pool}, upstreams...)
+}
+
+// withLimitedEntry is withTestEntry with options that limit changes and a server that serve starts.
+func withLimitedEntry(t *testing.T, serve func(http.Handler) *httptest.Server, limit func(*forward.Options), upstreams ...*upstream) *fixture {
+	t.Helper()
+	return withFixtureOptions(t, fixtureOptions{serve: serve, limit: limit}, upstreams...)
+}
+
+func withFixtureOptions(t *testing.T, fo fixtureOptions, upstreams ...*upstream) *fixture {
+	t.Helper()
+	if fo.pool == nil {
+		fo.pool = channel.NewPool(socket.Dialer(testTimeout))
+	}
+	if fo.serve == nil {
+		fo.serve = func(h http.Handler) *httptest.Server { return httptest.NewServer(h) }
+	}
 	log := journal.Discard().Logger(journal.Routing)
 	c := catalog.New(1)
 	f := &fixture{publisher: desired.Publisher{Catalog: c}}
@@ -174,24 +200,27 @@
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
 		SwitchBound: func() time.Duration { return time.Hour }, Entries: func() int { return 1 },
-		Connections: pool.Allowed,
+		Connections: fo.pool.Allowed,
 		RateShare:   func(_ string, limit float64) float64 { return limit },
 		Concurrency: concurrency.Settings{Enabled: true, InitialShare: 0.25},
 	})
 	set := metrics.NewSet()
 	f.quarantine = quarantine.New(quarantine.Options{Log: log, Metrics: set})
-	handler := forward.New(forward.Options{
+	o := forward.Options{
 		Quarantine:  f.quarantine,
 		Directory:   f.directory,
 		Ready:       func() bool { return f.directory.Current().Ready() },
 		Placement:   f.placement,
-		Pool:        pool,
+		Pool:        fo.pool,
 		RetryBudget: allowance.NewRetryBudget(10*time.Second, func() allowance.Bounds { return allowance.Bounds{Ratio: 0.2, Slack: 10} }, func() int { return 1 }),
 		Format:      desired.CallFormat{},
 		Log:         log,
 		Metrics:     set,
-	})
-	f.server = httptest.NewServer(handler)
+	}
+	if fo.limit != nil {
+		fo.limit(&o)
+	}
+	f.server = fo.serve(forward.New(o))
 	t.Cleanup(f.server.Close)
 	f.configure("k1")
 	f.list(upstreams, false)
