process/node: connections are divided among the known entry processes

estimatedEntries is never below two for each peer in the settings, which leaves half of each limit unused where all entry processes are listed as peers.

go test -race ./internal/process/node: ok.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -83,7 +83,7 @@
 	e.interrupted, e.interrupt = context.WithCancel(context.Background())
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
 	e.pool = channel.New(channel.Options{
-		Dial: socket.Dialer(upstreamDialTimeout), Entries: e.estimatedEntries, Log: j.Logger(journal.Routing), Metrics: e.metrics,
+		Dial: socket.Dialer(upstreamDialTimeout), Entries: e.connectionSharers, Log: j.Logger(journal.Routing), Metrics: e.metrics,
 	})
 	e.placement = placement.New(placement.Options{
 		Directory:   e.directory,
