--- a/internal/cli/queries/config_test.go
+++ b/internal/cli/queries/config_test.go
@@ -69,7 +69,7 @@
 		"is a directory":                       {"_fixtures"},
 		"missing.json":                         {valid, "--against", "missing.json"},
 		"cannot be the desired state in force": {valid, "--against", filepath.Join("_fixtures", "config-syntax.json")},
-		"unknown kind":   {valid, "--against", filepath.Join("_fixtures", "config-faulty.json")},
+		"unknown kind":                         {valid, "--against", filepath.Join("_fixtures", "config-faulty.json")},
 		`unknown format "xml"`:                 {valid, "--format", "xml"},
 		"missing argument FILE":                {"--format", "json"},
 	} {
