route/concurrency: four late responses in a row make an upstream of a plain service slow

Its requests differ in cost by more than the comparison tells; two costly ones after each other took slots from a healthy upstream. With many peers the references are computed less often.

--- a/internal/route/concurrency/limiter.go
+++ b/internal/route/concurrency/limiter.go
@@ -63,7 +63,7 @@
 // NewLimiter returns a Limiter for an upstream with the given number of slots. The limit starts low if fresh is true,
 // which says that the instance may have started a short time ago.
 func (p *Peers) NewLimiter(upstream string, slots int, fresh bool) *Limiter {
-	l := &Limiter{peers: p, upstream: upstream, latency: signal{slack: latencySlack}, interval: signal{slack: intervalSlack}}
+	l := &Limiter{peers: p, upstream: upstream, latency: signal{slack: latencySlack}, interval: signal{slack: intervalSlack, minSlow: minSlow}}
 	l.slots.Store(int64(slots))
 	l.limit.Store(math.Inf(1))
 	for _, f := range []*atomicFloat{&l.latency.reference, &l.interval.reference, &l.paceReference} {
@@ -110,8 +110,8 @@
 }
 
 // FirstEvent compares the latency of a response with that of the other upstreams and changes the limit accordingly.
-// explained is the part of it that follows from the prompts that were waiting and from that of the request. It returns
-// true if the limit has grown.
+// explained is the part of it that follows from the prompts that were waiting and from that of the request, 0 for a plain
+// service. It returns true if the limit has grown.
 func (l *Limiter) FirstEvent(latency, explained time.Duration) (grown bool) {
 	if !l.peers.settings.Enabled {
 		return false
@@ -120,6 +120,10 @@
 	l.peers.update(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.latency.minSlow = minSlow
+	if explained == 0 {
+		l.latency.minSlow = minSlowPlain
+	}
 	v := l.latency.observe(latency, explained, now)
 	if v == late || v == slow {
 		l.troubleUntil = now.Add(troubleMemory)
--- a/internal/route/concurrency/limiter_test.go
+++ b/internal/route/concurrency/limiter_test.go
@@ -205,3 +205,23 @@
 		f.limiter.FirstEvent(normal+readTime, readTime)
 	}
 }
+
+// Guards against an upstream of a plain service that looks slow because now and then two costly requests follow each other,
+// and against one that is slow and gets all of its slots.
+func TestCostlyRequestsOfPlainServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestService(5, 1)
+		f.round(1)
+		f.round(1)
+		for i := range 100 {
+			f.answer(1)
+			f.limiter.FirstEvent([]time.Duration{normal, 10 * normal, 10 * normal, normal}[i%4], 0)
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, f.limiter.Limit(), testSlots)
+		}
+		for range 5 {
+			f.limiter.FirstEvent(10*normal, 0)
+		}
+		assert.Assert(t, f.limiter.Limit() <= 6, f.limiter.Limit())
+	})
+}
--- a/internal/route/concurrency/peers.go
+++ b/internal/route/concurrency/peers.go
@@ -8,7 +8,11 @@
 )
 
 // updateInterval is the interval at which the references are computed again from the times of all peers.
-const updateInterval = 250 * time.Millisecond
+// With many peers it is perPeer for each, so that an update takes less than a hundredth of a core.
+const (
+	updateInterval = 250 * time.Millisecond
+	perPeer        = 100 * time.Microsecond
+)
 
 // minPeers is the number of upstreams from which on the majority tells whether single ones are slow.
 const minPeers = 3
@@ -74,7 +78,7 @@
 func (p *Peers) update(now time.Time) {
 	at := p.at(now)
 	due := p.updateAt.Load()
-	if at < due || !p.updateAt.CompareAndSwap(due, at+int64(updateInterval)) {
+	if at < due || !p.updateAt.CompareAndSwap(due, at+int64(max(updateInterval, time.Duration(len(*p.members.Load()))*perPeer))) {
 		return
 	}
 	p.mu.Lock()
--- a/internal/route/concurrency/signal.go
+++ b/internal/route/concurrency/signal.go
@@ -14,8 +14,10 @@
 	ratioWeight = 0.5
 	// levelWeight is the weight of a new time in the level that the other upstreams are compared with.
 	levelWeight = 0.2
-	// minSlow is the number of consecutive late times that make an upstream slow. One is often chance.
-	minSlow = 2
+	// minSlow is the number of consecutive late times that make an upstream slow. One is often chance. For plain services,
+	// whose requests differ in cost by more than any model tells, it is minSlowPlain.
+	minSlow      = 2
+	minSlowPlain = 4
 	// maxAge is the age up to which the last time is part of the reference of the others.
 	maxAge = 5 * time.Second
 )
@@ -36,6 +38,8 @@
 type signal struct {
 	// slack is the excess over the expected time up to which a time is always normal.
 	slack time.Duration
+	// minSlow is the number of consecutive late times from which the upstream is slow.
+	minSlow int
 	// level is the moving average of the times that the model does not explain, in seconds, as of at.
 	level float64
 	at    time.Time
@@ -78,7 +82,7 @@
 		return unknown
 	}
 	s.lateInRow++
-	if s.lateInRow >= minSlow && s.ratio >= slowRatio {
+	if s.lateInRow >= s.minSlow && s.ratio >= slowRatio {
 		return slow
 	}
 	return late
