process/settings: keys for the limits of control, admin and caller listeners

Nothing reads them yet: the crowd tests of these listeners need keys that lower the limits, and the program rejects unknown keys.

--- a/internal/process/settings/defaults.go
+++ b/internal/process/settings/defaults.go
@@ -17,6 +17,7 @@
 		ControlListen:    "127.0.0.1:7400",
 		AdminListen:      "127.0.0.1:0",
 		ExchangeInterval: Duration(500 * time.Millisecond),
+		Listeners:        defaultListeners(),
 		Log:              Log{Level: "info", Format: "json"},
 		Tls:              Tls{Mode: "off"},
 	}
@@ -25,6 +26,7 @@
 func defaultRequests() Requests {
 	return Requests{
 		MaxBody:        1 << 20,
+		Buffer:         256 << 20,
 		HeaderTimeout:  Duration(5 * time.Second),
 		BodyTimeout:    Duration(30 * time.Second),
 		IdleTimeout:    Duration(2 * time.Minute),
--- a/internal/process/settings/load.go
+++ b/internal/process/settings/load.go
@@ -72,6 +72,7 @@
 	checkURLs(d, "Weights.Urls", e.Weights.Urls)
 	r := &e.Requests
 	d.require(r.MaxBody > 0, "Requests.MaxBody", "must be greater than 0B")
+	d.require(r.Buffer >= 4*r.MaxBody, "Requests.Buffer", "must be at least 4 times MaxBody (%s)", r.MaxBody)
 	d.require(r.MaxQueued >= 0, "Requests.MaxQueued", "must be 0 or greater")
 	d.require(r.MaxConnections > 0, "Requests.MaxConnections", "must be 1 or greater")
 	requirePositive(d, "Requests.HeaderTimeout", r.HeaderTimeout)
@@ -109,6 +110,7 @@
 		checkAddress(d, fmt.Sprintf("Peers[%d]", i), p)
 	}
 	requirePositive(d, "ExchangeInterval", c.ExchangeInterval)
+	checkListeners(d, &c.Listeners)
 	checkLog(d, &c.Log)
 	checkTLS(d, &c.Tls)
 }
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -37,6 +37,7 @@
 	// MemoryMegabytes is the memory limit of the process in MiB, 0 for none.
 	MemoryMegabytes int
 	Bounds          NodeBounds
+	Listeners       Listeners
 	Log             Log
 }
 
@@ -77,6 +78,7 @@
 func DefaultNode() Node {
 	return Node{
 		AdminListen: "127.0.0.1:0",
+		Listeners:   defaultListeners(),
 		Log:         Log{Level: "info", Format: "json"},
 		Bounds: NodeBounds{
 			Stop:         Duration(8 * time.Second),
@@ -133,5 +135,6 @@
 	requirePositive(d, "Bounds.RepeatWindow", b.RepeatWindow)
 	d.require(b.RepeatRatio >= 0, "Bounds.RepeatRatio", "must be 0 or greater")
 	d.require(b.RepeatSlack >= 0, "Bounds.RepeatSlack", "must be 0 or greater")
+	checkListeners(d, &n.Listeners)
 	checkLog(d, &n.Log)
 }
--- a/internal/process/settings/types.go
+++ b/internal/process/settings/types.go
@@ -16,6 +16,7 @@
 	Peers []string
 	// ExchangeInterval is the mean interval between two rounds of state exchange with other processes.
 	ExchangeInterval Duration
+	Listeners        Listeners
 	Log              Log
 	Tls              Tls
 }
@@ -68,7 +69,9 @@
 
 // Requests limits the requests of callers.
 type Requests struct {
-	MaxBody       Bytes
+	MaxBody Bytes
+	// Buffer is the memory for the headers and bodies of all requests together.
+	Buffer        Bytes
 	HeaderTimeout Duration
 	BodyTimeout   Duration
 	IdleTimeout   Duration
