wire/link, process/admin, process/entry, process/side, route/dispatch: limits against uncontrolled callers

Control connections: the number of them, the memory for messages that are received by all of them together (of which connections that have not been answered get half), the time for a message, for accepting a response and between calls. Admin listener: connections, memory for headers, bodies, one profile at a time, unread responses. Content listener: connections, memory for headers, unread responses. Entry process on own rules: callers at the connection limit waited until another connection ended; now stalled connections yield. Headers and bodies of all requests together take from Requests.Buffer; a request without memory is refused with 503 (not run) before it is routed.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/oriolehub/oriolehub/internal/weights/pin"
 	"github.com/oriolehub/oriolehub/internal/weights/source"
 	"github.com/oriolehub/oriolehub/internal/wire/link"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
@@ -43,6 +44,13 @@
 	// maxTraces is the number of most recent requests whose traces are kept.
 	maxTraces      = 8192
 	maxHeaderBytes = 64 << 10
+	// headerFraction is the part of Requests.Buffer for the headers of requests; the rest is for bodies. A body of the
+	// maximum size takes 3.4 times its size while its buffer grows, the settings require 4 times.
+	headerFraction = 8
+	// responseTimeout is the time within which a caller must accept 16 KiB of a response.
+	responseTimeout = 30 * time.Second
+	// socketBuffer is the size of the buffers that the kernel holds for the connection of a caller.
+	socketBuffer = 64 << 10
 	// forgetAfter is the time without a change after which the record of a member that is not alive is removed.
 	forgetAfter = 10 * time.Minute
 )
@@ -119,8 +127,12 @@
 		traces:    trace.NewBuffer(maxTraces),
 		metrics:   metrics.NewSet(),
 	}
-	p.assemble(overrides)
-	if err := p.listen(overrides); err != nil {
+	headers, bodies, err := requestBudgets(int64(s.Requests.Buffer), p.metrics)
+	if err != nil {
+		return nil, err
+	}
+	p.assemble(overrides, bodies)
+	if err := p.listen(overrides, headers); err != nil {
 		return nil, err
 	}
 	p.presence.Publish()
@@ -129,7 +141,7 @@
 }
 
 // assemble creates the components that need no listener.
-func (p *Entry) assemble(overrides Overrides) {
+func (p *Entry) assemble(overrides Overrides, bodies *listener.Budget) {
 	s := &p.settings
 	kv := store.New(s.Store.Url, overrides.StoreTransport)
 	var sources []hub.WeightSource
@@ -159,6 +171,7 @@
 		Traces:       p.traces,
 		Log:          p.journal.Logger(journal.Routing),
 		MaxBodyBytes: int64(s.Requests.MaxBody),
+		Bodies:       bodies,
 		QueueWait:    s.Requests.QueueWait.Std(),
 		MaxQueued:    s.Requests.MaxQueued,
 		Claims:       claim.NewRegistry(kv),
@@ -167,7 +180,7 @@
 }
 
 // listen opens the listeners and starts to serve on them.
-func (p *Entry) listen(overrides Overrides) error {
+func (p *Entry) listen(overrides Overrides, headers *listener.Budget) error {
 	s := &p.settings
 	control, err := overrides.Listen(s.ControlListen)
 	if err != nil {
@@ -191,19 +204,37 @@
 			return fmt.Errorf("register RPC services: %w", err)
 		}
 	}
-	p.server = link.Serve(p.security.Listen(control), p.security.Handle(mux), func(err error) {
+	limits := &p.settings.Listeners
+	limited, err := link.Limit(control, link.Limits{
+		Connections: limits.ControlConnections, Bytes: limits.ControlBytes(0), Metrics: p.metrics, Log: p.journal.Logger(journal.Process),
+	})
+	if err != nil {
+		return err
+	}
+	p.server = link.Serve(p.security.Listen(limited), p.security.Handle(mux), func(err error) {
 		p.journal.Logger(journal.Process).Debug().Err(err).Msg("control connection closed with an error")
 	})
-	p.listener = newLimitListener(callers, s.Requests.MaxConnections)
+	limitedCallers, err := listener.New(callers, listener.Options{
+		Name: "callers", MaxConnections: s.Requests.MaxConnections, HTTP: true, Headers: headers,
+		WriteTimeout: responseTimeout, SocketBuffer: socketBuffer, Metrics: p.metrics, Log: p.journal.Logger(journal.Process),
+	})
+	if err != nil {
+		return fmt.Errorf("limit callers: %w", err)
+	}
+	p.listener = limitedCallers
 	p.http = &http.Server{
 		Handler:           alice.New(recoverPanics(p.journal.Logger(journal.Process))).Then(p.dispatcher),
 		ReadHeaderTimeout: s.Requests.HeaderTimeout.Std(),
 		ReadTimeout:       s.Requests.BodyTimeout.Std(),
 		IdleTimeout:       s.Requests.IdleTimeout.Std(),
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         limitedCallers.ConnState,
+		ConnContext:       limitedCallers.ConnContext,
 	}
 	go func() { _ = p.http.Serve(p.listener) }()
-	p.admin = admin.Start(adminListener, p.metrics, p.ready)
+	if p.admin, err = admin.Start(adminListener, limits.AdminConnections, p.metrics, p.journal.Logger(journal.Process), p.ready); err != nil {
+		return err
+	}
 	p.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(p.journal.Dropped()) })
 	p.metrics.NewGauge("oriolehub_rules_revision", func() float64 { return float64(p.publisher.Current().RulesRevision) })
 	return nil
--- a/internal/process/entry/http.go
+++ b/internal/process/entry/http.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
-	"net"
+	"fmt"
 	"net/http"
-	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/justinas/alice"
 	"github.com/phuslu/log"
+
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 )
 
 // recoverPanics logs panics of the handler and closes the connection. A panic with http.ErrAbortHandler is not logged,
@@ -29,48 +31,13 @@
 	}
 }
 
-// limitListener limits the number of open connections. Further connections wait in the accept queue of the operating
-// system.
-type limitListener struct {
-	net.Listener
-	slots  chan struct{}
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newLimitListener(l net.Listener, limit int) *limitListener {
-	return &limitListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
-}
-
-// Accept waits until the number of open connections is below the limit and then for a connection.
-func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+// requestBudgets divides the memory for requests among their headers and their bodies.
+func requestBudgets(size int64, set *metrics.Set) (headers, bodies *listener.Budget, err error) {
+	if headers, err = listener.NewBudget("headers", size/headerFraction, set); err != nil {
+		return nil, nil, fmt.Errorf("limit headers: %w", err)
 	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
+	if bodies, err = listener.NewBudget("bodies", size-size/headerFraction, set); err != nil {
+		return nil, nil, fmt.Errorf("limit bodies: %w", err)
 	}
-	return &limitConn{Conn: conn, release: func() { <-l.slots }}, nil
-}
-
-// Close closes the listener; pending and later calls of Accept return an error.
-func (l *limitListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-type limitConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close closes the connection, which no longer counts towards the limit.
-func (c *limitConn) Close() error {
-	c.once.Do(c.release)
-	return c.Conn.Close()
+	return headers, bodies, nil
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -216,10 +216,19 @@
 			return fmt.Errorf("register weights service: %w", err)
 		}
 	}
-	n.server = link.Serve(n.traffic.Listener(control), mux, func(err error) {
+	limited, err := link.Limit(control, link.Limits{
+		Connections: s.Listeners.ControlConnections, Bytes: s.Listeners.ControlBytes(s.MemoryMegabytes),
+		Metrics: n.metrics, Log: n.journal.Logger(journal.Process),
+	})
+	if err != nil {
+		return err
+	}
+	n.server = link.Serve(n.traffic.Listener(limited), mux, func(err error) {
 		n.journal.Logger(journal.Process).Debug().Err(err).Msg("control connection closed with an error")
 	})
-	n.admin = admin.Start(adminListener, n.metrics, ready)
+	if n.admin, err = admin.Start(adminListener, s.Listeners.AdminConnections, n.metrics, n.journal.Logger(journal.Process), ready); err != nil {
+		return err
+	}
 	n.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(n.journal.Dropped()) })
 	n.countTraffic()
 	n.metrics.NewGauge("oriolehub_configuration_revision", func() float64 { return float64(n.directory.Current().Revision) })
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -248,13 +248,26 @@
 			return fmt.Errorf("register RPC services: %w", err)
 		}
 	}
-	p.server = link.Serve(p.security.Listen(control), p.security.Handle(mux), func(err error) {
+	limits := &p.settings.Listeners
+	limited, err := link.Limit(control, link.Limits{
+		Connections: limits.ControlConnections, Bytes: limits.ControlBytes(0), Metrics: p.metrics, Log: p.journal.Logger(journal.Process),
+	})
+	if err != nil {
+		return err
+	}
+	p.server = link.Serve(p.security.Listen(limited), p.security.Handle(mux), func(err error) {
 		p.journal.Logger(journal.Process).Debug().Err(err).Msg("control connection closed with an error")
 	})
 	p.contentURL = "http://" + content.Addr().String() + contentPath
-	p.content = newContentServer(p.cache)
-	go func() { _ = p.content.Serve(content) }()
-	p.admin = admin.Start(adminListener, p.metrics, p.ready)
+	limitedContent, err := limitContent(content, p.metrics, p.journal.Logger(journal.Process))
+	if err != nil {
+		return err
+	}
+	p.content = newContentServer(p.cache, limitedContent)
+	go func() { _ = p.content.Serve(limitedContent) }()
+	if p.admin, err = admin.Start(adminListener, limits.AdminConnections, p.metrics, p.journal.Logger(journal.Process), p.ready); err != nil {
+		return err
+	}
 	p.registerMetrics()
 	return nil
 }
--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/table"
 	"github.com/oriolehub/oriolehub/internal/route/trace"
 	"github.com/oriolehub/oriolehub/internal/rules/statement"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
@@ -52,6 +53,8 @@
 	Log    *log.Logger
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// Bodies is the memory for the bodies of all requests together, nil for no limit.
+	Bodies *listener.Budget
 	// QueueWait is the maximum time after its arrival for which a request waits for an upstream with free
 	// capacity.
 	QueueWait time.Duration
@@ -104,12 +107,13 @@
 // ServeHTTP handles one request of a caller.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	req, err := parse(w, r, d.options.MaxBodyBytes)
+	req, err := parse(w, r, d.options.MaxBodyBytes, d.options.Bodies)
 	if err != nil {
 		d.counters.notRun.Inc()
 		writeRequestError(w, r.Header.Get(HeaderRequestID), err)
 		return
 	}
+	defer req.release()
 	if d.stopping.Load() {
 		d.counters.notRun.Inc()
 		refuse(w, req.id, http.StatusServiceUnavailable, "this entry process is stopping", time.Second)
--- a/internal/route/dispatch/request.go
+++ b/internal/route/dispatch/request.go
@@ -1,15 +1,15 @@
 package dispatch
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
+	"time"
 	"unicode"
 
 	"github.com/oriolehub/oriolehub/internal/upstream/engine"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
@@ -37,6 +37,8 @@
 type requestError struct {
 	status int
 	text   string
+	// retryAfter is the time after which the caller may send the request again, 0 if that is not said.
+	retryAfter time.Duration
 }
 
 func (e *requestError) Error() string { return e.text }
@@ -57,10 +59,13 @@
 	target  string
 	headers []*message.Header
 	body    []byte
+	// release releases the memory held for the body.
+	release func()
 }
 
-// parse validates a request and reads its body. It returns a *requestError for an invalid request.
-func parse(w http.ResponseWriter, r *http.Request, maxBody int64) (*request, error) {
+// parse validates a request and reads its body, for which it acquires memory from budget unless that is nil. It returns a
+// *requestError for an invalid request or one for which there is no memory. The caller releases a returned request.
+func parse(w http.ResponseWriter, r *http.Request, maxBody int64, budget *listener.Budget) (*request, error) {
 	if err := checkRequest(r); err != nil {
 		return nil, err
 	}
@@ -90,11 +95,12 @@
 		return nil, err
 	}
 	out.headers = forwardedHeaders(r.Header)
-	body, err := readBody(w, r, maxBody)
+	body, err := readBody(w, r, maxBody, budget)
 	if err != nil {
+		body.release()
 		return nil, err
 	}
-	out.body = body
+	out.body, out.release = body.data, body.release
 	return out, nil
 }
 
@@ -144,18 +150,6 @@
 	return nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, maxBody int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &requestError{status: http.StatusRequestEntityTooLarge, text: fmt.Sprintf("the body is larger than %d bytes", maxBody)}
-	case err != nil:
-		return nil, badRequest("the body could not be read: %v", err)
-	}
-	return body, nil
-}
-
 // hopByHop lists the headers that apply to a single connection and are not forwarded.
 var hopByHop = map[string]bool{
 	"Connection":          true,
--- a/internal/route/dispatch/response.go
+++ b/internal/route/dispatch/response.go
@@ -94,5 +94,5 @@
 	if id == "" || len(id) > maxIdentifierBytes {
 		id = newID()
 	}
-	refuse(w, id, e.status, e.text, 0)
+	refuse(w, id, e.status, e.text, e.retryAfter)
 }
