--- a/internal/state/beacon/beacon.go
+++ b/internal/state/beacon/beacon.go
@@ -104,11 +104,12 @@
 }
 
 // Receive calls h for each report and notice received on conn until ctx is done, then closes conn. Invalid datagrams are
-// logged and skipped.
+// skipped and counted in the log.
 func Receive(ctx context.Context, conn *net.UDPConn, l *log.Logger, h Handler) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	buf := make([]byte, MaxDatagramBytes)
+	invalid := invalidDatagrams{log: l}
 	for ctx.Err() == nil {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -120,7 +121,7 @@
 			continue
 		}
 		if err := h.handle(buf[:n]); err != nil {
-			l.Warn().Str("From", from.String()).Err(err).Msg("cannot decode datagram, skipping it")
+			invalid.add(from, err)
 		}
 	}
 }
