process/admin: the test of the pages reads bodies to their end

Otherwise each request opened a connection, and with a limit of 2 the third was refused while the process had not seen the others close: connection reset at /readyz, once in make test on a busy machine. The checks are the same. go test -race -count=20 -run TestPagesAreServed passes.

--- a/internal/process/admin/server_test.go
+++ b/internal/process/admin/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -28,6 +29,9 @@
 	resp, err := http.Get("http://" + s.Address() + path)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
+	// The connection is used again only if the body was read.
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
 	return resp.StatusCode
 }
 
