--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -216,10 +216,7 @@
 			return fmt.Errorf("register weights service: %w", err)
 		}
 	}
-	limited, err := link.Limit(control, link.Limits{
-		Connections: s.Listeners.ControlConnections, Bytes: s.Listeners.ControlBytes(s.MemoryMegabytes),
-		Metrics: n.metrics, Log: n.journal.Logger(journal.Process),
-	})
+	limited, err := n.limitControl(control)
 	if err != nil {
 		return err
 	}
--- a/internal/process/settings/listeners.go
+++ b/internal/process/settings/listeners.go
@@ -6,8 +6,8 @@
 	defaultControlConnections = 1024
 	// defaultControlBuffer is used where the memory of the process is not known.
 	defaultControlBuffer = 64 << 20
-	// controlBufferFraction is the part of the memory of the process that messages of other processes may take.
-	controlBufferFraction = 8
+	// controlBufferFraction divides the memory of the process to give that for messages of other processes.
+	controlBufferFraction = 16
 	// minControlBuffer allows for the largest message that processes send each other, a list of all upstreams.
 	minControlBuffer        = 4 << 20
 	defaultAdminConnections = 16
@@ -18,7 +18,7 @@
 	// ControlConnections is the maximum number of open connections from other processes.
 	ControlConnections int
 	// ControlBuffer is the memory for messages of other processes that are being received, for all connections together;
-	// 0 for an eighth of the memory of the process.
+	// 0 for a sixteenth of the memory of the process.
 	ControlBuffer Bytes
 	// AdminConnections is the maximum number of open connections to the admin listener.
 	AdminConnections int
@@ -43,5 +43,5 @@
 func checkListeners(d *decoder, l *Listeners) {
 	d.require(l.ControlConnections > 0, "Listeners.ControlConnections", "must be 1 or greater")
 	d.require(l.AdminConnections > 0, "Listeners.AdminConnections", "must be 1 or greater")
-	d.require(l.ControlBuffer == 0 || l.ControlBuffer >= minControlBuffer, "Listeners.ControlBuffer", "must be %s or more, or 0B for an eighth of the memory", Bytes(minControlBuffer))
+	d.require(l.ControlBuffer == 0 || l.ControlBuffer >= minControlBuffer, "Listeners.ControlBuffer", "must be %s or more, or 0B for a sixteenth of the memory", Bytes(minControlBuffer))
 }
