--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -40,6 +40,7 @@
 	MaxDescriptors int
 	// Callers are the limits on the callers of an entry process.
 	Callers     CallerLimits
+	Listeners   Listeners
 	Bounds      NodeBounds
 	Concurrency NodeConcurrency
 	Log         Log
@@ -104,6 +105,7 @@
 func DefaultNode() Node {
 	return Node{
 		AdminListen: "127.0.0.1:0",
+		Listeners:   defaultListeners(),
 		Log:         Log{Level: "info", Format: "json"},
 		Callers:     CallerLimits{BodyTimeout: Duration(10 * time.Second), WriteTimeout: Duration(30 * time.Second)},
 		Bounds: NodeBounds{
@@ -183,5 +185,6 @@
 	d.require(b.RepeatSlack >= 0, "Bounds.RepeatSlack", "must be 0 or greater")
 	share := n.Concurrency.InitialShare
 	d.require(share > 0 && share <= 1, "Concurrency.InitialShare", "must be above 0 and at most 1")
+	checkListeners(d, &n.Listeners)
 	checkLog(d, &n.Log)
 }
