--- a/cmd/oriolehub/crowd_others_callers_test.go
+++ b/cmd/oriolehub/crowd_others_callers_test.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// crowdTime is the time that a crowd has to send.
-	crowdTime = 4 * time.Second
+	// sendingTime is the time that a crowd has to send.
+	sendingTime = 4 * time.Second
 	// answerTimeout limits the ordinary request after a crowd; it is long so that the test does not fail on a busy machine.
 	answerTimeout = 20 * time.Second
 	// smallReceiveBuffer is the receive buffer of slow readers, so that the kernel holds little for them.
@@ -32,11 +32,11 @@
 )
 
 // crowd opens connections to address, sends on each what send writes, and leaves them open until the test ends. It returns
-// when all have sent or crowdTime is over. Errors are ignored: the process may close any of them.
+// when all have sent or sendingTime is over. Errors are ignored: the process may close any of them.
 func crowd(t *testing.T, address string, connections int, send func(conn net.Conn)) {
 	t.Helper()
 	var sending sync.WaitGroup
-	deadline := time.Now().Add(crowdTime)
+	deadline := time.Now().Add(sendingTime)
 	for range connections {
 		conn, err := net.DialTimeout("tcp", address, time.Second)
 		if err != nil {
@@ -84,7 +84,7 @@
 // sendLargeCalls completes a call with a large message and leaves the connection idle.
 func sendLargeCalls(size int) func(net.Conn) {
 	return func(conn net.Conn) {
-		ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
+		ctx, cancel := context.WithTimeout(context.Background(), sendingTime)
 		defer cancel()
 		c, err := link.NewClient(func(context.Context, string) (net.Conn, error) { return conn, nil }).Fresh(ctx, "")
 		if err != nil {
@@ -94,8 +94,8 @@
 	}
 }
 
-// shortFields returns an unfinished request header of the given size with fields of 4 bytes.
-func shortFields(path string, size int) string {
+// headerOfShortFields returns an unfinished request header of the given size with fields of 4 bytes.
+func headerOfShortFields(path string, size int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "GET %s HTTP/1.1\r\nHost: a\r\n", path)
 	for i := 0; b.Len() < size; i++ {
@@ -104,8 +104,8 @@
 	return b.String()
 }
 
-// pipelined returns many requests for a path.
-func pipelined(path string, requests int) string {
+// pipelinedText returns many requests for a path.
+func pipelinedText(path string, requests int) string {
 	return strings.Repeat(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path), requests)
 }
 
--- a/cmd/oriolehub/crowd_others_platform_test.go
+++ b/cmd/oriolehub/crowd_others_platform_test.go
@@ -59,7 +59,7 @@
 		{"message in frames without end", "side", 48, sendFrames(6<<20, 4<<10)},
 		{"message in tiny frames", "side", 48, sendFrames(256<<10, 16)},
 		{"large calls, then idle", "side", 48, sendLargeCalls(3 << 20)},
-		{"no protocol", "side", 100, sendText(shortFields("/", 1<<20))},
+		{"no protocol", "side", 100, sendText(headerOfShortFields("/", 1<<20))},
 	} {
 		t.Run(tc.role+": "+tc.name, func(t *testing.T) {
 			c, control, _ := startPlatform(t, tc.role)
@@ -82,15 +82,15 @@
 		send        func(net.Conn)
 	}{
 		{"silent", 150, sendNothing},
-		{"short header fields", 60, sendText(shortFields("/metrics", 64<<10))},
-		{"header without end", 60, sendText(shortFields("/nowhere", 1<<20))},
-		{"pipelined metrics", 60, sendText(pipelined("/metrics", 4000))},
-		{"pipelined without a route", 60, sendText(pipelined("/nowhere", 4000))},
+		{"short header fields", 60, sendText(headerOfShortFields("/metrics", 64<<10))},
+		{"header without end", 60, sendText(headerOfShortFields("/nowhere", 1<<20))},
+		{"pipelined metrics", 60, sendText(pipelinedText("/metrics", 4000))},
+		{"pipelined without a route", 60, sendText(pipelinedText("/nowhere", 4000))},
 		{"body that stops short", 60, sendText(shortBody("/debug/pprof/symbol", 2<<20))},
 		{"chunks of one byte", 60, sendText(shortChunks("/debug/pprof/symbol", 64<<10))},
-		{"profiles that are not read", 60, sendText(pipelined("/debug/pprof/profile?seconds=1", 1))},
-		{"traces that are not read", 60, sendText(pipelined("/debug/pprof/trace?seconds=2", 1))},
-		{"goroutine dumps that are not read", 60, sendText(pipelined("/debug/pprof/goroutine?debug=2", 20))},
+		{"profiles that are not read", 60, sendText(pipelinedText("/debug/pprof/profile?seconds=1", 1))},
+		{"traces that are not read", 60, sendText(pipelinedText("/debug/pprof/trace?seconds=2", 1))},
+		{"goroutine dumps that are not read", 60, sendText(pipelinedText("/debug/pprof/goroutine?debug=2", 20))},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c, _, admin := startPlatform(t, "side")
@@ -111,7 +111,7 @@
 			assert.NilError(t, err)
 			defer conn.Close()
 			random := rand.New(rand.NewSource(1))
-			deadline := time.Now().Add(crowdTime)
+			deadline := time.Now().Add(sendingTime)
 			for i := 0; i < 100_000 && time.Now().Before(deadline); i++ {
 				_, _ = conn.Write(datagram(random, i))
 				if i%100 == 0 {
--- a/cmd/oriolehub/crowd_others_process_test.go
+++ b/cmd/oriolehub/crowd_others_process_test.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// sampleInterval is the interval at which the memory and file descriptors of a process are read.
-	sampleInterval = 20 * time.Millisecond
+	// othersSampleInterval is the interval at which the memory and file descriptors of a process are read.
+	othersSampleInterval = 20 * time.Millisecond
 	// programBytes is what the program may take besides what its limits allow to callers.
 	programBytes = 64 << 20
 	// connectionBytes is what one connection may take besides the memory that all of them share.
@@ -84,7 +84,7 @@
 		select {
 		case <-c.ended:
 			return
-		case <-time.After(sampleInterval):
+		case <-time.After(othersSampleInterval):
 			c.memory.Store(max(c.memory.Load(), anonymousBytes(c.pid)))
 			files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.pid))
 			c.files.Store(max(c.files.Load(), int64(len(files))))
--- a/cmd/oriolehub/crowd_others_rules_test.go
+++ b/cmd/oriolehub/crowd_others_rules_test.go
@@ -109,10 +109,10 @@
 		{"bodies over the limit", connections, sendText(shortBody("/app/orders", 2*ownMaxBodyBytes))},
 		{"whole bodies", connections, sendText(shortBody("/app/orders", ownMaxBodyBytes) + "b")},
 		{"chunks of one byte", connections, sendText(shortChunks("/app/orders", 256<<10))},
-		{"short header fields", connections, sendText(shortFields("/app/orders", 64<<10))},
-		{"header without end", connections, sendText(shortFields("/app/orders", 1<<20))},
-		{"pipelined without reading", connections, sendText(pipelined("/app/runs/1", 4000))},
-		{"pipelined without a route", connections, sendText(pipelined("/nowhere", 4000))},
+		{"short header fields", connections, sendText(headerOfShortFields("/app/orders", 64<<10))},
+		{"header without end", connections, sendText(headerOfShortFields("/app/orders", 1<<20))},
+		{"pipelined without reading", connections, sendText(pipelinedText("/app/runs/1", 4000))},
+		{"pipelined without a route", connections, sendText(pipelinedText("/nowhere", 4000))},
 		{"more bodies than connections", 100, sendText(shortBody("/app/orders", 64<<10))},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -137,8 +137,8 @@
 		{"message that stops short", false, 48, sendShortFrame(6 << 20)},
 		{"message in frames without end", false, 48, sendFrames(6<<20, 4<<10)},
 		{"content: silent", true, 300, sendNothing},
-		{"content: header without end", true, 100, sendText(shortFields("/weights/a", 1<<20))},
-		{"content: pipelined", true, 100, sendText(pipelined("/weights/a", 4000))},
+		{"content: header without end", true, 100, sendText(headerOfShortFields("/weights/a", 1<<20))},
+		{"content: pipelined", true, 100, sendText(pipelinedText("/weights/a", 4000))},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			d := startOwn(t)
