--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// Receive marks the begin of the receipt of a body and returns a function that marks its end. The end of the request marks it
+// Receive marks the start of the receipt of a body and returns a function that marks its end. The end of the request marks it
 // too. A connection whose peer stops sending meanwhile may be closed in favour of others.
 func (c *Conn) Receive() (end func()) {
 	if c == nil {
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -148,7 +148,8 @@
 }
 
 // leastRecent returns the connection among those that pick selects that is closed first, nil if none may be closed. One that
-// awaits or sends a request header may be closed only if it made no progress for the time grace. The caller holds l.mu. The search takes time proportional to the connections, but runs only at a limit.
+// awaits or sends a request header may be closed only if it made no progress for the time grace. The caller holds l.mu. The
+// search takes time proportional to the number of connections, but runs only at a limit.
 func (l *Listener) leastRecent(grace time.Duration, pick func(*Conn) bool) *Conn {
 	var out *Conn
 	var first standing
