--- a/internal/route/channel/demand.go
+++ b/internal/route/channel/demand.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// demandWindow is the time for which the highest number of concurrent calls is remembered at least, and half of the time
-// for which it is at most. No connection is idle for longer.
+// demandWindow is the minimum time for which the highest number of concurrent calls is remembered; the maximum is twice
+// that. No connection is idle for longer than demandWindow.
 const demandWindow = maxIdleTime
 
 // demand is the highest number of concurrent calls within the last demandWindow to twice that.
--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -42,7 +42,8 @@
 type Pool struct {
 	options Options
 	entries atomic.Pointer[timedEntries]
-	// backingOff is the number of upstreams of which fewer connections than the share may be in effect.
+	// backingOff is the number of upstreams at which a reset by the connection limit may still have an effect. It may be too
+	// high until the next Sweep.
 	backingOff atomic.Int64
 	resets     resets
 
@@ -95,7 +96,7 @@
 }
 
 // Allowed returns the number of connections to the upstream at address that this process may hold now, if the upstream
-// accepts limit connections from all entry processes; 0 means no limit.
+// accepts limit connections from all entry processes. A limit of 0 means none.
 func (p *Pool) Allowed(address string, limit int) int {
 	if limit <= 0 {
 		return unlimited
--- a/internal/route/concurrency/limiter.go
+++ b/internal/route/concurrency/limiter.go
@@ -18,11 +18,11 @@
 	// latencySlack and intervalSlack are the excess over the expected time that is normal. Network delays vary by that much.
 	latencySlack  = 25 * time.Millisecond
 	intervalSlack = 10 * time.Millisecond
-	// troubleMemory is the time after a late response or a slow interval during which reports don't raise the limit, since
-	// they may be false. After failures it is failureMemory for each consecutive one, if that is less: a lost connection may
+	// lateGrowthPause is the time after a late response or a slow interval during which reports don't raise the limit, since
+	// they may be false. After failures it is failureGrowthPause for each consecutive one, if that is less: a lost connection may
 	// not be the fault of the upstream.
-	troubleMemory = 2 * time.Second
-	failureMemory = 500 * time.Millisecond
+	lateGrowthPause    = 2 * time.Second
+	failureGrowthPause = 500 * time.Millisecond
 )
 
 // Limiter is the limit of the requests in flight at one instance of an upstream. The limit is compared with the estimated
@@ -50,9 +50,9 @@
 	paceAt time.Time
 	// failures is the number of consecutive failures.
 	failures int
-	// troubleUntil is the end of the time in which reports don't raise the limit. slowIntervalAt is the time of the last slow
+	// noGrowthUntil is the end of the time in which reports don't raise the limit. slowIntervalAt is the time of the last slow
 	// interval, onTimeAt that of the last response that was on time.
-	troubleUntil   time.Time
+	noGrowthUntil  time.Time
 	slowIntervalAt time.Time
 	onTimeAt       time.Time
 	// changedAt is the time of the last change of the limit, heldSince the time since which held is true.
@@ -124,7 +124,7 @@
 	}
 	v := l.latency.observe(latency, explained, now)
 	if v == late || v == slow {
-		l.troubleUntil = now.Add(troubleMemory)
+		l.noGrowthUntil = now.Add(lateGrowthPause)
 	} else {
 		l.failures = 0
 	}
@@ -138,7 +138,7 @@
 	if v == slow {
 		l.shrink(target, reasonSlow, now)
 	}
-	if !l.slowIntervalAt.IsZero() && now.Sub(l.slowIntervalAt) < troubleMemory {
+	if !l.slowIntervalAt.IsZero() && now.Sub(l.slowIntervalAt) < lateGrowthPause {
 		target = min(target, l.share(l.interval.ratio))
 	}
 	// All entry processes see this round of responses and each of them only its part.
@@ -154,7 +154,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures = 0
-	return !l.inTrouble(now) && l.grow(float64(l.peers.entries.Load()), math.Inf(1), now)
+	return !l.growthPaused(now) && l.grow(float64(l.peers.entries.Load()), math.Inf(1), now)
 }
 
 // Interval compares the mean interval between the latest events of a response with that of the other upstreams.
@@ -169,7 +169,7 @@
 	if l.interval.observe(mean, 0, now) != slow {
 		return
 	}
-	l.troubleUntil, l.slowIntervalAt = now.Add(troubleMemory), now
+	l.noGrowthUntil, l.slowIntervalAt = now.Add(lateGrowthPause), now
 	l.shrink(l.share(l.interval.ratio), reasonSlow, now)
 }
 
@@ -182,7 +182,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures++
-	l.troubleUntil = now.Add(min(troubleMemory, time.Duration(l.failures)*failureMemory))
+	l.noGrowthUntil = now.Add(min(lateGrowthPause, time.Duration(l.failures)*failureGrowthPause))
 	limit := max(l.floor(), l.current()/2)
 	if l.failures >= failuresToRestart {
 		limit = min(limit, l.initial())
@@ -237,7 +237,7 @@
 	l.publish(reason, now)
 }
 
-// grow raises the limit by up to step, at most to the double of it or to target. It returns true if that is a change.
+// grow raises the limit by up to step, at most to twice its value or to target. It returns true if that is a change.
 func (l *Limiter) grow(step, target float64, now time.Time) bool {
 	limit := l.current()
 	slots := float64(l.slots.Load())
@@ -271,5 +271,5 @@
 	l.peers.monitor.full(l.upstream, slots, now.Sub(l.heldSince))
 }
 
-// inTrouble reports whether a response was late or an attempt failed a short time ago.
-func (l *Limiter) inTrouble(now time.Time) bool { return now.Before(l.troubleUntil) }
+// growthPaused reports whether reports don't raise the limit because a response was late or an attempt failed recently.
+func (l *Limiter) growthPaused(now time.Time) bool { return now.Before(l.noGrowthUntil) }
--- a/internal/route/concurrency/peers.go
+++ b/internal/route/concurrency/peers.go
@@ -14,7 +14,7 @@
 	perPeer        = 100 * time.Microsecond
 )
 
-// minPeers is the number of upstreams from which on the majority tells whether single ones are slow.
+// minPeers is the minimum number of upstreams of which the majority shows whether single ones are slow.
 const minPeers = 3
 
 // Peers are the upstreams of one service in one region. Those of other regions are further away, so that their times do
@@ -68,7 +68,7 @@
 }
 
 // mostHeld reports whether more than half of the members are below their slots, in which case the cause is the whole service
-// or this process. Of less than minPeers members that is not said.
+// or this process. It returns false for fewer than minPeers members.
 func (p *Peers) mostHeld() bool {
 	members := len(*p.members.Load())
 	return members >= minPeers && 2*p.held.Load() > int64(members)
--- a/internal/route/concurrency/report.go
+++ b/internal/route/concurrency/report.go
@@ -72,7 +72,7 @@
 // it sooner than those of this one.
 func (l *Limiter) mayGrow(r Report, now time.Time) bool {
 	limit := l.current()
-	if limit >= float64(l.slots.Load()) || 2*float64(r.Waiting) > limit || l.inTrouble(now) {
+	if limit >= float64(l.slots.Load()) || 2*float64(r.Waiting) > limit || l.growthPaused(now) {
 		return false
 	}
 	interval := unusedInterval
--- a/internal/route/concurrency/signal.go
+++ b/internal/route/concurrency/signal.go
@@ -46,7 +46,7 @@
 	// ratio is the moving average of the ratio to the expected time, lateInRow the number of consecutive late times.
 	ratio     float64
 	lateInRow int
-	// reference is the level of the other upstreams as float bits, negative if unknown.
+	// reference is the level of the other upstreams in seconds, negative if unknown.
 	reference atomicFloat
 }
 
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// immediateRetries is the number of retries after resets by connection limits that are made at once.
+	// immediateRetries is the number of retries after resets by connection limits that are made without delay.
 	immediateRetries = 1
 	// resetRetryDelay is the minimum time before each further one, and half of the maximum. It is of the order of the time
 	// that a request occupies a connection.
@@ -28,7 +28,7 @@
 }
 
 // notSent records an attempt of which no byte was sent. An upstream at the limit of its connections is treated like one
-// without a free slot: it is spared for a short time and may be chosen again.
+// without a free slot: after a reset it is not chosen for a short time. In both cases it may be chosen again.
 func (x *exchange) notSent(c *placement.Choice, err error) {
 	switch {
 	case errors.Is(err, channel.ErrNoConnection):
@@ -49,7 +49,7 @@
 }
 
 // waitAfterResets delays the retry after an attempt that failed with err, if the request has been reset by connection
-// limits more than immediateRetries times: many requests that are repeated at once would only be reset again.
+// limits more than immediateRetries times: many requests that are repeated at the same time would only be reset again.
 func (x *exchange) waitAfterResets(ctx context.Context, err error) {
 	if errors.Is(err, channel.ErrReset) && x.resets > immediateRetries {
 		_ = hub.Sleep(ctx, resetRetryDelay+rand.N(resetRetryDelay))
--- a/internal/route/forward/retryafter.go
+++ b/internal/route/forward/retryafter.go
@@ -12,7 +12,7 @@
 // requests, left the time until the deadline of the request.
 //
 // It answers two kinds of load. If single requests find no room, a slot becomes free within moments and an early return may
-// still meet the objective. If many do, the service gets more requests than it bears: an early return would be refused again,
+// still meet the objective. If many do, the service gets more requests than it can run: an early return would be refused again,
 // and callers return only once. Then they are told to return later, and the returns are spread.
 func busyRetry(pressure float64, left time.Duration) time.Duration {
 	latest := max(busyRetryAfter, fraction(left, noUpstreamRetryFraction))
--- a/internal/route/placement/concurrency.go
+++ b/internal/route/placement/concurrency.go
@@ -8,12 +8,11 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
-// freshAge is the time since its start up to which an instance that is already listed when this process starts may be
-// new. It exceeds the time in which the limit of a healthy instance reaches all of its slots.
+// freshAge is the age up to which an instance that is already listed when this process starts is taken for new. It exceeds the time in which the limit of a healthy instance reaches all of its slots.
 const freshAge = 20 * time.Second
 
-// settleTime is the time after the first upstream of a service has been listed in which the others that are listed may
-// have been running for long: a process that starts receives the list in parts.
+// settleTime is the time after the first upstream of a service has been listed in which others that are listed are not
+// taken for new only because of that: a process that starts receives the list in parts.
 const settleTime = 3 * time.Second
 
 // peersKey identifies the upstreams whose times are compared with each other.
@@ -69,8 +68,8 @@
 	}
 }
 
-// heldBack returns the number of upstreams that get fewer requests than their slots.
-func (p *Placement) heldBack() int {
+// belowSlots returns the number of upstreams that get fewer requests than their slots.
+func (p *Placement) belowSlots() int {
 	n := 0
 	for _, l := range *p.loads.Load() {
 		if l.limiter.Held() {
--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -165,7 +165,7 @@
 		peers: map[peersKey]*concurrency.Peers{}, listed: map[string]time.Time{},
 	}
 	if o.Metrics != nil {
-		p.monitor = concurrency.NewMonitor(o.Log, o.Metrics, p.heldBack)
+		p.monitor = concurrency.NewMonitor(o.Log, o.Metrics, p.belowSlots)
 	}
 	p.loads.Store(&map[directory.Key]*Load{})
 	p.engines.Store(&map[netip.AddrPort]listedEngine{})
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -28,12 +28,12 @@
 	// allows, may run the request, 0 if there is none.
 	pauseLeft time.Duration
 
-	// held is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
+	// limited is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
 	// in flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
-	held      *directory.Upstream
-	heldLoad  *Load
-	heldScore time.Duration
-	hasOthers bool
+	limited      *directory.Upstream
+	limitedLoad  *Load
+	limitedScore time.Duration
+	hasOthers    bool
 }
 
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
@@ -48,7 +48,7 @@
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
 	for i := range service.Upstreams {
-		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyHeld()) {
+		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyLimited()) {
 			break
 		}
 		u := service.Upstreams[(first+i)%len(service.Upstreams)]
@@ -71,7 +71,7 @@
 		}
 		f.add(u, l, p.score(service, u, l, total), total)
 	}
-	f.useHeld()
+	f.useLimited()
 	return f
 }
 
@@ -79,24 +79,24 @@
 func (f *search) add(u *directory.Upstream, l *Load, score time.Duration, total int) {
 	switch {
 	case !l.limiter.Room(total, f.now):
-		if f.held == nil || score < f.heldScore {
-			f.held, f.heldLoad, f.heldScore = u, l, score
+		if f.limited == nil || score < f.limitedScore {
+			f.limited, f.limitedLoad, f.limitedScore = u, l, score
 		}
 	case f.best == nil || score < f.bestScore:
 		f.best, f.bestLoad, f.bestScore = u, l, score
 	}
 }
 
-// onlyHeld reports whether there is an upstream with a free slot, and all candidates have limits below their slots or have
+// onlyLimited reports whether there is an upstream with a free slot, and all candidates have limits below their slots or have
 // failed recently.
-func (f *search) onlyHeld() bool { return f.held != nil && !f.hasOthers }
+func (f *search) onlyLimited() bool { return f.limited != nil && !f.hasOthers }
 
-// useHeld chooses an upstream beyond its limit if otherwise only ones that have failed recently can serve, so that limits
+// useLimited chooses an upstream beyond its limit if otherwise only ones that have failed recently can serve, so that limits
 // don't refuse requests when all upstreams start at once.
-func (f *search) useHeld() {
+func (f *search) useLimited() {
 	bestFails := f.best != nil && f.bestScore >= avoidedCost
-	if f.best == nil && f.onlyHeld() || bestFails && f.held != nil && f.heldScore < f.bestScore {
-		f.best, f.bestLoad, f.bestScore = f.held, f.heldLoad, f.heldScore
+	if f.best == nil && f.onlyLimited() || bestFails && f.limited != nil && f.limitedScore < f.bestScore {
+		f.best, f.bestLoad, f.bestScore = f.limited, f.limitedLoad, f.limitedScore
 	}
 }
 
