--- a/internal/route/placement/concurrency.go
+++ b/internal/route/placement/concurrency.go
@@ -8,7 +8,8 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
-// freshAge is the age up to which an instance that is already listed when this process starts is taken for new. It exceeds the time in which the limit of a healthy instance reaches all of its slots.
+// freshAge is the age up to which an instance that is already listed when this process starts is taken for new. It
+// exceeds the time in which the limit of a healthy instance reaches all of its slots.
 const freshAge = 20 * time.Second
 
 // settleTime is the time after the first upstream of a service has been listed in which others that are listed are not
