wire/listener: callers that wait for memory are told so, advancing headers outlive silent connections

Causes, found by review with trial tests: callers that waited for header memory were each other's victims and were reset before their refusal; each waiter searched all connections every 10 ms; a header in progress yielded before connections that had sent nothing; the last 4 KiB of a body were charged as header lines while the connection was idle; a control connection that is written to made no progress; a refusal could be lost to a reset; lack of our own memory for a response counted as a failure of the upstream.

--- a/internal/route/dispatch/body.go
+++ b/internal/route/dispatch/body.go
@@ -41,7 +41,7 @@
 	if r.ContentLength == 0 {
 		return b, nil
 	}
-	defer b.conn.Receive()()
+	defer b.conn.Receive(r.ContentLength)()
 	err := b.readFrom(r, http.MaxBytesReader(w, r.Body, maxBytes), maxBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -188,7 +188,9 @@
 func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool) error {
 	body, err := x.readResponse(response)
 	if err != nil {
-		x.upstreamFailed(c)
+		if !errors.Is(err, errNoResponseMemory) {
+			x.upstreamFailed(c)
+		}
 		err = x.brokenError(ctx, err)
 		x.reportCrash(c, err)
 		return err
--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -25,12 +25,15 @@
 // errNoMemory means that there is no memory for the body of a request.
 var errNoMemory = errors.New("no memory for the body")
 
-// errTooLarge means that the body of a response exceeds maxResponseBytes or does not fit into the memory for bodies.
+// errNoResponseMemory means that there is no memory for the body of a response. The upstream is not at fault.
+var errNoResponseMemory = errors.New("no memory for the answer")
+
+// errTooLarge means that the body of a response exceeds maxResponseBytes.
 var errTooLarge = errors.New("answer is too large")
 
 // readAll reads the complete body of the request, of which limit is the maximum length.
 func (x *exchange) readAll(limit int64, body *bodyReader) ([]byte, error) {
-	end := listener.FromContext(x.r.Context()).Receive()
+	end := listener.FromContext(x.r.Context()).Receive(x.r.ContentLength)
 	defer end()
 	length := x.r.ContentLength
 	if length > limit {
@@ -110,7 +113,7 @@
 		size = max(length+1, int64(len(body))+1)
 	}
 	if !x.holdResponse(size) {
-		return nil, fmt.Errorf("%w: %w: no memory for over %d bytes", channel.ErrBroken, errTooLarge, len(body))
+		return nil, fmt.Errorf("%w: %w: over %d bytes", channel.ErrBroken, errNoResponseMemory, len(body))
 	}
 	grown := append(make([]byte, 0, size), body...)
 	x.responseMemory.keepLast()
--- a/internal/wire/link/conn.go
+++ b/internal/wire/link/conn.go
@@ -158,6 +158,9 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	idle := !c.calling && c.received <= freeBytes && time.Since(c.readAt) >= stallTime
+	if !idle && !c.calling && !c.closed {
+		c.idle.Reset(idleRetention)
+	}
 	c.mu.Unlock()
 	if idle {
 		_ = c.Close()
--- a/internal/wire/listener/budget.go
+++ b/internal/wire/listener/budget.go
@@ -68,8 +68,9 @@
 	}
 }
 
-// acquire waits for n bytes until ctx is done or wait has passed. It calls reclaim, if not nil, before each further attempt.
-func (b *Budget) acquire(ctx context.Context, n int64, wait time.Duration, reclaim func()) bool {
+// acquire waits for n bytes until ctx is done or wait has passed. It calls reclaim, if not nil, before each further attempt and
+// stops waiting if that returns false.
+func (b *Budget) acquire(ctx context.Context, n int64, wait time.Duration, reclaim func() bool) bool {
 	if b.TryAcquire(n) {
 		return true
 	}
@@ -82,8 +83,8 @@
 	retry := time.NewTicker(retryInterval)
 	defer retry.Stop()
 	for {
-		if reclaim != nil {
-			reclaim()
+		if reclaim != nil && !reclaim() {
+			return false
 		}
 		select {
 		case <-retry.C:
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -40,7 +40,10 @@
 	// if there is none.
 	progressAt atomic.Int64
 	writingAt  atomic.Int64
-	// receiving is true while the body of a request is awaited, unmarked counts its bytes since the last progress.
+	// waiting is true while the connection waits for memory for its request header.
+	waiting atomic.Bool
+	// receiving is true while the body of a request is awaited. unmarked counts the bytes of a header or body since the last
+	// progress.
 	receiving atomic.Bool
 	unmarked  atomic.Int64
 	kept      atomic.Bool
@@ -134,6 +137,9 @@
 			return written, err
 		}
 		c.writingAt.Store(int64(c.listener.now()) + 1)
+		if !c.listener.options.HTTP {
+			c.progress()
+		}
 	}
 }
 
@@ -225,7 +231,9 @@
 	at, rank := c.progressAt.Load(), rankUnused
 	switch c.phase() {
 	case phaseHeader:
-		rank = rankStalled
+		if int64(now)-at >= int64(stallTime) {
+			rank = rankStalled
+		}
 	case phaseIdle:
 		rank = rankIdle
 	case phaseActive:
--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"time"
 )
 
@@ -16,8 +17,14 @@
 	readerBytes = 4 << 10
 	// headerMemoryTimeout is the time for which the reading of a request header waits for memory.
 	headerMemoryTimeout = 500 * time.Millisecond
-	// refusalTimeout is the time limit for sending refusal.
+	// refusalTimeout is the time limit for sending refusal and for discarding what the caller still sends.
 	refusalTimeout = 100 * time.Millisecond
+	// maxDiscardedBytes limits what is discarded then.
+	maxDiscardedBytes = 256 << 10
+	// headerProgress is the number of bytes after which the receipt of a request header counts as progress.
+	headerProgress = 1 << 10
+	// unknownLength is the length of a body that is sent in chunks.
+	unknownLength = -1
 )
 
 // refusal is the response to a request whose header does not fit into the memory. Nothing has been sent to an upstream.
@@ -32,6 +39,10 @@
 	rest []byte
 	// blank is true if the bytes so far end with an end of line, which another one makes the end of the header.
 	blank bool
+	// body is the number of bytes received since the end of the header, expected the length of the body, unknownLength if
+	// that is not known.
+	body     int64
+	expected int64
 	// tail is the cost of the bytes that http.Server may have read beyond the end of the last body.
 	tail int64
 }
@@ -48,9 +59,14 @@
 
 // remember notes what may have been read beyond the end of a body.
 func (h *headerReader) remember(data []byte) {
+	h.body += int64(len(data))
+	beyond := int64(len(data))
+	if h.expected != unknownLength {
+		beyond = min(beyond, h.body-h.expected)
+	}
 	// A single byte is read while a request is in progress to notice that the caller has left.
-	if len(data) > 1 {
-		h.tail = cost(data[max(0, len(data)-readerBytes):])
+	if beyond > 1 {
+		h.tail = cost(data[int64(len(data))-min(beyond, readerBytes):])
 	}
 }
 
@@ -86,9 +102,13 @@
 		return 0, err
 	}
 	if c.phase() != phaseHeader {
-		c.progress()
+		c.unmarked.Store(headerProgress)
 		c.current.Store(phaseHeader)
 	}
+	if c.unmarked.Add(int64(n)) >= headerProgress {
+		c.unmarked.Store(0)
+		c.progress()
+	}
 	if end := h.end(p[:n]); end < n {
 		h.rest = append(bytes.Clone(p[end:n]), h.rest...)
 		n = end
@@ -106,14 +126,19 @@
 	if b == nil {
 		return true
 	}
-	reclaim := func() {
+	c.waiting.Store(true)
+	reclaim := func() bool {
 		c.listener.reclaim(func(other *Conn) bool {
-			return other != c && other.phase() != phaseActive && other.charged.Load() > 0
+			// One that waits for memory itself would free nothing before it has got some or has been refused.
+			return other != c && other.phase() != phaseActive && other.charged.Load() > 0 && !other.waiting.Load()
 		})
+		return !c.closed.Load()
 	}
 	if !b.acquire(context.Background(), n, headerMemoryTimeout, reclaim) {
+		// It stays marked as waiting until it has been refused.
 		return false
 	}
+	c.waiting.Store(false)
 	c.charged.Add(n)
 	return true
 }
@@ -121,8 +146,13 @@
 // refuse responds that the request has not run.
 func (c *Conn) refuse() {
 	c.listener.count(reasonHeader)
+	c.releaseHeader()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, _ = c.Conn.Write([]byte(refusal))
+	// Closing with unread data resets the connection, and the caller might lose the refusal.
+	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardedBytes))
+	}
 	_ = c.Close()
 }
 
@@ -131,7 +161,7 @@
 func (c *Conn) endRequest() {
 	c.releaseHeader()
 	tail := c.header.tail
-	c.header.tail, c.header.blank = 0, false
+	c.header.tail, c.header.blank, c.header.body, c.header.expected = 0, false, 0, 0
 	if b := c.listener.options.Headers; b == nil || tail == 0 {
 		return
 	} else if !b.TryAcquire(tail) {
--- a/internal/wire/listener/header_test.go
+++ b/internal/wire/listener/header_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -111,3 +112,58 @@
 		}
 	})
 }
+
+// Guards against callers that wait for memory for their headers and close each other: none would be told that its request has
+// not run.
+func TestWaitingHeadersDoNotCloseEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, begin, end = 4, "GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"
+		inner, _ := withHeaderBudget(t, callers*int64(len(begin)+256)+100, ok)
+		var waiting []net.Conn
+		for range callers {
+			c := inner.dial("::1")
+			send(t, c, begin)
+			waiting = append(waiting, c)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, c := range waiting {
+			go func() { _, _ = c.Write([]byte(end)) }()
+		}
+		for _, c := range waiting {
+			got := status(t, c)
+			assert.Assert(t, got == http.StatusOK || got == http.StatusServiceUnavailable, "status %d", got)
+		}
+	})
+}
+
+// Guards against memory for headers that stays charged for the lines of a body: idle connections would take all of it.
+func TestLinesOfABodyAreNotChargedAsHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, b := withHeaderBudget(t, 2<<20, func(_ http.ResponseWriter, r *http.Request) {
+			defer listener.FromContext(r.Context()).Receive(r.ContentLength)()
+			_, _ = io.Copy(io.Discard, r.Body)
+		})
+		c := inner.dial("::1")
+		body := strings.Repeat("\n", 4096)
+		send(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4096\r\n\r\n"+body)
+		assert.Equal(t, status(t, c), http.StatusOK)
+		synctest.Wait()
+		assert.Equal(t, b.Used(), int64(0))
+	})
+}
+
+// Guards against callers whose headers advance being cut while connections that have sent nothing stay open.
+func TestSilentConnectionsYieldBeforeAdvancingHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, _ := serve(t, listener.Options{MaxConnections: 2}, ok)
+		silent := inner.dial("::1")
+		time.Sleep(time.Second)
+		caller := inner.dial("::1")
+		send(t, caller, "GET / HTTP/1.1\r\n")
+		time.Sleep(300 * time.Millisecond)
+		newcomer := inner.dial("::1")
+		assert.Assert(t, !isOpen(t, silent) && isOpen(t, caller) && isOpen(t, newcomer))
+		send(t, caller, "Host: h\r\n\r\n")
+		assert.Equal(t, status(t, caller), http.StatusOK)
+	})
+}
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -31,7 +31,7 @@
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.ContentLength != 0 {
-				FromContext(r.Context()).Receive()
+				FromContext(r.Context()).Receive(r.ContentLength)
 				// Without a deadline the caller could hold the connection, which is closed instead.
 				if http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) != nil {
 					panic(http.ErrAbortHandler)
@@ -42,12 +42,14 @@
 	}
 }
 
-// Receive marks the start of the receipt of a body and returns a function that marks its end. The end of the request marks it
+// Receive marks the start of the receipt of a body of the given length, -1 if it is sent in chunks, and returns a function that
+// marks its end. The end of the request marks it
 // too. A connection whose peer stops sending meanwhile may be closed in favour of others.
-func (c *Conn) Receive() (end func()) {
+func (c *Conn) Receive(length int64) (end func()) {
 	if c == nil {
 		return func() {}
 	}
+	c.header.expected = length
 	c.unmarked.Store(0)
 	c.progress()
 	c.receiving.Store(true)
@@ -60,8 +62,9 @@
 	if c == nil {
 		return b.acquire(ctx, n, wait, nil)
 	}
-	reclaim := func() {
+	reclaim := func() bool {
 		c.listener.reclaim(func(other *Conn) bool { return other != c && other.held.Load() > 0 })
+		return !c.closed.Load()
 	}
 	if !b.acquire(ctx, n, wait, reclaim) {
 		return false
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -55,6 +56,8 @@
 	options Options
 	epoch   time.Time
 	counts  counts
+	// reclaimedAt is the time of the last search for a connection to close for its memory.
+	reclaimedAt atomic.Int64
 
 	mu          sync.Mutex
 	connections map[*Conn]struct{}
@@ -166,7 +169,13 @@
 }
 
 // reclaim closes the connection among those that pick selects that is closed first, if there is one.
+// It does nothing if a connection was searched less than retryInterval ago: many may wait for memory, and each search looks at
+// all connections.
 func (l *Listener) reclaim(pick func(*Conn) bool) {
+	last, now := l.reclaimedAt.Load(), int64(l.now())
+	if now-last < int64(retryInterval) || !l.reclaimedAt.CompareAndSwap(last, now) {
+		return
+	}
 	l.mu.Lock()
 	victim := l.leastRecent(newcomerGrace, pick)
 	if victim != nil {
--- a/internal/wire/listener/listener_test.go
+++ b/internal/wire/listener/listener_test.go
@@ -141,7 +141,7 @@
 				<-answer
 				return
 			}
-			defer listener.FromContext(r.Context()).Receive()()
+			defer listener.FromContext(r.Context()).Receive(r.ContentLength)()
 			_, _ = io.Copy(io.Discard, r.Body)
 		})
 		waiting, advancing, stalled := inner.dial("::1"), inner.dial("::1"), inner.dial("::1")
