--- a/internal/route/channel/share.go
+++ b/internal/route/channel/share.go
@@ -49,7 +49,7 @@
 
 // allowed returns the number of connections that are allowed out of a share.
 func (b *backoff) allowed(share int, now time.Time) int {
-	if b.resetAt.IsZero() {
+	if b.resetAt.IsZero() || share == unlimited {
 		return share
 	}
 	return min(share, b.held+int(now.Sub(b.resetAt)/recoveryInterval))
--- a/internal/route/channel/share_test.go
+++ b/internal/route/channel/share_test.go
@@ -72,3 +72,13 @@
 	assert.Equal(t, u.idleLimit(12, now.Add(2*demandWindow)), 0, "no demand any more")
 	assert.Equal(t, (&upstreamConns{}).idleLimit(12, now), maxIdlePerAddress, "no limit")
 }
+
+// Guards against a backoff that limits an upstream for good after the configuration no longer limits its connections.
+func TestBackoffEndsWithTheLimit(t *testing.T) {
+	now := time.Now()
+	var b backoff
+	b.reset(3, now)
+	assert.Equal(t, b.allowed(unlimited, now), unlimited)
+	assert.Assert(t, !b.over(unlimited, now))
+	assert.Assert(t, b.over(unlimited, now.Add(suspicionTime)))
+}
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -28,10 +28,11 @@
 }
 
 // notSent records an attempt of which no byte was sent. An upstream at the limit of its connections is treated like one
-// without a free slot: after a reset it is not chosen for a short time. In both cases it may be chosen again.
+// without a free slot: it is not chosen for a short time, and may be chosen again after it.
 func (x *exchange) notSent(c *placement.Choice, err error) {
 	switch {
 	case errors.Is(err, channel.ErrNoConnection):
+		c.Load.Refused()
 	case errors.Is(err, channel.ErrReset):
 		x.countReset(err)
 		c.Load.Refused()
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -153,11 +153,12 @@
 }
 
 // hasSlot reports whether this process may send a further request to the upstream, which runs up to limit requests at once and
-// has total according to this process. If the upstream sends reports and there are other entry processes, the process keeps to
-// its allotment.
+// has total according to this process. If the upstream sends reports, has used more than half of its slots and there are other
+// entry processes, the process keeps to its allotment. With fewer requests the slots suffice for all, and a process without a part
+// would wait for nothing.
 func (l *Load) hasSlot(t Turn, limit, total int) bool {
 	r := l.recentReport()
-	if r == nil || t.Entries <= 1 {
+	if r == nil || t.Entries <= 1 || 2*r.allotment.total <= int64(limit) {
 		return total < limit
 	}
 	return total < limit+allowedWaiting && !r.allotment.exhausted(t, limit, l.running.Load())
