--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -20,8 +20,8 @@
 	// connectionsPerMegabyte is the number of connections of callers for each MiB of memory. One that is idle takes about
 	// 20 KiB with its goroutine and buffers, so that all together take an eighth of the memory.
 	connectionsPerMegabyte = 6
-	// callerDescriptorFraction is the fraction of the file descriptors that connections of callers may use. The others are
-	// for upstreams, of which a request in progress needs one.
+	// callerDescriptorFraction is the fraction of the file descriptors that connections of callers may use. Most of the
+	// others are for upstreams and other processes: a request in progress needs a connection to an upstream.
 	callerDescriptorFraction = 0.5
 	// readyDescriptorFraction and maxReadyConnections limit the connections to the readiness listener.
 	readyDescriptorFraction = 0.0625
--- a/internal/process/node/order.go
+++ b/internal/process/node/order.go
@@ -12,7 +12,7 @@
 // orderTTL is the time for which the order of the entry processes is used before it is determined again.
 const orderTTL = 250 * time.Millisecond
 
-// entryOrder is the order of the entry processes by ID, in which they divide what all of them could use at once. It is safe
+// entryOrder is the order of the entry processes by ID, which divide the free slots of upstreams in this order. It is safe
 // for concurrent use.
 type entryOrder struct {
 	self string
--- a/internal/route/placement/allotment.go
+++ b/internal/route/placement/allotment.go
@@ -11,7 +11,7 @@
 // before the next report.
 const allowedWaiting = 1
 
-// Turn is the place of an entry process in the order of all entry processes.
+// Turn is the place of an entry process, counted from 0, in the order of all entry processes by ID.
 type Turn struct {
 	Index   int
 	Entries int
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -50,7 +50,7 @@
 }
 
 // Listener is a net.Listener that limits its open connections. At the limit, a new connection takes the place of the one
-// without progress for the longest time. A connection with a request in progress that advances is never closed for another.
+// without progress for the longest time. A connection with a request in progress that advances is not chosen.
 type Listener struct {
 	net.Listener
 	options Options
