route/forward: stalled readers hold no slots, requests sent ahead wait last

A response of 3 MiB that had been received whole kept its slot until the caller had read it or was cut off after 2 s, and each of the 96 had a request in the queue at any time, so that an ordinary one got one freed slot in 97.

The slot and the connection are released before the response is written. A request that was sent before the previous response on its connection was complete is queued behind all others.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -215,6 +215,9 @@
 	if success {
 		c.ResponseCompleted()
 	}
+	// The upstream has finished. A caller that reads slowly must not keep its slot and connection from others.
+	response.Close()
+	c.Release()
 	x.writeResponse(buffered)
 	return nil
 }
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -35,6 +35,10 @@
 	// missedObjectivePriority is added to the priority of requests whose objective is already missed, so that they
 	// wait behind all others.
 	missedObjectivePriority = 100
+	// sentAheadPriority is added to the priority of requests that the caller sent before it had the response to the previous one
+	// on the connection. Otherwise a caller that sends thousands of requests and reads nothing has one in the queue at any time,
+	// and callers that wait for their responses rarely get a slot.
+	sentAheadPriority = 1000
 	// attemptTimeoutFactor times the objective is the time after which a retryable request is sent to another
 	// upstream.
 	attemptTimeoutFactor = 3
@@ -67,6 +71,8 @@
 	started  time.Time
 	deadline time.Time
 	caller   hub.RequestInfo
+	// sentAhead is true if the caller sent the request before the response to the previous one was complete.
+	sentAhead bool
 	// snapshot is the desired state in which route and account were found.
 	snapshot *directory.Snapshot
 	route    *hub.Route
@@ -195,6 +201,9 @@
 	case x.missedObjective():
 		r.Priority += missedObjectivePriority
 	}
+	if x.relay == nil && x.sentAhead {
+		r.Priority += sentAheadPriority
+	}
 	return r
 }
 
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -19,6 +19,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 )
 
 const (
@@ -87,7 +88,10 @@
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler to abort a connection whose response can't be
 // completed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{handler: h, w: w, r: r, started: time.Now(), caller: h.options.Format.ParseRequest(r.Header)}
+	x := &exchange{
+		handler: h, w: w, r: r, started: time.Now(), caller: h.options.Format.ParseRequest(r.Header),
+		sentAhead: listener.FromContext(r.Context()).SentAhead(),
+	}
 	defer x.releaseMemory()
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
--- a/internal/route/forward/limits_test.go
+++ b/internal/route/forward/limits_test.go
@@ -114,3 +114,22 @@
 	assert.Equal(t, other.status, http.StatusOK)
 	assert.Equal(t, len(other.body), long)
 }
+
+// Guards against callers that do not read their responses and so hold the slots of upstreams that have finished: others were
+// refused as if the upstream had no room.
+func TestStalledReadersHoldNoSlots(t *testing.T) {
+	const slots, long = 4, 3 << 20
+	u := withTestUpstream(t, respond(http.StatusOK, strings.Repeat("x", long)))
+	f := withLimitedEntry(t, behindListener(t), func(o *forward.Options) {
+		o.Memory = forward.Memory{Responses: 8 * long}
+	}, u)
+	for range slots {
+		stalled := dial(t, f)
+		_, err := fmt.Fprintf(stalled, "POST /many/x HTTP/1.1\r\nHost: h.test\r\n%s: k1\r\nContent-Length: 0\r\n\r\n", desired.HeaderKey)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(stalled, make([]byte, 1))
+		assert.NilError(t, err)
+	}
+	other := f.post(t, "/many/x")
+	assert.Equal(t, other.status, http.StatusOK, other.body)
+}
--- a/internal/route/forward/retryafter_test.go
+++ b/internal/route/forward/retryafter_test.go
@@ -31,6 +31,17 @@
 	assert.Assert(t, busyRetry(1, 0) <= busyRetryAfter+1)
 }
 
+// Guards against a caller that sends requests without awaiting the responses and so has one in the queue at any time.
+func TestRequestsSentAheadWaitBehindAllOthers(t *testing.T) {
+	route := &hub.Route{Priority: 5, Timeout: 6 * time.Second}
+	ahead := &exchange{route: &hub.Route{Timeout: 6 * time.Second}, sentAhead: true}
+	returned := &exchange{route: route, caller: hub.RequestInfo{Wait: time.Second}}
+	assert.Assert(t, ahead.requirements().Priority > returned.requirements().Priority)
+	assert.Equal(t, ahead.upstreamPriority(), lowestUpstreamPriority)
+	resumed := &exchange{route: route, relay: &relay{}, sentAhead: true}
+	assert.Equal(t, resumed.requirements().Priority, resumedPriority)
+}
+
 // Guards against urgent requests that wait at an engine behind less urgent ones, and against resumed streams that wait behind
 // new requests.
 func TestPriorityAtTheUpstream(t *testing.T) {
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -47,6 +47,9 @@
 	receiving atomic.Bool
 	unmarked  atomic.Int64
 	kept      atomic.Bool
+	// sentAhead is true if a part of the next request, or of the one in progress, was received before the response to the one
+	// before it was complete.
+	sentAhead atomic.Bool
 	// held is the number of bytes of bodies that are held for the connection, charged that for its request header.
 	held    atomic.Int64
 	charged atomic.Int64
--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -45,6 +45,8 @@
 	expected int64
 	// tail is the cost of the bytes that http.Server may have read beyond the end of the last body.
 	tail int64
+	// beyond is true if data have been received beyond the end of the request in progress.
+	beyond bool
 }
 
 // readRest returns bytes that were held back.
@@ -64,6 +66,9 @@
 	if h.expected != unknownLength {
 		beyond = min(beyond, h.body-h.expected)
 	}
+	if h.expected != unknownLength && beyond > 0 {
+		h.beyond = true
+	}
 	// A single byte is read while a request is in progress to notice that the caller has left.
 	if beyond > 1 {
 		h.tail = cost(data[int64(len(data))-min(beyond, readerBytes):])
@@ -161,7 +166,8 @@
 func (c *Conn) endRequest() {
 	c.releaseHeader()
 	tail := c.header.tail
-	c.header.tail, c.header.blank, c.header.body, c.header.expected = 0, false, 0, 0
+	c.sentAhead.Store(c.header.beyond || len(c.header.rest) > 0)
+	c.header.tail, c.header.blank, c.header.body, c.header.expected, c.header.beyond = 0, false, 0, 0, false
 	if b := c.listener.options.Headers; b == nil || tail == 0 {
 		return
 	} else if !b.TryAcquire(tail) {
--- a/internal/wire/listener/header_test.go
+++ b/internal/wire/listener/header_test.go
@@ -167,3 +167,52 @@
 		assert.Equal(t, status(t, caller), http.StatusOK)
 	})
 }
+
+// Guards against requests that are taken for ones sent ahead although their caller has awaited the previous response, and the
+// reverse.
+func TestRequestsSentAheadAreRecognized(t *testing.T) {
+	const (
+		get  = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		post = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	)
+	for name, tc := range map[string]struct {
+		sent [][]string
+		want []bool
+	}{
+		"awaited":               {[][]string{{get}, {get}, {post}, {post}, {get}}, []bool{false, false, false, false, false}},
+		"at once":               {[][]string{{get + get + get}}, []bool{false, true, true}},
+		"later":                 {[][]string{{get, get}}, []bool{false, true}},
+		"first byte only":       {[][]string{{get, get[:1]}, {get[1:]}}, []bool{false, true}},
+		"after a body":          {[][]string{{post + get}, {get}}, []bool{false, true, false}},
+		"after a body, later":   {[][]string{{post, post}, {get}}, []bool{false, true, false}},
+		"awaited after a crowd": {[][]string{{get + get}, {get}}, []bool{false, true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				seen := make(chan bool, 10)
+				handler := listener.LimitBodies(time.Minute)(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					seen <- listener.FromContext(r.Context()).SentAhead()
+					time.Sleep(time.Second)
+				}))
+				inner, _ := withHeaderBudget(t, 2<<20, handler.ServeHTTP)
+				c := inner.dial("::1")
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+				for _, parts := range tc.sent {
+					for _, p := range parts {
+						send(t, c, p)
+					}
+					time.Sleep(time.Minute / 2)
+				}
+				assert.NilError(t, c.Close())
+				synctest.Wait()
+				close(seen)
+				var got []bool
+				for ahead := range seen {
+					got = append(got, ahead)
+				}
+				assert.DeepEqual(t, got, tc.want)
+			})
+		})
+	}
+}
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -17,8 +17,8 @@
 	return ctx
 }
 
-// FromContext returns the connection of a request, nil if it is not one of a Listener. The methods Acquire, Release and
-// Receive may be called on nil.
+// FromContext returns the connection of a request, nil if it is not one of a Listener. The methods Acquire, Release,
+// Receive and SentAhead may be called on nil.
 func FromContext(ctx context.Context) *Conn {
 	c, _ := ctx.Value(contextKey{}).(*Conn)
 	return c
@@ -56,6 +56,11 @@
 	return func() { c.receiving.Store(false) }
 }
 
+// SentAhead reports whether the request in progress began to arrive before the response to the previous one on the connection
+// was complete. A request after one with a body in chunks counts only if its beginning was not received together with the end of
+// that body.
+func (c *Conn) SentAhead() bool { return c != nil && c.sentAhead.Load() }
+
 // Acquire acquires n bytes of b that are held for the connection. If they are not free, it waits for up to wait and closes
 // stalled connections that hold memory.
 func (c *Conn) Acquire(ctx context.Context, b *Budget, n int64, wait time.Duration) bool {
