soak/plan: faults of load, drawn after the others from a stream of their own

The plans have neither callers outside the limits nor slow upstreams. Plan.AddLoad adds the kinds SlowDown, ShortBodies, EndlessHeaders and UnreadResponses, and the line Memory with the megabytes in the settings of each process. TestLoadLeavesTheOtherFaultsAsTheyAre guards the other faults of a plan with load.

--- a/internal/soak/plan/generate.go
+++ b/internal/soak/plan/generate.go
@@ -24,6 +24,13 @@
 	seriesGap    = 1500 * time.Millisecond
 	// stopTime is the time that a planned stop may take, which begins before the end of the faults by as much.
 	stopTime = 9 * time.Second
+	// meanLoadGap is the mean time between two faults of load.
+	meanLoadGap = 2 * time.Second
+	// loadStream is the stream of random numbers of the faults of load, so that they do not change the other faults of a seed.
+	loadStream = 1 << 32
+	// loadMemory is the memory of each process in megabytes, of which fewer bodies than the callers outside the limits send
+	// fit into the part for bodies.
+	loadMemory = 96
 )
 
 // Domains are the failure domains of a soak.
@@ -96,26 +103,46 @@
 	{kind: TakeOutDomain, weight: 2, target: (*generator).domain},
 }
 
-// generator draws faults.
+// loadChoices are the faults that AddLoad draws.
+var loadChoices = []choice{
+	{kind: SlowDown, weight: 3, target: (*generator).upstream},
+	{kind: ShortBodies, weight: 2, target: (*generator).entry},
+	{kind: EndlessHeaders, weight: 2, target: (*generator).entry},
+	{kind: UnreadResponses, weight: 2, target: (*generator).entry},
+}
+
+// generator draws faults from choices.
 type generator struct {
-	rng  *rand.Rand
-	size Size
+	rng     *rand.Rand
+	size    Size
+	choices []choice
+	meanGap time.Duration
 }
 
 // Generate returns the plan of a seed.
 func Generate(seed uint64, length time.Duration, size Size) *Plan {
-	g := &generator{rng: rand.New(rand.NewPCG(seed, 0)), size: size}
+	g := &generator{rng: rand.New(rand.NewPCG(seed, 0)), size: size, choices: choices, meanGap: meanGap}
 	p := &Plan{Seed: seed, Time: length, Size: size}
-	end := length - FaultFree
+	p.addFaults(g)
+	return p
+}
+
+// AddLoad adds the faults of load of the plan's seed, and the setting with which the memory of the processes is checked.
+func (p *Plan) AddLoad() {
+	p.Memory = loadMemory
+	p.addFaults(&generator{rng: rand.New(rand.NewPCG(p.Seed, loadStream)), size: p.Size, choices: loadChoices, meanGap: meanLoadGap})
+}
+
+func (p *Plan) addFaults(g *generator) {
+	end := p.Time - FaultFree
 	for at := firstFault; at < end; at += g.gap() {
 		p.Faults = append(p.Faults, g.draw(at, end)...)
 	}
 	p.sort()
-	return p
 }
 
 func (g *generator) gap() time.Duration {
-	return time.Duration(g.rng.ExpFloat64() * float64(meanGap)).Truncate(precision)
+	return time.Duration(g.rng.ExpFloat64() * float64(g.meanGap)).Truncate(precision)
 }
 
 // draw returns one fault, or a series of the same at other targets, that begin at the given time and end before end.
@@ -143,11 +170,11 @@
 
 func (g *generator) choose() choice {
 	total := 0
-	for _, c := range choices {
+	for _, c := range g.choices {
 		total += c.weight
 	}
 	at := g.rng.IntN(total)
-	for _, c := range choices {
+	for _, c := range g.choices {
 		if at -= c.weight; at < 0 {
 			return c
 		}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -52,6 +52,16 @@
 	NameLimit    Kind = "NameLimit"
 )
 
+// Faults of load. SlowDown makes an upstream respond slowly; the others open connections to the callers' listener of an entry
+// process that are outside its limits: ShortBodies sends bodies that stop short, EndlessHeaders headers without end, and
+// UnreadResponses requests without reading the responses.
+const (
+	SlowDown        Kind = "SlowDown"
+	ShortBodies     Kind = "ShortBodies"
+	EndlessHeaders  Kind = "EndlessHeaders"
+	UnreadResponses Kind = "UnreadResponses"
+)
+
 // Changes by the operator.
 const (
 	ChangeKey     Kind = "ChangeKey"
@@ -86,8 +96,10 @@
 type Plan struct {
 	Seed uint64
 	// Time is the time for which callers send requests. No fault lasts into the last FaultFree of it.
-	Time   time.Duration
-	Size   Size
+	Time time.Duration
+	Size Size
+	// Memory is the memory in the settings of each process in megabytes, 0 for settings that name none.
+	Memory int
 	Faults []Fault
 }
 
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,10 +24,34 @@
 	assert.Equal(t, p.String(), text)
 }
 
+// The plan that CI plays stays as it was before there were faults of load.
+func TestPlanOfCIStaysAsItWas(t *testing.T) {
+	golden.Assert(t, Generate(1, 45*time.Second, Size{Entries: 3, Engines: 6, Plain: 3}).String(), "../_fixtures/seed-1-soak.golden")
+}
+
+// The faults of load must be reproducible too, and must not change the other faults of the seed.
+func TestLoadLeavesTheOtherFaultsAsTheyAre(t *testing.T) {
+	before := Generate(7, 40*time.Second, testSize)
+	p := Generate(7, 40*time.Second, testSize)
+	p.AddLoad()
+	golden.Assert(t, p.String(), "../_fixtures/seed-7-load.golden")
+	read, err := Parse(p.String())
+	assert.NilError(t, err)
+	assert.Equal(t, read.String(), p.String())
+	p.Memory = 0
+	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool {
+		return slices.ContainsFunc(loadChoices, func(c choice) bool { return c.kind == f.Kind })
+	})
+	assert.Equal(t, p.String(), before.String())
+}
+
 func TestFaultsEndBeforeTheFaultFreeTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		length := 30 * time.Second
 		p := Generate(rapid.Uint64().Draw(t, "seed"), length, testSize)
+		if rapid.Bool().Draw(t, "load") {
+			p.AddLoad()
+		}
 		if p.LastEnd() > length-FaultFree {
 			t.Fatalf("a fault ends at %s", p.LastEnd())
 		}
@@ -38,7 +63,8 @@
 
 func TestFaultyPlansAreRejected(t *testing.T) {
 	head := "Seed 1\nTime 20s\nSize 2 2 1\n"
-	for _, line := range []string{"Fault 1s 1s Kill entry-2", "Fault 1s 1s Kil entry-1", "Fault 1s Kill entry-1", "Fault -1s 1s Kill entry-1", "Fault 1s 1s Cut store:side", "Fault 1s 1s Kill engine-0", "Fault 1s 1s Stop -", "Fault 1s 1s Cut callers:side-0", "Fault 1s 1s StoreBusy entry-0", "Fault 1s 1s Leave entry-0", "Size 1 1 0", "Time x"} {
+	for _, line := range []string{"Fault 1s 1s Kill entry-2", "Fault 1s 1s Kil entry-1", "Fault 1s Kill entry-1", "Fault -1s 1s Kill entry-1", "Fault 1s 1s Cut store:side", "Fault 1s 1s Kill engine-0", "Fault 1s 1s Stop -", "Fault 1s 1s Cut callers:side-0", "Fault 1s 1s StoreBusy entry-0", "Fault 1s 1s Leave entry-0", "Size 1 1 0", "Time x",
+		"Fault 1s 1s SlowDown entry-0", "Fault 1s 1s ShortBodies side-0", "Fault 1s 1s EndlessHeaders -", "Fault 1s 1s UnreadResponses entry-2", "Memory 63", "Memory x"} {
 		_, err := Parse(head + line)
 		assert.Assert(t, errors.Is(err, ErrInvalid), "%q: %v", line, err)
 	}
--- a/internal/soak/plan/text.go
+++ b/internal/soak/plan/text.go
@@ -9,15 +9,19 @@
 	"time"
 )
 
+// minMemory is the smallest memory in megabytes with which an entry process starts.
+const minMemory = 64
+
 // ErrInvalid means that the text of a plan can't be used.
 var ErrInvalid = errors.New("invalid plan")
 
 // Keywords of the lines of a plan.
 const (
-	wordSeed  = "Seed"
-	wordTime  = "Time"
-	wordSize  = "Size"
-	wordFault = "Fault"
+	wordSeed   = "Seed"
+	wordTime   = "Time"
+	wordSize   = "Size"
+	wordMemory = "Memory"
+	wordFault  = "Fault"
 	// wordNone stands for the target of a fault that has none.
 	wordNone = "-"
 )
@@ -27,6 +31,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %d\n%s %s\n", wordSeed, p.Seed, wordTime, p.Time)
 	fmt.Fprintf(&b, "%s %d %d %d  # entry processes, engines with a side process each, plain upstreams\n", wordSize, p.Size.Entries, p.Size.Engines, p.Size.Plain)
+	if p.Memory > 0 {
+		fmt.Fprintf(&b, "%s %d  # megabytes in the settings of each process\n", wordMemory, p.Memory)
+	}
 	for _, f := range p.Faults {
 		target := f.Target
 		if target == "" {
@@ -71,13 +78,15 @@
 		p.Time, err = time.ParseDuration(words[1])
 	case words[0] == wordSize && len(words) == 4:
 		p.Size, err = parseSize(words[1:])
+	case words[0] == wordMemory && len(words) == 2:
+		p.Memory, err = parseMemory(words[1])
 	case words[0] == wordFault && len(words) == 5:
 		var f Fault
 		if f, err = parseFault(words[1:]); err == nil {
 			p.Faults = append(p.Faults, f)
 		}
 	default:
-		err = fmt.Errorf("expected %q NUMBER, %q DURATION, %q ENTRIES ENGINES PLAIN, or %q AT FOR KIND TARGET", wordSeed, wordTime, wordSize, wordFault)
+		err = fmt.Errorf("expected %q NUMBER, %q DURATION, %q ENTRIES ENGINES PLAIN, %q MEGABYTES, or %q AT FOR KIND TARGET", wordSeed, wordTime, wordSize, wordMemory, wordFault)
 	}
 	return err
 }
@@ -94,6 +103,15 @@
 	return Size{Entries: out[0], Engines: out[1], Plain: out[2]}, nil
 }
 
+// parseMemory reads the megabytes of each process.
+func parseMemory(word string) (int, error) {
+	n, err := strconv.Atoi(word)
+	if err == nil && n < minMemory {
+		err = fmt.Errorf("%d megabytes are less than the %d with which an entry process starts", n, minMemory)
+	}
+	return n, err
+}
+
 func parseFault(words []string) (Fault, error) {
 	at, err := time.ParseDuration(words[0])
 	if err != nil {
@@ -104,9 +122,9 @@
 		return Fault{}, err
 	}
 	kind := Kind(words[2])
-	i := slices.IndexFunc(choices, func(c choice) bool { return c.kind == kind })
+	isKind := func(c choice) bool { return c.kind == kind }
 	switch {
-	case i < 0:
+	case !slices.ContainsFunc(choices, isKind) && !slices.ContainsFunc(loadChoices, isKind):
 		return Fault{}, fmt.Errorf("unknown kind of fault %q", words[2])
 	case at < 0 || length < 0:
 		return Fault{}, errors.New("times must not be negative")
@@ -126,8 +144,10 @@
 		return slices.Contains([]string{AllEntries, AllSides, All}, f.Target)
 	case Delay, Drip, Cut, CutTo, CutFrom, Silence, ResetAll:
 		return s.hasLink(f.Target)
-	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit:
+	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit, SlowDown:
 		return s.hasUpstream(f.Target)
+	case ShortBodies, EndlessHeaders, UnreadResponses:
+		return isNumbered(f.Target, EntryName, s.Entries)
 	case TakeOutDomain:
 		return slices.Contains(Domains, f.Target)
 	default:
