soak: callers outside the limits, slow upstreams, and a check on memory

Package excess keeps connections to the callers' listener of an entry process: bodies that stop short, headers without end, requests whose responses are not read. They count as no disturbance, so that the existing checks hold for other callers meanwhile.

--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,9 @@
 	spec/check.sh
 
 .PHONY: soak soak-regressions
-soak: build ## Plays one seed of the soak: processes on this machine while faults befall them.
+soak: build ## Plays one seed of the soak, without and with faults of load: processes on this machine while faults befall them.
 	out/oriolehub soak --seed 1 --time 45s
+	out/oriolehub soak --seed 1 --time 45s --load --folder out/soak/load
 
 soak-regressions: build ## Plays the plans of all seeds of the soak that have ever failed.
 	out/oriolehub soak --plan internal/soak/plan/_fixtures/regressions
--- a/cmd/oriolehub/soak_test.go
+++ b/cmd/oriolehub/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolehub/oriolehub/internal/cli/table"
+	"github.com/oriolehub/oriolehub/internal/soak/check"
 )
 
 // soak runs the soak command in a separate process and returns its output and exit code.
@@ -51,6 +53,42 @@
 	}
 }
 
+// A plan with each fault of load. Its memory is above what processes take with the race detector.
+const loadPlan = `Seed 2
+Time 3s
+Size 2 2 2
+Memory 1024
+Fault 200ms 1s ShortBodies entry-0
+Fault 200ms 1s EndlessHeaders entry-1
+Fault 300ms 1s UnreadResponses entry-1
+Fault 300ms 1s SlowDown plain-0
+Fault 300ms 1s SlowDown engine-0
+`
+
+// Faults of load that are not applied would go unnoticed, since the checks then find nothing. The plan is too short for the
+// check on recovery, so that the exit code tells nothing.
+func TestSoakAppliesFaultsOfLoad(t *testing.T) {
+	folder := t.TempDir()
+	file := filepath.Join(folder, "plan.txt")
+	assert.NilError(t, os.WriteFile(file, []byte(loadPlan), 0o600))
+	out, _ := soak(t, "--plan", file, "--folder", folder)
+	assert.Assert(t, strings.HasPrefix(out, "seed 2: 5 faults, "), out)
+	assert.Assert(t, !strings.Contains(out, check.WithinMemory), out)
+	_, line, _ := strings.Cut(out, "memory: ")
+	var most, limit, connections, sent int
+	var process string
+	_, err := fmt.Sscanf(line, "at most %d of %d MiB, at %s outside the limits: %d connections, %d KiB sent", &most, &limit, &process, &connections, &sent)
+	assert.NilError(t, err, out)
+	assert.Assert(t, most > 0 && limit == 1024, out)
+	// All connections of the three kinds, with as many bodies of almost 1 MiB as were sent in time.
+	assert.Assert(t, connections >= 96+16+4 && sent > 1<<10, out)
+	report, err := os.ReadFile(filepath.Join(folder, "seed-2", "report.html"))
+	assert.NilError(t, err)
+	for _, bar := range []string{"callers outside the limits entry-0", "callers outside the limits entry-1", "SlowDown plain-0", "SlowDown engine-0"} {
+		assert.Assert(t, strings.Contains(string(report), bar), bar)
+	}
+}
+
 func TestSoakRejectsWhatItCannotPlay(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "plan.txt")
 	assert.NilError(t, os.WriteFile(file, []byte("Seed 1\nTime 20s\nSize 2 2 1\nFault 1s 1s Kill entry-7\n"), 0o600))
--- a/internal/cli/experiments/soak.go
+++ b/internal/cli/experiments/soak.go
@@ -12,6 +12,7 @@
 	"github.com/oriolehub/oriolehub/internal/cli/table"
 	"github.com/oriolehub/oriolehub/internal/soak/cluster"
 	"github.com/oriolehub/oriolehub/internal/soak/plan"
+	"github.com/oriolehub/oriolehub/internal/soak/record"
 	"github.com/oriolehub/oriolehub/internal/soak/session"
 )
 
@@ -37,6 +38,7 @@
 	planFile    string
 	folder      string
 	shrink      bool
+	load        bool
 }
 
 // Soak returns the command that runs the processes on one machine while faults befall them.
@@ -58,6 +60,7 @@
 			{Name: "plan", Help: "file with a plan to play in place of seeds, or folder with several", Target: &o.planFile},
 			{Name: "folder", Help: "folder for plans, logs and reports", Target: &o.folder},
 			{Name: "shrink", Help: "leave out faults of a failed plan as long as it fails", Target: &o.shrink},
+			{Name: "load", Help: "add callers outside the limits, upstreams that respond slowly, and a check on memory to the plans of seeds", Target: &o.load},
 		},
 		Run: o.run,
 	}
@@ -124,7 +127,11 @@
 	}
 	var out []*plan.Plan
 	for i := range o.seeds {
-		out = append(out, plan.Generate(uint64(o.seed+i), o.length, o.size()))
+		p := plan.Generate(uint64(o.seed+i), o.length, o.size())
+		if o.load {
+			p.AddLoad()
+		}
+		out = append(out, p)
 	}
 	return out, nil
 }
@@ -162,6 +169,9 @@
 		return nil, err
 	}
 	fmt.Fprintf(env.Out, "seed %d: %d faults, %d requests, %d violations; %s\n", p.Seed, len(p.Faults), len(r.Seen.Requests), len(r.Violations), folder)
+	if p.Memory > 0 {
+		printMemory(env, r)
+	}
 	for i, v := range r.Violations {
 		if i == shownViolations {
 			fmt.Fprintf(env.Out, "  and %d more\n", len(r.Violations)-i)
@@ -172,6 +182,18 @@
 	return r, session.WriteReport(r, folder)
 }
 
+// printMemory prints the largest memory of a process, and what callers outside the limits have done meanwhile.
+func printMemory(env *table.Env, r *session.Result) {
+	var most record.Memory
+	for _, m := range r.Seen.Memory {
+		if m.Bytes > most.Bytes {
+			most = m
+		}
+	}
+	fmt.Fprintf(env.Out, "  memory: at most %d of %d MiB, at %s; outside the limits: %d connections, %d KiB sent\n",
+		most.Bytes>>20, r.Plan.Memory, most.Process, r.Excess.Connections.Load(), r.Excess.Bytes.Load()>>10)
+}
+
 // shrinkPlan leaves out parts of the faults, ever smaller ones, as long as the plan still fails.
 func (o *soakOptions) shrinkPlan(ctx context.Context, env *table.Env, p *plan.Plan) error {
 	for part := max(1, len(p.Faults)/2); ; part /= 2 {
--- a/internal/soak/check/check.go
+++ b/internal/soak/check/check.go
@@ -26,6 +26,7 @@
 	StopCutsNothing  = "a planned stop cuts no request"
 	Recovers         = "requests are served again after the last fault"
 	LeftIsNotSent    = "a request is not sent on after its caller has left"
+	WithinMemory     = "a process keeps to the memory in its settings"
 	ProcessesSurvive = "no process ends by itself, and only whole weights are loaded"
 )
 
@@ -111,6 +112,7 @@
 	c.checkBudget()
 	c.checkRateLimits()
 	c.checkStops()
+	c.checkMemory()
 	c.checkRecovery()
 	slices.SortStableFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
 	return c.violations
--- a/internal/soak/check/check_test.go
+++ b/internal/soak/check/check_test.go
@@ -89,6 +89,14 @@
 		{Recovers, func(s *record.Seen) {
 			s.Disturbances = append(s.Disturbances, record.Disturbance{Kind: string(plan.Stop), Target: "entry-0", From: second, To: 39 * second})
 		}},
+		{WithinMemory, func(s *record.Seen) {
+			s.MemoryLimit, s.Processes = 1<<20, []string{"entry-0"}
+			s.Memory = []record.Memory{{At: 5 * second, Process: "entry-0", Run: 1, Bytes: 1<<20 + 1}}
+		}},
+		{WithinMemory, func(s *record.Seen) {
+			s.MemoryLimit, s.Processes = 1<<20, []string{"entry-0", "side-0"}
+			s.Memory = []record.Memory{{At: 5 * second, Process: "entry-0", Run: 1, Bytes: 1 << 20}}
+		}},
 		{ProcessesSurvive, func(s *record.Seen) { s.Faults = append(s.Faults, "entry-0 has ended: exit status 2") }},
 	}
 	assert.Equal(t, len(Check(sound(), DefaultBounds())), 0)
@@ -103,6 +111,16 @@
 	}
 }
 
+// Callers outside the limits must not excuse what other callers see, and plans without a memory setting are not measured.
+func TestCallersOutsideTheLimitsExcuseNothing(t *testing.T) {
+	s := sound()
+	s.Changes = append(s.Changes, record.Change{Kind: record.OutsideLimits, Subject: "entry-0", At: 10 * second, Until: 20 * second})
+	s.Memory = []record.Memory{{Process: "entry-0", Run: 1, Bytes: 1 << 40}}
+	assert.Equal(t, len(Check(s, DefaultBounds())), 0)
+	s.Requests[1].Ended = s.Requests[1].Sent + 2*second
+	assert.Equal(t, len(Check(s, DefaultBounds())), 1)
+}
+
 // What a disturbance excuses must not be reported.
 func TestDisturbancesExcuse(t *testing.T) {
 	for _, target := range []string{"", "entry-0", plan.CallersLink("entry-0"), plan.StoreLink("entry-0")} {
--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -40,7 +40,9 @@
 
 // Options configure a Cluster.
 type Options struct {
-	Size    plan.Size
+	Size plan.Size
+	// Memory is the memory in the settings of each process in megabytes, 0 to name none.
+	Memory  int
 	Program Program
 	// Folder receives the settings and the logs of the processes.
 	Folder string
@@ -62,9 +64,11 @@
 
 	options Options
 	peers   []string
-	// ready holds the addresses for readiness checks of the entry processes, vms those of the VMs of engines.
-	ready map[string]string
-	vms   map[string]string
+	// ready holds the addresses for readiness checks of the entry processes, listeners those of their callers' listeners, vms
+	// those of the VMs of engines.
+	ready     map[string]string
+	listeners map[string]string
+	vms       map[string]string
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -78,7 +82,7 @@
 
 // Start starts a deployment, which runs until Stop.
 func Start(o Options) (*Cluster, error) {
-	c := &Cluster{options: o, Processes: map[string]*Process{}, Engines: map[string]*standin.Engine{}, ready: map[string]string{}, vms: map[string]string{}, links: map[string]*link{}}
+	c := &Cluster{options: o, Processes: map[string]*Process{}, Engines: map[string]*standin.Engine{}, ready: map[string]string{}, listeners: map[string]string{}, vms: map[string]string{}, links: map[string]*link{}}
 	if err := c.start(); err != nil {
 		c.Stop()
 		return nil, err
@@ -166,7 +170,7 @@
 	if _, err := c.addLink(plan.CallersLink(name), ip+deployment.RequestPort, bound+deployment.RequestPort); err != nil {
 		return err
 	}
-	c.ready[name] = bound + deployment.ReadyPort
+	c.ready[name], c.listeners[name] = bound+deployment.ReadyPort, bound+deployment.RequestPort
 	return c.run(name, "entry", map[string]string{
 		"Domain": Domain(i), "Listen": bound + deployment.RequestPort, "ReadyListen": bound + deployment.ReadyPort,
 		"ControlListen": ip + deployment.ControlPort, "ControlBind": bound + deployment.ControlPort, "ReportListen": ip + deployment.SharedPort,
@@ -225,6 +229,9 @@
 	for _, peer := range c.peers {
 		fmt.Fprintf(&b, "  - %q\n", peer)
 	}
+	if c.options.Memory > 0 {
+		fmt.Fprintf(&b, "MemoryMegabytes: %d\n", c.options.Memory)
+	}
 	fmt.Fprintf(&b, "LinkMegabits: 100\nBounds:\n  Switch: %s\n", c.options.Switch)
 	return b.String()
 }
@@ -236,6 +243,9 @@
 	return c.links[plan.CallersLink(entry)].proxy.Address()
 }
 
+// ListenerAddress returns the address of the callers' listener of an entry process, which no fault of a link disturbs.
+func (c *Cluster) ListenerAddress(entry string) string { return c.listeners[entry] }
+
 // HasLink reports whether the deployment has a link of a name.
 func (c *Cluster) HasLink(name string) bool {
 	c.mu.Lock()
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -76,6 +77,8 @@
 	Leaving      Kind = "upstream leaving"
 	OutOfService Kind = "failure domain out of service"
 	RateLimited  Kind = "upstream names a rate limit"
+	// OutsideLimits is not a change: callers outside the limits have connections to the entry process that is the subject.
+	OutsideLimits Kind = "callers outside the limits"
 )
 
 // Change is a change that the store has acknowledged at a time. Until is the time at which it was taken back, 0 if it
@@ -90,6 +93,14 @@
 	Until     time.Duration
 }
 
+// Memory is the largest resident memory of one run of a process that was seen so far.
+type Memory struct {
+	At      time.Duration
+	Process string
+	Run     int
+	Bytes   int64
+}
+
 // Record collects what happens. It is safe for concurrent use.
 type Record struct {
 	started time.Time
@@ -99,6 +110,7 @@
 	arrivals     []Arrival
 	disturbances []Disturbance
 	changes      []Change
+	memory       []Memory
 	faults       []string
 }
 
@@ -122,6 +134,20 @@
 	r.arrivals = append(r.arrivals, a)
 }
 
+// AddMemory records the largest memory of a run of a process, once for each new maximum.
+func (r *Record) AddMemory(m Memory) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.At = r.Now()
+	i := slices.IndexFunc(r.memory, func(x Memory) bool { return x.Process == m.Process && x.Run == m.Run })
+	switch {
+	case i < 0:
+		r.memory = append(r.memory, m)
+	case m.Bytes > r.memory[i].Bytes:
+		r.memory[i] = m
+	}
+}
+
 // AddFault records something that is wrong by itself, such as a process that has ended.
 func (r *Record) AddFault(text string) {
 	r.mu.Lock()
@@ -165,6 +191,10 @@
 	Arrivals     []Arrival
 	Disturbances []Disturbance
 	Changes      []Change
+	Memory       []Memory
+	// MemoryLimit is the memory in the settings of each of the Processes in bytes, 0 for settings that name none.
+	MemoryLimit int64
+	Processes   []string
 	// Faults are things that are wrong by themselves.
 	Faults []string
 }
@@ -176,6 +206,6 @@
 	return &Seen{
 		Requests: append([]Request(nil), r.requests...), Arrivals: append([]Arrival(nil), r.arrivals...),
 		Disturbances: append([]Disturbance(nil), r.disturbances...), Changes: append([]Change(nil), r.changes...),
-		Faults: append([]string(nil), r.faults...),
+		Memory: append([]Memory(nil), r.memory...), Faults: append([]string(nil), r.faults...),
 	}
 }
--- /dev/null
+++ b/internal/soak/session/exceed.go
@@ -0,0 +1,34 @@
+package session
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/oriolehub/oriolehub/internal/soak/excess"
+	"github.com/oriolehub/oriolehub/internal/soak/plan"
+	"github.com/oriolehub/oriolehub/internal/soak/record"
+)
+
+// exceeding are the kinds of callers outside the limits, and the number of their connections. The bodies together are as long
+// as the memory of a process in plans with load, so that an entry process that holds all of them exceeds it. Pipelined requests
+// run at upstreams, so that more connections with them would be an overload.
+var exceeding = map[plan.Kind]struct {
+	client      excess.Client
+	connections int
+}{
+	plan.ShortBodies:     {excess.ShortBody, 96},
+	plan.EndlessHeaders:  {excess.EndlessHeader, 16},
+	plan.UnreadResponses: {excess.UnreadResponses, 4},
+}
+
+// exceed keeps connections outside the limits to an entry process for a time. It disturbs nothing: other callers must be
+// served meanwhile.
+func (s *session) exceed(ctx context.Context, f plan.Fault) {
+	ended := s.record.Change(record.Change{Kind: record.OutsideLimits, Subject: f.Target})
+	defer ended()
+	ctx, cancel := context.WithTimeout(ctx, f.For)
+	defer cancel()
+	kind := exceeding[f.Kind]
+	name := fmt.Sprintf("%s-%s-%s", f.Kind, f.Target, f.At)
+	excess.Run(ctx, s.cluster.ListenerAddress(f.Target), name, kind.connections, kind.client, &s.excess)
+}
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -26,6 +26,8 @@
 	rewriteTime = 100 * time.Millisecond
 	// goneTime is the time for which an upstream that has left is away.
 	goneTime = time.Second
+	// slowTime is the time by which the responses of a slow upstream take longer, most of the time limit of short requests.
+	slowTime = 1500 * time.Millisecond
 )
 
 // modes are the modes of the faults of links.
@@ -63,7 +65,7 @@
 	s.applyOther(ctx, f)
 }
 
-// change returns the change by the operator that a fault is, or nil.
+// change returns what a fault does that the record does not hold as a disturbance, such as a change by the operator, or nil.
 func (s *session) change(ctx context.Context, f plan.Fault) func() {
 	switch f.Kind {
 	case plan.ChangeKey:
@@ -74,6 +76,10 @@
 		return func() { s.takeOutDomain(ctx, f.Target, f.For) }
 	case plan.RestoreStore:
 		return func() { s.restoreStore(ctx, f.For) }
+	case plan.SlowDown:
+		return func() { s.lifetime("delay of "+f.Target, func() { s.slowDown(ctx, f.Target, f.For) }) }
+	case plan.ShortBodies, plan.EndlessHeaders, plan.UnreadResponses:
+		return func() { s.exceed(ctx, f) }
 	case plan.NameLimit:
 		return func() { s.lifetime("limit of "+f.Target, func() { s.nameLimit(ctx, f.Target, f.For) }) }
 	default:
@@ -192,6 +198,14 @@
 	s.cluster.Site.SetRateLimit(name, 0)
 }
 
+// slowDown makes an upstream respond slowly for a time.
+func (s *session) slowDown(ctx context.Context, name string, d time.Duration) {
+	defer s.record.Disturb(string(plan.SlowDown), name)()
+	s.cluster.Site.SetDelay(name, slowTime)
+	_ = hub.Sleep(ctx, d)
+	s.cluster.Site.SetDelay(name, 0)
+}
+
 // lifetime runs a fault that makes an upstream or the store another run. Of several of the same at the same time only the
 // first happens.
 func (s *session) lifetime(name string, fault func()) {
--- /dev/null
+++ b/internal/soak/session/memory.go
@@ -0,0 +1,37 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/soak/plan"
+	"github.com/oriolehub/oriolehub/internal/soak/record"
+)
+
+// memoryInterval is the time between two readings of the largest memory of a process, which the kernel keeps.
+const memoryInterval = 200 * time.Millisecond
+
+// measureMemory records the memory of all processes until ctx is done.
+func (s *session) measureMemory(ctx context.Context) {
+	for {
+		for name, p := range s.cluster.Processes {
+			if bytes, run, ok := p.PeakMemory(); ok {
+				s.record.AddMemory(record.Memory{Process: name, Run: run, Bytes: bytes})
+			}
+		}
+		if hub.Sleep(ctx, memoryInterval) != nil {
+			return
+		}
+	}
+}
+
+// seen returns the record, with the memory that the settings of the processes name.
+func (s *session) seen(p *plan.Plan) *record.Seen {
+	out := s.record.Seen()
+	out.MemoryLimit = int64(p.Memory) << 20
+	for name := range s.cluster.Processes {
+		out.Processes = append(out.Processes, name)
+	}
+	return out
+}
--- a/internal/soak/session/report.go
+++ b/internal/soak/session/report.go
@@ -5,6 +5,7 @@
 	"html"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -56,10 +57,11 @@
 
 // writePlot writes the faults as bars, one below the other, and the outcomes of each second below them.
 func writePlot(b *strings.Builder, r *Result) {
-	top := pixelsPerFault * len(r.Seen.Disturbances)
+	bars := faultBars(r.Seen)
+	top := pixelsPerFault * len(bars)
 	width := leftMargin + pixelsPerSecond*int(r.Plan.Time.Seconds()+1)
 	fmt.Fprintf(b, "<svg width=%d height=%d font-family=sans-serif font-size=10>\n", width, top+plotHeight+20)
-	for i, d := range r.Seen.Disturbances {
+	for i, d := range bars {
 		from, to := x(d.From), max(x(d.From)+2, x(min(d.To, r.Plan.Time)))
 		fmt.Fprintf(b, "<rect x=%d y=%d width=%d height=%d fill='#6080c0'/><text x=0 y=%d>%s</text>\n",
 			from, i*pixelsPerFault, to-from, pixelsPerFault-2, (i+1)*pixelsPerFault-3, html.EscapeString(d.Kind+" "+d.Target))
@@ -76,6 +78,17 @@
 	b.WriteString("</svg>\n")
 }
 
+// faultBars returns the disturbances and the times with callers outside the limits.
+func faultBars(seen *record.Seen) []record.Disturbance {
+	out := slices.Clone(seen.Disturbances)
+	for _, c := range seen.Changes {
+		if c.Kind == record.OutsideLimits {
+			out = append(out, record.Disturbance{Kind: string(c.Kind), Target: c.Subject, From: c.At, To: c.Until})
+		}
+	}
+	return out
+}
+
 func x(at time.Duration) int { return leftMargin + int(at.Seconds()*pixelsPerSecond) }
 
 // countOutcomes returns the number of requests by second and outcome, and the most in any second.
--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -15,6 +15,7 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/soak/check"
 	"github.com/oriolehub/oriolehub/internal/soak/cluster"
+	"github.com/oriolehub/oriolehub/internal/soak/excess"
 	"github.com/oriolehub/oriolehub/internal/soak/plan"
 	"github.com/oriolehub/oriolehub/internal/soak/record"
 	"github.com/oriolehub/oriolehub/platform/standin"
@@ -63,6 +64,8 @@
 	Plan       *plan.Plan
 	Seen       *record.Seen
 	Violations []check.Violation
+	// Excess is what callers outside the limits have done.
+	Excess *excess.Totals
 }
 
 // session is a running session.
@@ -76,6 +79,7 @@
 	// domains holds the number of faults that have a failure domain out of service now.
 	domainsMu sync.Mutex
 	domains   map[string]int
+	excess    excess.Totals
 }
 
 // Run plays a plan and returns what callers and upstreams have seen, and which promises were not kept.
@@ -88,7 +92,7 @@
 	}
 	s := &session{record: record.New(), domains: map[string]int{}}
 	c, err := cluster.Start(cluster.Options{
-		Faults: standin.NewFaults(o.Plan.Seed, faultRates), Size: o.Plan.Size, Program: o.Program, Folder: o.Folder, Switch: switchBound, Events: eventsPerStream,
+		Faults: standin.NewFaults(o.Plan.Seed, faultRates), Size: o.Plan.Size, Memory: o.Plan.Memory, Program: o.Program, Folder: o.Folder, Switch: switchBound, Events: eventsPerStream,
 		Observe: s.observe, OnExit: func(err error) { s.record.AddFault(err.Error()) },
 	})
 	if err != nil {
@@ -106,8 +110,8 @@
 	for _, text := range c.WrongWeights(s.operator.newestVersion()) {
 		s.record.AddFault(text)
 	}
-	seen := s.record.Seen()
-	return &Result{Plan: o.Plan, Seen: seen, Violations: check.Check(seen, check.DefaultBounds())}, ctx.Err()
+	seen := s.seen(o.Plan)
+	return &Result{Plan: o.Plan, Seen: seen, Violations: check.Check(seen, check.DefaultBounds()), Excess: &s.excess}, ctx.Err()
 }
 
 // play sends requests and applies the faults of a plan until both have ended.
@@ -115,6 +119,9 @@
 	ctx, cancel := context.WithTimeout(ctx, p.Time)
 	defer cancel()
 	var running sync.WaitGroup
+	if p.Memory > 0 {
+		running.Go(func() { s.measureMemory(ctx) })
+	}
 	perEntry := max(1, callersPerClass/p.Size.Entries)
 	for i := range p.Size.Entries {
 		for j, class := range classes {
