route/duration: estimates of response times for each service and route

Attempts that reach their caller's deadline occupy slots without any benefit. To tell which requests have too little time left, an entry process must know how long responses take (docs/design/0012-time-left.md, part B).

The package keeps a decayed histogram for each service and route, with first quartile and median. Reading needs no lock and nothing is allocated.

--- /dev/null
+++ b/internal/route/duration/estimate.go
@@ -0,0 +1,117 @@
+package duration
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// minResponses is the number of responses from which a route has an estimate.
+	minResponses = 20
+	// expiry is the time without a response after which all earlier ones are forgotten.
+	expiry = 30 * time.Second
+	// halfLife is the time after which a response has half of the weight of a new one.
+	halfLife = 5 * time.Second
+	// maxGrowth limits the weight of a response relative to that of the one before it. Otherwise the estimate of a route with
+	// few responses would follow single ones, because output lengths vary by more than their mean.
+	maxGrowth = 16.0 / 15
+
+	// maxTracked is the longest time that is told apart from longer ones.
+	maxTracked = 2 * time.Minute
+	// significantDigits is the precision of the histogram. With 1 a time is at most a sixteenth too high, and a histogram takes
+	// 2 KiB.
+	significantDigits = 1
+	// minWeight is the weight of the first response. Weights have no fractions, so that it must be well above 1. Once the
+	// weight of a response exceeds maxWeight, all are scaled down.
+	minWeight = 1 << 10
+	maxWeight = 1 << 30
+
+	leastPercentile   = 25
+	typicalPercentile = 50
+)
+
+// estimate is the estimate of one service and route.
+type estimate struct {
+	// least and typical are nanoseconds, 0 if unknown.
+	least   atomic.Int64
+	typical atomic.Int64
+	// lastAt is the time of the last response, in nanoseconds since Estimates.created.
+	lastAt atomic.Int64
+	trials trials
+
+	mu sync.Mutex
+	// times holds the times in milliseconds. Later responses count with higher weights, so that earlier ones need no change.
+	times  *hdrhistogram.Histogram
+	weight float64
+	// responses is the number of responses since the last expiry, up to minResponses.
+	responses int
+}
+
+// newEstimate returns an estimate without responses that expires as if the last one had been at now.
+func newEstimate(now time.Duration) *estimate {
+	s := &estimate{weight: minWeight, times: hdrhistogram.New(1, maxTracked.Milliseconds(), significantDigits)}
+	s.lastAt.Store(int64(now))
+	return s
+}
+
+// expired reports whether the last response is too long ago.
+func (s *estimate) expired(now time.Duration) bool {
+	return now-time.Duration(s.lastAt.Load()) >= expiry
+}
+
+// current returns the value of least or typical, or false if it is unknown or has expired.
+func (s *estimate) current(value *atomic.Int64, now time.Duration) (time.Duration, bool) {
+	d := time.Duration(value.Load())
+	if d == 0 || s.expired(now) {
+		return 0, false
+	}
+	return d, true
+}
+
+// add counts a response that took d and ended at now.
+func (s *estimate) add(d, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.expired(now) {
+		s.forget()
+	}
+	passed := max(0, now-time.Duration(s.lastAt.Load()))
+	s.lastAt.Store(int64(now))
+	s.weight *= min(maxGrowth, math.Exp2(float64(passed)/float64(halfLife)))
+	if s.weight > maxWeight {
+		s.scaleDown()
+	}
+	// The only error is a value out of range.
+	_ = s.times.RecordValues(min(max(0, d), maxTracked).Milliseconds(), int64(s.weight))
+	s.responses = min(s.responses+1, minResponses)
+	if s.responses == minResponses {
+		s.least.Store(s.percentile(leastPercentile))
+		s.typical.Store(s.percentile(typicalPercentile))
+	}
+}
+
+// forget removes all responses.
+func (s *estimate) forget() {
+	s.least.Store(0)
+	s.typical.Store(0)
+	s.times.Reset()
+	s.weight, s.responses = minWeight, 0
+}
+
+// scaleDown divides all weights so that the next is minWeight.
+func (s *estimate) scaleDown() {
+	all := s.times.Export()
+	for i, n := range all.Counts {
+		all.Counts[i] = int64(float64(n) * minWeight / s.weight)
+	}
+	s.times, s.weight = hdrhistogram.Import(all), minWeight
+}
+
+// percentile returns a percentile of the times in nanoseconds, at least 1 ms.
+func (s *estimate) percentile(p float64) int64 {
+	return int64(max(1, s.times.ValueAtPercentile(p))) * int64(time.Millisecond)
+}
