route/forward: requests with too little remaining time are not sent

The suspected cause is that requests are sent although too little time remains for a response (docs/design/0012-time-left.md, part B); this is not measured here.

A request whose remaining time is below the first quartile of the response times of its service and route is refused as not run, before and after its wait for an upstream. After a failed attempt it is not sent again, and the response of the upstream is delivered if there is one. An attempt in progress is not ended as late if too little time remains for another. One in 16 is sent as a probe, and 4 more for each completed probe. Streams that have begun, also those that the caller continues, and probes of the quarantine are sent in any case.

New reason "too little time remains for a response", new metric oriolehub_requests_short_of_time_total{action}. In route/duration, "trial" is renamed to "probe", as in the quarantine.

go test -race ./internal/route/forward ./internal/route/duration: passed once, beside other work (load 14 to 16); the new tests of forward passed 4 more times.

--- a/internal/route/duration/estimate.go
+++ b/internal/route/duration/estimate.go
@@ -41,7 +41,7 @@
 	typical atomic.Int64
 	// lastAt is the time of the last response, in nanoseconds since Estimates.created.
 	lastAt atomic.Int64
-	trials trials
+	probes probes
 
 	mu sync.Mutex
 	// times holds the times in milliseconds. Later responses count with higher weights, so that earlier ones need no change.
--- a/internal/route/duration/estimates_test.go
+++ b/internal/route/duration/estimates_test.go
@@ -171,7 +171,7 @@
 		_, _ = e.Least("s", "r")
 		_, _ = e.Typical("s", "r")
 		_ = e.Decide("s", "r", time.Millisecond)
-		e.TrialCompleted("s", "r")
+		e.ProbeCompleted("s", "r")
 		e.Completed("s", "r", time.Second)
 	})
 	assert.Equal(t, allocated, 0.0)
@@ -187,8 +187,8 @@
 			for range 100 {
 				e.Completed("s", route, time.Second)
 				_, _ = e.Least("s", route)
-				if e.Decide("s", route, time.Millisecond) == duration.Trial {
-					e.TrialCompleted("s", route)
+				if e.Decide("s", route, time.Millisecond) == duration.Probe {
+					e.ProbeCompleted("s", route)
 				}
 			}
 		})
--- a/internal/route/duration/trials.go
+++ b/internal/route/duration/probes.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// trialInterval is the number of requests with too little time of which one is sent nevertheless.
-	trialInterval = 16
+	// probeInterval is the number of requests with too little time of which one is sent nevertheless.
+	probeInterval = 16
 	// sendsPerSuccess is the number of further requests with too little time that are sent after one that was completed.
 	// As Least is the first quartile, sending them is worth while if at least a quarter of them is completed; with 4 for each
 	// completed one, they go on being sent just then.
@@ -22,16 +22,16 @@
 const (
 	// Enough means that enough time remains, or that the time needed is unknown.
 	Enough Decision = iota
-	// Trial means that too little time remains and that the request is sent to find out whether it is completed.
-	Trial
+	// Probe means that too little time remains and that the request is sent to find out whether it is completed.
+	Probe
 	// TooShort means that too little time remains.
 	TooShort
 )
 
-// trials chooses the requests that are sent although too little time remains. Without them, callers that wait for a shorter
+// probes chooses the requests that are sent although too little time remains. Without them, callers that wait for a shorter
 // time than most would always be refused, also when their responses are shorter than those of others, and the estimate
 // would not follow when responses get faster.
-type trials struct {
+type probes struct {
 	// asked is the number of requests with too little time, sends the number of those that may still be sent because of earlier
 	// ones.
 	asked atomic.Uint64
@@ -39,8 +39,8 @@
 }
 
 // next reports whether the next request is sent. The first one is.
-func (t *trials) next() bool {
-	if (t.asked.Add(1)-1)%trialInterval == 0 {
+func (t *probes) next() bool {
+	if (t.asked.Add(1)-1)%probeInterval == 0 {
 		return true
 	}
 	for n := t.sends.Load(); n > 0; n = t.sends.Load() {
@@ -52,7 +52,7 @@
 }
 
 // succeeded counts a request with too little time that was completed.
-func (t *trials) succeeded() {
+func (t *probes) succeeded() {
 	for {
 		n := t.sends.Load()
 		if t.sends.CompareAndSwap(n, min(n+sendsPerSuccess, maxSends)) {
@@ -62,7 +62,7 @@
 }
 
 // Decide tells whether a request with the given remaining time may be sent. With less time than Least, every sixteenth is a
-// Trial, and more are if trials are completed.
+// Probe, and more are if probes are completed.
 func (e *Estimates) Decide(service, route string, remaining time.Duration) Decision {
 	known := (*e.routes.Load())[key{service, route}]
 	if known == nil {
@@ -72,16 +72,16 @@
 	switch {
 	case !ok || remaining >= least:
 		return Enough
-	case known.trials.next():
-		return Trial
+	case known.probes.next():
+		return Probe
 	default:
 		return TooShort
 	}
 }
 
-// TrialCompleted records that a request that was a Trial has been completed. Completed must be called too.
-func (e *Estimates) TrialCompleted(service, route string) {
+// ProbeCompleted records that a request that was a Probe has been completed. Completed must be called too.
+func (e *Estimates) ProbeCompleted(service, route string) {
 	if known := (*e.routes.Load())[key{service, route}]; known != nil {
-		known.trials.succeeded()
+		known.probes.succeeded()
 	}
 }
--- a/internal/route/duration/trials_test.go
+++ b/internal/route/duration/probes_test.go
@@ -10,15 +10,15 @@
 	"github.com/oriolehub/oriolehub/internal/route/duration"
 )
 
-// decide asks n times for a request with the remaining time and returns how often each decision was made. Each trial is
+// decide asks n times for a request with the remaining time and returns how often each decision was made. Each probe is
 // completed if completed is true.
 func decide(e *duration.Estimates, n int, remaining time.Duration, completed bool) map[duration.Decision]int {
 	made := map[duration.Decision]int{}
 	for range n {
 		d := e.Decide("s", "r", remaining)
 		made[d]++
-		if d == duration.Trial && completed {
-			e.TrialCompleted("s", "r")
+		if d == duration.Probe && completed {
+			e.ProbeCompleted("s", "r")
 		}
 	}
 	return made
@@ -42,44 +42,44 @@
 		e := duration.New()
 		complete(e, 20, time.Second, time.Millisecond)
 		made := decide(e, 1600, 500*time.Millisecond, false)
-		assert.Equal(t, made[duration.Trial], 100)
+		assert.Equal(t, made[duration.Probe], 100)
 		assert.Equal(t, made[duration.TooShort], 1500)
 	})
 }
 
 // Guards against refusing callers that wait for a short time and ask for short responses while most ask for long ones:
-// once a trial is completed, all go on being sent. When trials are no longer completed, refusals begin again.
-func TestCompletedTrialsLetFurtherRequestsThrough(t *testing.T) {
+// once a probe is completed, all go on being sent. When probes are no longer completed, refusals begin again.
+func TestCompletedProbesLetFurtherRequestsThrough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := duration.New()
 		complete(e, 20, time.Second, time.Millisecond)
-		assert.Equal(t, decide(e, 1000, 500*time.Millisecond, true)[duration.Trial], 1000)
+		assert.Equal(t, decide(e, 1000, 500*time.Millisecond, true)[duration.Probe], 1000)
 		made := decide(e, 1600, 500*time.Millisecond, false)
-		assert.Assert(t, made[duration.Trial] <= 100+16, made)
+		assert.Assert(t, made[duration.Probe] <= 100+16, made)
 	})
 }
 
 // Guards against requests that keep being sent because a few of them are completed: with one in ten, less than a quarter
 // may be sent.
-func TestRarelyCompletedTrialsLetFewRequestsThrough(t *testing.T) {
+func TestRarelyCompletedProbesLetFewRequestsThrough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := duration.New()
 		complete(e, 20, time.Second, time.Millisecond)
 		sent := 0
 		for range 16_000 {
-			if e.Decide("s", "r", 500*time.Millisecond) != duration.Trial {
+			if e.Decide("s", "r", 500*time.Millisecond) != duration.Probe {
 				continue
 			}
 			if sent++; sent%10 == 0 {
-				e.TrialCompleted("s", "r")
+				e.ProbeCompleted("s", "r")
 			}
 		}
 		assert.Assert(t, sent >= 1000 && sent < 4000, sent)
 	})
 }
 
-// Guards against an estimate that holds back all requests after an overload has ended: the trials alone make it follow.
-func TestTrialsEndAnOverestimate(t *testing.T) {
+// Guards against an estimate that holds back all requests after an overload has ended: the probes alone make it follow.
+func TestProbesEndAnOverestimate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := duration.New()
 		complete(e, 1000, 4*time.Second, 10*time.Millisecond)
@@ -89,8 +89,8 @@
 			switch e.Decide("s", "r", 2*time.Second) {
 			case duration.TooShort:
 				refused++
-			case duration.Trial:
-				e.TrialCompleted("s", "r")
+			case duration.Probe:
+				e.ProbeCompleted("s", "r")
 				e.Completed("s", "r", 200*time.Millisecond)
 			case duration.Enough:
 				e.Completed("s", "r", 200*time.Millisecond)
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -66,13 +66,15 @@
 	return t
 }
 
-// othersHaveRoom returns a function that reports whether the request may be sent once more and an upstream that has not
-// been tried has room for it. The function may be called from any goroutine.
+// othersHaveRoom returns a function that reports whether the request may be sent once more in its remaining time and an
+// upstream that has not been tried has room for it. The function may be called from any goroutine.
 func (x *exchange) othersHaveRoom(c *placement.Choice) func() bool {
 	o := &x.handler.options
-	service, requirements := x.service, x.requirements()
+	service, route, deadline, requirements := x.service, x.route.Name, x.deadline, x.requirements()
 	requirements.Tried = append(slices.Clone(x.tried), c.Upstream.Key())
-	return func() bool { return o.RetryBudget.Allows(service) && o.Placement.HasRoom(requirements) }
+	return func() bool {
+		return x.mayMoveInTime(service, route, deadline) && o.RetryBudget.Allows(service) && o.Placement.HasRoom(requirements)
+	}
 }
 
 // call returns the call that sends the request to the chosen upstream. A resumed stream continues after the last event
@@ -214,6 +216,9 @@
 	}
 	if success {
 		c.ResponseCompleted()
+		if !response.CloseDelimited {
+			x.completed(time.Since(x.trace.SentAt))
+		}
 	}
 	// The upstream has finished. A caller that reads slowly must not keep its slot and connection from others.
 	response.Close()
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -94,6 +95,10 @@
 	resets int
 	// relay is the state of the response stream, nil until the first event has been forwarded.
 	relay *relay
+	// begun is true once relay is set. Unlike relay it may be read in any goroutine.
+	begun atomic.Bool
+	// timeProbe is true if the request is sent although too little time may remain.
+	timeProbe bool
 	// keys are the keys under which the quarantine knows the request.
 	keys quarantine.Keys
 	// crashed is true once an upstream has crashed under the request.
@@ -130,7 +135,7 @@
 			x.giveUp(ctx, errQuarantined)
 			return
 		}
-		choice, err := x.acquire(ctx)
+		choice, err := x.acquireInTime(ctx)
 		if err != nil {
 			x.giveUp(ctx, err)
 			return
@@ -273,6 +278,9 @@
 	if ran && !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
 		return false
 	}
+	if !x.timeForAnother() {
+		return false
+	}
 	return errors.Is(err, channel.ErrNotSent) || x.handler.options.RetryBudget.Take(x.service)
 }
 
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -71,6 +71,8 @@
 	// sentToLimited counts the attempts at upstreams that name a rate limit.
 	sentToLimited *metrics.Counter
 	memory        budgets
+	// times are the times that responses take.
+	times responseTimes
 }
 
 // New returns a handler and registers its metrics in o.Metrics.
@@ -81,6 +83,7 @@
 		firstPart: o.Metrics.NewHistogram("oriolehub_request_first_part_seconds"),
 
 		memory:        newBudgets(o.Memory, o.Metrics),
+		times:         newResponseTimes(o.Metrics),
 		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
 	}
 }
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -45,6 +45,8 @@
 	events := stream.NewReader(response)
 	forwarded := 0
 	var intervals intervalMeter
+	// took leaves out the time in which the caller reads.
+	took := time.Since(x.trace.SentAt)
 	if x.relay != nil {
 		x.relay.resumed++
 	}
@@ -52,10 +54,12 @@
 		waitedFrom := time.Now()
 		e, err := events.Next()
 		waited := time.Since(waitedFrom)
+		took += waited
 		if err == io.EOF && forwarded > 0 {
 			c.Load.Succeeded()
 			if !response.CloseDelimited || forwarded > maxEventsBeforeCrash {
 				x.handler.options.Quarantine.Completed(&x.keys)
+				x.completed(took)
 			}
 			x.finish("answered", http.StatusOK, "")
 			return nil
@@ -116,6 +120,7 @@
 		x.handler.options.Format.CallerHeader(x.w.Header(), response.Header)
 		x.w.WriteHeader(response.Status)
 		x.relay = &relay{exchange: x, firstAt: time.Now(), sequence: stream.NewSequence(x.caller.LastEvent)}
+		x.begun.Store(true)
 		x.handler.firstPart.Update(time.Since(x.started).Seconds())
 	}
 	if err := x.relay.sequence.Add(e); err != nil {
--- /dev/null
+++ b/internal/route/forward/remaining.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oriolehub/oriolehub/internal/route/duration"
+	"github.com/oriolehub/oriolehub/internal/route/placement"
+)
+
+// errTooShort means that less time remains than the response is likely to take.
+var errTooShort = errors.New("too little time remains for a response")
+
+// responseTimes are the times that responses take, and the numbers of requests for which too little time remained.
+type responseTimes struct {
+	*duration.Estimates
+	refused     *metrics.Counter
+	notRepeated *metrics.Counter
+	probes      *metrics.Counter
+	completed   *metrics.Counter
+}
+
+// newResponseTimes returns responseTimes without responses and registers its metrics in set.
+func newResponseTimes(set *metrics.Set) responseTimes {
+	counter := func(action string) *metrics.Counter {
+		return set.NewCounter(`oriolehub_requests_short_of_time_total{action="` + action + `"}`)
+	}
+	return responseTimes{
+		Estimates: duration.New(),
+		refused:   counter("refused"), notRepeated: counter("not_repeated"), probes: counter("sent"), completed: counter("completed"),
+	}
+}
+
+// acquireInTime is acquire for requests with enough time for a response, before and after the wait for an upstream. It
+// returns errTooShort for others.
+func (x *exchange) acquireInTime(ctx context.Context) (placement.Choice, error) {
+	if !x.timeSuffices() {
+		return placement.Choice{}, x.shortOfTime()
+	}
+	choice, err := x.acquire(ctx)
+	if err == nil && !x.timeSuffices() {
+		choice.Release()
+		return choice, x.shortOfTime()
+	}
+	return choice, err
+}
+
+// timeSuffices reports whether the request may be sent in its remaining time. A stream that has begun is continued in any
+// case, because its caller has a part of it. A probe of the quarantine is sent, because the next one is due only after
+// another quarantine.
+func (x *exchange) timeSuffices() bool {
+	if x.begun.Load() || x.caller.LastEvent != "" || x.timeProbe || x.decision.Probe() {
+		return true
+	}
+	times := &x.handler.times
+	switch times.Decide(x.service, x.route.Name, time.Until(x.deadline)) {
+	case duration.TooShort:
+		return false
+	case duration.Probe:
+		times.probes.Inc()
+		x.timeProbe = true
+	case duration.Enough:
+	}
+	return true
+}
+
+// shortOfTime counts the request as refused and returns an error that wraps errTooShort.
+func (x *exchange) shortOfTime() error {
+	x.handler.times.refused.Inc()
+	least, _ := x.handler.times.Least(x.service, x.route.Name)
+	left := time.Until(x.deadline)
+	return fmt.Errorf("%w: %v left, three quarters of the responses take over %v", errTooShort, left.Round(time.Millisecond), least.Round(time.Millisecond))
+}
+
+// timeForAnother reports whether the request may be sent again in its remaining time, and logs if not.
+func (x *exchange) timeForAnother() bool {
+	x.timeProbe = false
+	if x.timeSuffices() {
+		return true
+	}
+	x.handler.times.notRepeated.Inc()
+	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Route", x.route.Name).Dur("Left", time.Until(x.deadline)).
+		Msg("not sent again: " + errTooShort.Error())
+	return false
+}
+
+// mayMoveInTime reports whether enough time remains to end the attempt in progress and to send the request again. It may be
+// called from any goroutine.
+func (x *exchange) mayMoveInTime(service, route string, deadline time.Time) bool {
+	if x.begun.Load() || x.caller.LastEvent != "" {
+		return true
+	}
+	least, known := x.handler.times.Least(service, route)
+	// The margin covers the time until the request is sent again.
+	return !known || time.Until(deadline) >= least+minRemaining
+}
+
+// completed records that a complete successful response took d since the request was sent. The rest of a response that was
+// continued does not show how long whole ones take.
+func (x *exchange) completed(d time.Duration) {
+	if x.caller.LastEvent != "" || x.relay != nil && x.relay.resumed > 0 {
+		return
+	}
+	times := &x.handler.times
+	times.Completed(x.service, x.route.Name, d)
+	if x.timeProbe {
+		times.ProbeCompleted(x.service, x.route.Name)
+		times.completed.Inc()
+	}
+}
