--- a/internal/route/forward/remaining_test.go
+++ b/internal/route/forward/remaining_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -71,8 +72,11 @@
 // refusal. The first request is sent, once; its refusal counts as one of the 16 of which one is sent.
 func TestRequestWithTooLittleTimeIsRefusedAsNotRun(t *testing.T) {
 	u := withTestUpstream(t, refuse)
-	f, estimates := withTestEstimates(t, u)
-	learn(estimates, "many", 10*time.Second)
+	var set *metrics.Set
+	f := withLimitedEntry(t, func(h http.Handler) *httptest.Server {
+		learn(h.(*forward.Handler).Estimates(), "many", 10*time.Second)
+		return httptest.NewServer(h)
+	}, func(o *forward.Options) { set = o.Metrics }, u)
 	for i := range 15 {
 		got := f.postWithin(t, "/many/", "4000")
 		assert.NilError(t, got.err)
@@ -81,6 +85,9 @@
 		assert.Assert(t, i == 0 || strings.HasPrefix(got.body, "too little time remains for a response: "), got.body)
 	}
 	assert.Equal(t, u.count(), 1)
+	for action, n := range map[string]uint64{"sent": 1, "not_repeated": 1, "refused": 14, "completed": 0} {
+		assert.Equal(t, set.GetOrCreateCounter(`oriolehub_requests_short_of_time_total{action="`+action+`"}`).Get(), n, action)
+	}
 }
 
 // Guards against refusals on routes whose responses are fast enough, or unknown, because those of another route are slow.
