state/exchange: a process without the desired state asks seeds at short intervals

Cause: once a process that has just started knew any neighbour, it asked its seeds again only after 0.7 s or more, and its neighbours every 0.2 to 0.6 s. After a start of all processes these had no desired state either. What it then learned waited for the minimum interval between rounds, or for an exchange that hung, before it was passed on.

Until it has the configuration, the directives and the upstreams, a process now asks one seed or known entry process every 50 to 250 ms, for at most 10 s after its start. Once it has them, it begins a round with all neighbours at once. Nothing changes afterwards.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,7 +150,7 @@
 	n.link = link.NewClient(n.traffic.Dial(link.DialFunc(n.dial)))
 	n.exchange = exchange.NewClient(exchange.Options{
 		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: n.exchangeInterval, MoreSeeds: n.seedAddresses,
-		Frequent: []string{mirror.DocumentUpstreams}, Prompt: n.needsListAtOnce,
+		Frequent: []string{mirror.DocumentUpstreams}, Prompt: n.needsListAtOnce, Required: mirror.Documents,
 		SeedInterval: func() time.Duration { return min(maxSeedInterval, n.scaled(seedInterval)) }, Log: stateLog,
 	})
 	return n
@@ -306,8 +307,21 @@
 func (n *node) switchBound() time.Duration { return n.bounds.Load().Switch.Std() }
 
 // seedAddresses returns the control addresses of the seeds: the peers in the settings and the side processes of the
-// listed engines.
-func (n *node) seedAddresses() []string { return append(n.listedSideAddresses(), *n.peers.Load()...) }
+// listed engines. Before the desired state is known, these are the peers and all known entry processes, which read the
+// store when they start.
+func (n *node) seedAddresses() []string {
+	peers := *n.peers.Load()
+	if n.directory.Current().Ready() {
+		return append(n.listedSideAddresses(), peers...)
+	}
+	out := slices.Clone(peers)
+	for _, m := range n.aliveMembers(hub.RoleEntry) {
+		if !slices.Contains(out, m.Address) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
 
 // listedSideAddresses returns the control addresses of the side processes next to the listed engines. A side process
 // listens on the address of its VM and on a port that is the same on all VMs.
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -39,6 +39,9 @@
 	// NeighbourDelay is the maximum time that a round waits for the exchange with one neighbour before it starts that with
 	// the next, so that a document received from one is not requested from the others. 0 means the default of 25 ms.
 	NeighbourDelay time.Duration
+	// Required names the documents without which the process cannot work. While one of them is missing after the start,
+	// seeds are asked at short intervals, and once all are there they are passed on at once.
+	Required []string
 	// Seeds are addresses of other processes. One of them, chosen at random, is contacted at startup and every
 	// SeedInterval.
 	Seeds []string
@@ -62,6 +65,7 @@
 	created time.Time
 	// heardAt is the time of the last response of another process, in nanoseconds since created.
 	heardAt atomic.Int64
+	joining *joining
 
 	mu sync.Mutex
 	// inProgress is the set of addresses with which an exchange is in progress.
@@ -97,7 +101,7 @@
 	if o.SeedInterval == nil {
 		o.SeedInterval = Every(defaultSeedInterval)
 	}
-	return &Client{options: o, created: time.Now(), inProgress: map[string]bool{}, peers: map[string]*peerState{}}
+	return &Client{options: o, created: time.Now(), joining: newJoining(o.Catalog, o.Required), inProgress: map[string]bool{}, peers: map[string]*peerState{}}
 }
 
 // SinceHeard returns the time since the last response of another process, or since the start if there was none.
--- a/internal/state/exchange/frequent_test.go
+++ b/internal/state/exchange/frequent_test.go
@@ -67,9 +67,9 @@
 	return self, entry, side
 }
 
-// runExchange runs a client of self until ctx is done that tells entry processes at once of changes of the list.
-func runExchange(ctx context.Context, self *peer, peers ...*peer) {
-	connections := link.NewClient(func(_ context.Context, address string) (net.Conn, error) {
+// connectTo returns a client that reaches peers by their IDs.
+func connectTo(ctx context.Context, peers ...*peer) *link.Client {
+	return link.NewClient(func(_ context.Context, address string) (net.Conn, error) {
 		here, there := net.Pipe()
 		for _, p := range peers {
 			if p.id == address {
@@ -78,6 +78,11 @@
 		}
 		return here, nil
 	})
+}
+
+// runExchange runs a client of self until ctx is done that tells entry processes at once of changes of the list.
+func runExchange(ctx context.Context, self *peer, peers ...*peer) {
+	connections := connectTo(ctx, peers...)
 	client := exchange.NewClient(exchange.Options{
 		Self: self.id, Catalog: self.catalog, Link: connections, Interval: exchange.Every(time.Second),
 		Frequent: []string{mirror.DocumentUpstreams}, Prompt: func(m *hub.Member) bool { return m.Role == hub.RoleEntry },
--- a/internal/state/exchange/rounds.go
+++ b/internal/state/exchange/rounds.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -11,7 +12,8 @@
 )
 
 const (
-	// joinInterval is the upper limit of the mean interval between rounds while no neighbour is known.
+	// joinInterval is the upper limit of the mean interval between rounds while no neighbour is known, and the mean pause
+	// between exchanges with seeds while a required document is missing after the start.
 	joinInterval = 100 * time.Millisecond
 	// defaultSeedInterval is the interval between exchanges with a seed if Options.SeedInterval is nil.
 	defaultSeedInterval = 10 * time.Second
@@ -37,12 +39,15 @@
 
 // Run performs rounds of exchanges until ctx is done.
 func (c *Client) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { c.join(ctx) })
 	for ctx.Err() == nil {
-		started, known := time.Now(), c.options.Catalog.Revisions()
+		started, known, joining := time.Now(), c.options.Catalog.Revisions(), c.joining.active()
 		c.Round(ctx)
 		next := started.Add(c.nextInterval())
-		for c.waitChange(ctx, started, next, known) == changedFrequent {
-			started, known = time.Now(), c.options.Catalog.Revisions()
+		for c.waitChange(ctx, started, next, known, joining) == changedFrequent {
+			started, known, joining = time.Now(), c.options.Catalog.Revisions(), c.joining.active()
 			c.round(ctx, c.promptNeighbours(), "")
 		}
 	}
@@ -59,14 +64,22 @@
 }
 
 // waitChange waits until the time next, or until a document that a neighbour needs at once differs from the known
-// revisions, but in the latter case at least until changeInterval after started. It returns what has changed by then.
-func (c *Client) waitChange(ctx context.Context, started, next time.Time, known map[string]uint64) change {
+// revisions, but in the latter case at least until changeInterval after started. It returns what has changed by then. If the
+// process was joining and is not any more, it returns changedAny without delay: the neighbours have mostly started at the
+// same time and wait for their first desired state too.
+func (c *Client) waitChange(ctx context.Context, started, next time.Time, known map[string]uint64, joining bool) change {
 	timer := time.NewTimer(time.Until(next))
 	defer timer.Stop()
 	for {
 		documentsChanged := c.options.Catalog.DocumentsChanged()
 		if c.changeSince(known) != changedNothing {
-			_ = hub.Sleep(ctx, min(changeInterval-time.Since(started), time.Until(next)))
+			wait := min(changeInterval-time.Since(started), time.Until(next))
+			if joining && !c.waitJoined(ctx, nil, 0, wait) {
+				return changedAny
+			}
+			if !joining {
+				_ = hub.Sleep(ctx, wait)
+			}
 			return c.changeSince(known)
 		}
 		select {
@@ -118,12 +131,11 @@
 	}
 	if seed != "" && c.begin(seed) {
 		started++
-		go func() {
-			defer c.end(seed, done)
-			if err := c.Exchange(ctx, seed, seed); err != nil && ctx.Err() == nil {
-				c.options.Log.Debug().Str("Seed", seed).Err(err).Msg("exchange with seed failed")
-			}
-		}()
+		go c.exchangeWithSeed(ctx, seed, done)
+	}
+	if started > 0 && c.joining.active() {
+		c.waitJoined(ctx, done, started, roundTimeout)
+		return
 	}
 	timeout := time.NewTimer(roundTimeout)
 	defer timeout.Stop()
@@ -136,6 +148,14 @@
 	}
 }
 
+// exchangeWithSeed exchanges once with a seed that was marked by begin and signals done.
+func (c *Client) exchangeWithSeed(ctx context.Context, seed string, done chan<- struct{}) {
+	defer c.end(seed, done)
+	if err := c.Exchange(ctx, seed, seed); err != nil && ctx.Err() == nil {
+		c.options.Log.Debug().Str("Seed", seed).Err(err).Msg("exchange with seed failed")
+	}
+}
+
 // ended waits for up to d for a signal on done and reports whether it came.
 func ended(done <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -209,13 +229,19 @@
 }
 
 // seed returns a random seed to exchange with in this round, or "" if none is due or known. Without neighbours a
-// seed is due in every round.
+// seed is due in every round. Seeds after the first are left to join while that asks them.
 func (c *Client) seed(neighbours int) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if neighbours > 0 && time.Since(c.lastSeedExchange) < c.options.SeedInterval() {
+	if neighbours > 0 && time.Since(c.lastSeedExchange) < c.options.SeedInterval() || !c.lastSeedExchange.IsZero() && c.joining.active() {
 		return ""
 	}
+	c.lastSeedExchange = time.Now()
+	return c.randomSeed()
+}
+
+// randomSeed returns a random seed, or "" if none is known.
+func (c *Client) randomSeed() string {
 	seeds := c.options.Seeds
 	if c.options.MoreSeeds != nil {
 		seeds = append(slices.Clone(seeds), c.options.MoreSeeds()...)
@@ -223,6 +249,5 @@
 	if len(seeds) == 0 {
 		return ""
 	}
-	c.lastSeedExchange = time.Now()
 	return seeds[rand.IntN(len(seeds))]
 }
