state/exchange: a joining process is sent the documents by one process at a time

Cause: a round waits 25 ms for a neighbour before it asks the next, so that a document is requested once. If the transfer takes longer, all neighbours are asked before it ends and all send the same documents; those that have just learned them push them too. On the VMs' links this takes several times as long as one transfer, and the senders are busy meanwhile.

A process that lacks required documents now first asks what the others have, and gives a revision for the missing documents for which nothing is sent. It reserves the transfer from the first that has them, for at most 500 ms. Nothing changes once the documents are there.

Tests: the transfers in TestJoiningProcessIsSentTheDocumentsOnce are more than one without the change. go test -race of state/exchange passes; of process/node, the tests matching Restart, Serve and Store.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -209,7 +209,7 @@
 		return fmt.Errorf("open admin listener: %w", err)
 	}
 	mux := drpcmux.New()
-	if err := message.DRPCRegisterPeer(mux, exchange.NewServer(n.catalog, record)); err != nil {
+	if err := message.DRPCRegisterPeer(mux, n.exchange.NewServer(record)); err != nil {
 		return fmt.Errorf("register exchange service: %w", err)
 	}
 	if weights != nil {
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -133,10 +133,8 @@
 	if err != nil {
 		return fmt.Errorf("exchange with %s: %w", address, err)
 	}
-	if request = c.push(reply); len(request.Documents) > 0 {
-		if reply, err = c.call(ctx, conn, id, request); err != nil {
-			return fmt.Errorf("send documents to %s: %w", address, err)
-		}
+	if reply, err = c.transfer(ctx, conn, id, reply); err != nil {
+		return fmt.Errorf("exchange documents with %s: %w", address, err)
 	}
 	next := &peerState{
 		epoch:        reply.GetEpoch(),
@@ -148,6 +146,18 @@
 	return nil
 }
 
+// transfer sends a peer the documents that it lacks according to its reply, and lets it send the ones that this process
+// needs to join if it has reserved that. It returns the last reply.
+func (c *Client) transfer(ctx context.Context, conn drpc.Conn, id string, reply *message.ExchangeReply) (*message.ExchangeReply, error) {
+	token := c.joining.reserve(reply.GetRevisions())
+	defer c.joining.release(token)
+	request := c.push(reply, !token.IsZero())
+	if len(request.Documents) == 0 && token.IsZero() {
+		return reply, nil
+	}
+	return c.call(ctx, conn, id, request)
+}
+
 // call sends one request to a peer and merges its reply.
 func (c *Client) call(ctx context.Context, conn drpc.Conn, id string, request *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	reply, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
@@ -160,15 +170,16 @@
 }
 
 // push returns the request that sends a peer the documents which it lacks according to its reply. Documents are sent
-// only then, because a peer may have received them from others since the exchange before.
-func (c *Client) push(reply *message.ExchangeReply) *message.ExchangeRequest {
+// only then, because a peer may have received them from others since the exchange before. reserved tells whether the peer
+// may send those that this process needs to join.
+func (c *Client) push(reply *message.ExchangeReply, reserved bool) *message.ExchangeRequest {
 	local := c.options.Catalog
 	return &message.ExchangeRequest{
 		Sender:         c.options.Self,
 		KnownEpoch:     reply.GetEpoch(),
 		KnownSequence:  reply.GetSequence(),
 		Documents:      newerThan(local, fromRevisions(reply.GetRevisions()), reply.GetAcceptsEntries()),
-		Revisions:      toRevisions(local),
+		Revisions:      c.joining.revisions(local, reserved),
 		AcceptsEntries: true,
 	}
 }
@@ -184,7 +195,7 @@
 		Sender:        c.options.Self,
 		KnownEpoch:    state.epoch,
 		KnownSequence: state.sequence,
-		Revisions:     toRevisions(local),
+		Revisions:     c.joining.revisions(local, false),
 
 		AcceptsEntries: true,
 	}
--- a/internal/state/exchange/frequent_test.go
+++ b/internal/state/exchange/frequent_test.go
@@ -27,13 +27,29 @@
 	role    string
 	catalog *catalog.Catalog
 	calls   atomic.Int64
-	server  *drpcserver.Server
+	// client is the exchange client of the process, nil if it has none.
+	client atomic.Pointer[exchange.Client]
+	// received and replied are called with each request and reply unless they are nil.
+	received func(*message.ExchangeRequest)
+	replied  func(*message.ExchangeReply)
+	server   *drpcserver.Server
 }
 
 // Exchange counts the calls and forwards them to the catalog.
 func (p *peer) Exchange(ctx context.Context, r *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	p.calls.Add(1)
-	return exchange.NewServer(p.catalog, p.record).Exchange(ctx, r)
+	if p.received != nil {
+		p.received(r)
+	}
+	server := exchange.NewServer(p.catalog, p.record)
+	if client := p.client.Load(); client != nil {
+		server = client.NewServer(p.record)
+	}
+	reply, err := server.Exchange(ctx, r)
+	if err == nil && p.replied != nil {
+		p.replied(reply)
+	}
+	return reply, err
 }
 
 func (p *peer) Describe(context.Context, *message.DescribeRequest) (*message.Member, error) {
--- a/internal/state/exchange/join_test.go
+++ b/internal/state/exchange/join_test.go
@@ -30,6 +30,7 @@
 		Seeds: seeds, SeedInterval: exchange.Every(1100 * time.Millisecond), Required: mirror.Documents,
 		Log: journal.Discard().Logger(journal.State),
 	})
+	p.client.Store(client)
 	var running sync.WaitGroup
 	running.Go(func() { client.Run(ctx); _ = connections.Close() })
 	return running.Wait
--- a/internal/state/exchange/server.go
+++ b/internal/state/exchange/server.go
@@ -12,6 +12,8 @@
 type Server struct {
 	catalog *catalog.Catalog
 	record  func() hub.Member
+	// joining is nil if the process needs no documents to join.
+	joining *joining
 }
 
 // NewServer returns a server for catalog c; record returns the current member record of this process.
@@ -19,6 +21,11 @@
 	return &Server{catalog: c, record: record}
 }
 
+// NewServer returns a server for the catalog of the client; record returns the current member record of this process.
+func (c *Client) NewServer(record func() hub.Member) *Server {
+	return &Server{catalog: c.options.Catalog, record: record, joining: c.joining}
+}
+
 // Describe returns the current member record of this process.
 func (s *Server) Describe(context.Context, *message.DescribeRequest) (*message.Member, error) {
 	m := s.record()
@@ -31,7 +38,7 @@
 	merge(s.catalog, r.GetSender(), r.GetDocuments(), r.GetMembers())
 	reply := &message.ExchangeReply{
 		Documents:      newerThan(s.catalog, fromRevisions(r.GetRevisions()), r.GetAcceptsEntries()),
-		Revisions:      toRevisions(s.catalog),
+		Revisions:      s.joining.revisions(s.catalog, !s.joining.reserve(r.GetRevisions()).IsZero()),
 		AcceptsEntries: true,
 	}
 	var change catalog.Change
