--- a/internal/state/exchange/frequent_test.go
+++ b/internal/state/exchange/frequent_test.go
@@ -27,13 +27,29 @@
 	role    string
 	catalog *catalog.Catalog
 	calls   atomic.Int64
-	server  *drpcserver.Server
+	// client is the exchange client of the process, nil if it has none.
+	client atomic.Pointer[exchange.Client]
+	// received and replied are called with each request and reply unless they are nil.
+	received func(*message.ExchangeRequest)
+	replied  func(*message.ExchangeReply)
+	server   *drpcserver.Server
 }
 
 // Exchange counts the calls and forwards them to the catalog.
 func (p *peer) Exchange(ctx context.Context, r *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	p.calls.Add(1)
-	return exchange.NewServer(p.catalog, p.record).Exchange(ctx, r)
+	if p.received != nil {
+		p.received(r)
+	}
+	server := exchange.NewServer(p.catalog, p.record)
+	if client := p.client.Load(); client != nil {
+		server = client.NewServer(p.record)
+	}
+	reply, err := server.Exchange(ctx, r)
+	if err == nil && p.replied != nil {
+		p.replied(reply)
+	}
+	return reply, err
 }
 
 func (p *peer) Describe(context.Context, *message.DescribeRequest) (*message.Member, error) {
@@ -67,9 +83,9 @@
 	return self, entry, side
 }
 
-// runExchange runs a client of self until ctx is done that tells entry processes at once of changes of the list.
-func runExchange(ctx context.Context, self *peer, peers ...*peer) {
-	connections := link.NewClient(func(_ context.Context, address string) (net.Conn, error) {
+// connectTo returns a client that reaches peers by their IDs.
+func connectTo(ctx context.Context, peers ...*peer) *link.Client {
+	return link.NewClient(func(_ context.Context, address string) (net.Conn, error) {
 		here, there := net.Pipe()
 		for _, p := range peers {
 			if p.id == address {
@@ -78,6 +94,11 @@
 		}
 		return here, nil
 	})
+}
+
+// runExchange runs a client of self until ctx is done that tells entry processes at once of changes of the list.
+func runExchange(ctx context.Context, self *peer, peers ...*peer) {
+	connections := connectTo(ctx, peers...)
 	client := exchange.NewClient(exchange.Options{
 		Self: self.id, Catalog: self.catalog, Link: connections, Interval: exchange.Every(time.Second),
 		Frequent: []string{mirror.DocumentUpstreams}, Prompt: func(m *hub.Member) bool { return m.Role == hub.RoleEntry },
