route/forward: waits for body memory end with the process

Cause: the waits for the memory for bodies followed only the context of the request, so that a request could wait for 0.5 s, a response for 3 s, after the process had ended the requests in progress.

Change: the wait for a request's memory ends with that interruption too, the one for a response's with the context of its attempt, after which the rest of the response can't be read. A request whose body could not be held for that reason is refused as stopping.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -186,7 +186,7 @@
 // forwardBuffered reads the complete response before it forwards any of it. For a 5xx response to a retryable request
 // it returns an error and stores the response in x.errorResponse.
 func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool) error {
-	body, err := x.readResponse(response)
+	body, err := x.readResponse(ctx, response)
 	if err != nil {
 		if !errors.Is(err, errNoResponseMemory) {
 			x.upstreamFailed(c)
--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -77,7 +78,7 @@
 }
 
 // readResponse reads the complete body of a response. The memory is held until the exchange ends.
-func (x *exchange) readResponse(response *channel.Response) ([]byte, error) {
+func (x *exchange) readResponse(ctx context.Context, response *channel.Response) ([]byte, error) {
 	if response.Length > maxResponseBytes {
 		return nil, fmt.Errorf("%w: %w: %d bytes", channel.ErrBroken, errTooLarge, response.Length)
 	}
@@ -85,7 +86,7 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := x.grow(body, response.Length)
+			grown, err := x.grow(ctx, body, response.Length)
 			if err != nil {
 				return nil, err
 			}
@@ -103,7 +104,7 @@
 }
 
 // grow returns body with more capacity, or an error if that exceeds a limit.
-func (x *exchange) grow(body []byte, length int64) ([]byte, error) {
+func (x *exchange) grow(ctx context.Context, body []byte, length int64) ([]byte, error) {
 	if len(body) > maxResponseBytes {
 		return nil, fmt.Errorf("%w: %w: over %d bytes", channel.ErrBroken, errTooLarge, maxResponseBytes)
 	}
@@ -112,7 +113,7 @@
 		// The length is believed only once a part of the body has come. One byte more shows the end without growing again.
 		size = max(length+1, int64(len(body))+1)
 	}
-	if !x.holdResponse(size) {
+	if !x.holdResponse(ctx, size) {
 		return nil, fmt.Errorf("%w: %w: over %d bytes", channel.ErrBroken, errNoResponseMemory, len(body))
 	}
 	grown := append(make([]byte, 0, size), body...)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -180,7 +180,7 @@
 	c := http.NewResponseController(x.w)
 	stop := x.whenInterrupted(func() { _ = c.SetReadDeadline(time.Now()) })
 	body, err := x.readAll(limit, &bodyReader{exchange: x, control: c, body: http.MaxBytesReader(x.w, x.r.Body, limit)})
-	interrupted := !stop()
+	interrupted := !stop() || x.interrupted()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err != nil && interrupted:
@@ -218,6 +218,12 @@
 	return func() bool { return true }
 }
 
+// interrupted reports whether the process has ended the requests in progress.
+func (x *exchange) interrupted() bool {
+	ctx := x.handler.options.Interrupted
+	return ctx != nil && ctx.Err() != nil
+}
+
 // refuse responds with status 503 and a Retry-After header. It must only be used if the request has not run and will
 // not run later, since callers may repeat any request after it.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
--- a/internal/route/forward/memory.go
+++ b/internal/route/forward/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -92,25 +93,31 @@
 	h.parts = h.parts[:0]
 }
 
-// holdRequest acquires memory for a body of n bytes.
+// holdRequest acquires memory for a body of n bytes. It waits no longer than until the process ends the requests in progress.
 func (x *exchange) holdRequest(n int64) bool {
+	ctx, cancel := context.WithCancel(x.r.Context())
+	defer cancel()
+	stop := x.whenInterrupted(cancel)
+	defer stop()
 	m := &x.handler.memory
-	return x.hold(&x.requestMemory, m.shortRequests, m.requests, n, requestMemoryTimeout)
+	return x.hold(ctx, &x.requestMemory, m.shortRequests, m.requests, n, requestMemoryTimeout)
 }
 
-// holdResponse acquires memory for a response of n bytes.
-func (x *exchange) holdResponse(n int64) bool {
+// holdResponse acquires memory for a response of n bytes. It waits no longer than until ctx, the context of the attempt, is done:
+// the rest of the response can't be read after that.
+func (x *exchange) holdResponse(ctx context.Context, n int64) bool {
 	m := &x.handler.memory
-	return x.hold(&x.responseMemory, m.shortResponses, m.responses, n, responseMemoryTimeout)
+	return x.hold(ctx, &x.responseMemory, m.shortResponses, m.responses, n, responseMemoryTimeout)
 }
 
-func (x *exchange) hold(h *holding, short, long *listener.Budget, n int64, wait time.Duration) bool {
+// hold acquires n bytes from short or long. It waits for up to wait while they are not free, until ctx is done.
+func (x *exchange) hold(ctx context.Context, h *holding, short, long *listener.Budget, n int64, wait time.Duration) bool {
 	b := long
 	if n <= shortBodyBytes {
 		b = short
 	}
-	conn := listener.FromContext(x.r.Context())
-	if !conn.Acquire(x.r.Context(), b, n, wait) {
+	conn := listener.FromContext(ctx)
+	if !conn.Acquire(ctx, b, n, wait) {
 		return false
 	}
 	h.add(conn, b, n)
@@ -143,7 +150,7 @@
 		return 0, err
 	}
 	// The interruption sets a deadline too, which the one above may have replaced.
-	if o.Interrupted != nil && o.Interrupted.Err() != nil {
+	if b.exchange.interrupted() {
 		return 0, os.ErrDeadlineExceeded
 	}
 	return b.body.Read(p)
