--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -7,6 +7,15 @@
 	"github.com/oriolehub/oriolehub/internal/state/directory"
 )
 
+const (
+	// maxSampled limits the upstreams that one choice compares, so that its cost does not grow with the fleet.
+	maxSampled = 48
+	// crowdSampled replaces maxSampled if there are more than fewEntries entry processes: if each of them compared most
+	// upstreams, all would choose the same one until its next report.
+	crowdSampled = 8
+	fewEntries   = 6
+)
+
 // search is the search for the best upstream of a service for one request.
 type search struct {
 	now     time.Time
