process/node, weights/pace: an idle VM's link is used for weights

Cause: weights were limited to 85% of the VM's bandwidth, and 97% of that, to leave the rest for responses. While the engine holds no weights, as after a loss of power, it sends none. 2.36 MB take 2.4 s at that rate on a link of 9.4 Mbit/s, and every VM sends about as much as it receives.

While the engine reports that it holds no weights, both limits are now 95%, which leaves what reports may use. Nothing changes while it holds any.

--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -26,6 +26,9 @@
 	// weightsLinkFraction is the fraction of the VM's bandwidth that weights may use in each direction; the rest is
 	// reserved for responses to callers.
 	weightsLinkFraction = 0.85
+	// idleWeightsLinkFraction is that fraction while the engine holds no weights and so sends no responses. The rest is
+	// reserved for reports.
+	idleWeightsLinkFraction = 1 - reportLinkFraction
 	// reportLinkFraction is the fraction of the VM's bandwidth that reports to the entry processes may use.
 	reportLinkFraction = 0.05
 	// receiversTTL is the time for which the list of report receivers is cached.
@@ -40,6 +43,8 @@
 	stager      *stager.Stager
 	sender      *beacon.Sender
 	chunkServer *transfer.Server
+	// incoming and outgoing limit the rates of weights in each direction.
+	incoming, outgoing *pace.Pacer
 
 	cachedReceivers   []netip.AddrPort
 	receiversCachedAt time.Time
@@ -50,7 +55,8 @@
 	e := &Side{}
 	e.node = newNode(s, hub.RoleSide, j, p, func() hub.Member { return e.record() })
 	cache := replica.NewCache(weightsMemory(&s), nil)
-	bytesPerSecond := int64(weightsLinkFraction * s.LinkMegabits * 1e6 / 8)
+	bytesPerSecond := weightsRate(&s, true)
+	e.incoming, e.outgoing = pace.New(bytesPerSecond), pace.New(bytesPerSecond)
 	e.stager = stager.New(stager.Options{
 		Self:      s.ControlListen,
 		Region:    s.Region,
@@ -60,14 +66,14 @@
 		Catalog:   e.catalog,
 		Link:      e.link,
 		Cache:     cache,
-		Pacer:     pace.New(bytesPerSecond),
+		Pacer:     e.incoming,
 		NewSource: func(o *hub.Origin, m *hub.EngineModel) hub.WeightSource { return p.Source(o, m, e.dial) },
 
 		SwitchBound: e.switchBound,
 		OnReport:    e.sendReport,
 		Log:         j.Logger(journal.Placement),
 	})
-	e.chunkServer = transfer.NewServer(cache, pace.New(bytesPerSecond))
+	e.chunkServer = transfer.NewServer(cache, e.outgoing)
 	if err := e.listen(e.chunkServer, e.record, func() error { return nil }); err != nil {
 		return nil, err
 	}
@@ -102,8 +108,22 @@
 	return int64(weightsMemoryFraction * float64(s.MemoryMegabytes) * (1 << 20))
 }
 
-// sendReport sends the state and load of the engine to the entry processes that collect reports.
+// weightsRate returns the rate of weights in bytes per second in each direction; serving tells whether the engine holds
+// weights and may therefore send responses. It is 0 if the bandwidth is not configured.
+func weightsRate(s *settings.Node, serving bool) int64 {
+	fraction := idleWeightsLinkFraction
+	if serving {
+		fraction = weightsLinkFraction
+	}
+	return int64(fraction * s.LinkMegabits * 1e6 / 8)
+}
+
+// sendReport sends the state and load of the engine to the entry processes that collect reports, and adapts the rate of
+// weights to it.
 func (e *Side) sendReport(r hub.UpstreamReport) {
+	for _, p := range []*pace.Pacer{e.incoming, e.outgoing} {
+		p.SetRate(weightsRate(&e.settings, r.Held != 0))
+	}
 	if err := e.sender.Send(r, e.receivers); err != nil {
 		e.journal.Logger(journal.State).Debug().Err(err).Msg("cannot send the upstream report to all entry processes; trying again with the next report")
 	}
--- a/internal/weights/pace/pacer.go
+++ b/internal/weights/pace/pacer.go
@@ -37,6 +37,16 @@
 	return &Pacer{limiter: rate.NewLimiter(rate.Limit(maxWeightShare*float64(bytesPerSecond)), 2*piece), piece: piece}
 }
 
+// SetRate changes the bandwidth that the pacer assumes, unless it is without a limit or bytesPerSecond is 0.
+func (p *Pacer) SetRate(bytesPerSecond int64) {
+	if p.limiter.Limit() == rate.Inf || bytesPerSecond == 0 {
+		return
+	}
+	if limit := rate.Limit(maxWeightShare * float64(bytesPerSecond)); limit != p.limiter.Limit() {
+		p.limiter.SetLimit(limit)
+	}
+}
+
 // PieceBytes returns the size in bytes of the pieces into which a chunk is split for sending.
 func (p *Pacer) PieceBytes() int { return p.piece }
 
