wire/listener, route/forward, state/exchange, upstream/stager: findings of the review

A request counts as sent ahead only if a part of it came before the response to the previous one began: http.Server reads on until its response has been sent, so that up to half of the requests of callers that awaited each response were taken for ones sent ahead. A reservation for a transfer of documents ends when documents arrive.

A probe that is not sent lets another one be sent in its place, and counts as sent only when it is. A request that may have run is not counted as refused. A stream that ends with its connection is not taken for a complete response. The median of the times, which nothing uses, is gone.

--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -70,7 +70,7 @@
 		NewSource: func(o *hub.Origin, m *hub.EngineModel) hub.WeightSource { return p.Source(o, m, e.dial) },
 
 		SwitchBound: e.switchBound,
-		OnReport:    e.sendReport,
+		OnReport:    func(r hub.UpstreamReport) { e.adaptWeightsRate(r); e.sendReport(r) },
 		Log:         j.Logger(journal.Placement),
 	})
 	e.chunkServer = transfer.NewServer(cache, e.outgoing)
@@ -118,12 +118,15 @@
 	return int64(fraction * s.LinkMegabits * 1e6 / 8)
 }
 
-// sendReport sends the state and load of the engine to the entry processes that collect reports, and adapts the rate of
-// weights to it.
+// adaptWeightsRate sets the rate of weights by whether the engine holds weights.
+func (e *Side) adaptWeightsRate(r hub.UpstreamReport) {
+	rate := weightsRate(&e.settings, r.Held != 0)
+	e.incoming.SetRate(rate)
+	e.outgoing.SetRate(rate)
+}
+
+// sendReport sends the state and load of the engine to the entry processes that collect reports.
 func (e *Side) sendReport(r hub.UpstreamReport) {
-	for _, p := range []*pace.Pacer{e.incoming, e.outgoing} {
-		p.SetRate(weightsRate(&e.settings, r.Held != 0))
-	}
 	if err := e.sender.Send(r, e.receivers); err != nil {
 		e.journal.Logger(journal.State).Debug().Err(err).Msg("cannot send the upstream report to all entry processes; trying again with the next report")
 	}
--- a/internal/route/duration/estimate.go
+++ b/internal/route/duration/estimate.go
@@ -30,15 +30,13 @@
 	minWeight = 1 << 10
 	maxWeight = 1 << 30
 
-	leastPercentile   = 25
-	typicalPercentile = 50
+	leastPercentile = 25
 )
 
 // estimate is the estimate of one service and route.
 type estimate struct {
-	// least and typical are nanoseconds, 0 if unknown.
-	least   atomic.Int64
-	typical atomic.Int64
+	// least is in nanoseconds, 0 if unknown.
+	least atomic.Int64
 	// lastAt is the time of the last response, in nanoseconds since Estimates.created.
 	lastAt atomic.Int64
 	probes probes
@@ -53,65 +51,63 @@
 
 // newEstimate returns an estimate without responses that expires as if the last one had been at now.
 func newEstimate(now time.Duration) *estimate {
-	s := &estimate{weight: minWeight, times: hdrhistogram.New(1, maxTracked.Milliseconds(), significantDigits)}
-	s.lastAt.Store(int64(now))
-	return s
+	e := &estimate{weight: minWeight, times: hdrhistogram.New(1, maxTracked.Milliseconds(), significantDigits)}
+	e.lastAt.Store(int64(now))
+	return e
 }
 
 // expired reports whether the last response is too long ago.
-func (s *estimate) expired(now time.Duration) bool {
-	return now-time.Duration(s.lastAt.Load()) >= expiry
+func (e *estimate) expired(now time.Duration) bool {
+	return now-time.Duration(e.lastAt.Load()) >= expiry
 }
 
-// current returns the value of least or typical, or false if it is unknown or has expired.
-func (s *estimate) current(value *atomic.Int64, now time.Duration) (time.Duration, bool) {
-	d := time.Duration(value.Load())
-	if d == 0 || s.expired(now) {
+// current returns least, or false if it is unknown or has expired.
+func (e *estimate) current(now time.Duration) (time.Duration, bool) {
+	d := time.Duration(e.least.Load())
+	if d == 0 || e.expired(now) {
 		return 0, false
 	}
 	return d, true
 }
 
 // add counts a response that took d and ended at now.
-func (s *estimate) add(d, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.expired(now) {
-		s.forget()
+func (e *estimate) add(d, now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.expired(now) {
+		e.forget()
 	}
-	passed := max(0, now-time.Duration(s.lastAt.Load()))
-	s.lastAt.Store(int64(now))
-	s.weight *= min(maxGrowth, math.Exp2(float64(passed)/float64(halfLife)))
-	if s.weight > maxWeight {
-		s.scaleDown()
+	passed := max(0, now-time.Duration(e.lastAt.Load()))
+	e.lastAt.Store(int64(now))
+	e.weight *= min(maxGrowth, math.Exp2(float64(passed)/float64(halfLife)))
+	if e.weight > maxWeight {
+		e.scaleDown()
 	}
 	// The only error is a value out of range.
-	_ = s.times.RecordValues(min(max(0, d), maxTracked).Milliseconds(), int64(s.weight))
-	s.responses = min(s.responses+1, minResponses)
-	if s.responses == minResponses {
-		s.least.Store(s.percentile(leastPercentile))
-		s.typical.Store(s.percentile(typicalPercentile))
+	_ = e.times.RecordValues(min(max(0, d), maxTracked).Milliseconds(), int64(e.weight))
+	e.responses = min(e.responses+1, minResponses)
+	if e.responses == minResponses {
+		e.least.Store(e.percentile(leastPercentile))
 	}
 }
 
 // forget removes all responses.
-func (s *estimate) forget() {
-	s.least.Store(0)
-	s.typical.Store(0)
-	s.times.Reset()
-	s.weight, s.responses = minWeight, 0
+func (e *estimate) forget() {
+	e.least.Store(0)
+	e.times.Reset()
+	e.weight, e.responses = minWeight, 0
 }
 
 // scaleDown divides all weights so that the next is minWeight.
-func (s *estimate) scaleDown() {
-	all := s.times.Export()
+func (e *estimate) scaleDown() {
+	all := e.times.Export()
 	for i, n := range all.Counts {
-		all.Counts[i] = int64(float64(n) * minWeight / s.weight)
+		all.Counts[i] = int64(float64(n) * minWeight / e.weight)
 	}
-	s.times, s.weight = hdrhistogram.Import(all), minWeight
+	e.times, e.weight = hdrhistogram.Import(all), minWeight
 }
 
 // percentile returns a percentile of the times in nanoseconds, at least 1 ms.
-func (s *estimate) percentile(p float64) int64 {
-	return int64(max(1, s.times.ValueAtPercentile(p))) * int64(time.Millisecond)
+func (e *estimate) percentile(percent float64) int64 {
+	return int64(max(1, e.times.ValueAtPercentile(percent))) * int64(time.Millisecond)
 }
--- a/internal/route/duration/estimates.go
+++ b/internal/route/duration/estimates.go
@@ -41,15 +41,6 @@
 	known.add(d, e.now())
 }
 
-// Typical returns the median time, or false if Least returns false.
-func (e *Estimates) Typical(service, route string) (time.Duration, bool) {
-	known := (*e.routes.Load())[key{service, route}]
-	if known == nil {
-		return 0, false
-	}
-	return known.current(&known.typical, e.now())
-}
-
 // Least returns the first quartile of the times. It returns false until minResponses responses are known and after
 // expiry without any.
 func (e *Estimates) Least(service, route string) (time.Duration, bool) {
@@ -57,7 +48,7 @@
 	if known == nil {
 		return 0, false
 	}
-	return known.current(&known.least, e.now())
+	return known.current(e.now())
 }
 
 // now returns the time since e was created.
--- a/internal/route/duration/estimates_test.go
+++ b/internal/route/duration/estimates_test.go
@@ -43,13 +43,8 @@
 		complete(e, 19, time.Second, time.Millisecond)
 		_, ok := e.Least("s", "r")
 		assert.Assert(t, !ok)
-		_, ok = e.Typical("s", "r")
-		assert.Assert(t, !ok)
 		complete(e, 1, time.Second, time.Millisecond)
 		near(t, least(t, e), time.Second)
-		typical, ok := e.Typical("s", "r")
-		assert.Assert(t, ok)
-		near(t, typical, time.Second)
 		for _, other := range [][2]string{{"s", "other"}, {"other", "r"}, {"r", "s"}} {
 			_, ok = e.Least(other[0], other[1])
 			assert.Assert(t, !ok, other)
@@ -59,7 +54,7 @@
 
 // Guards against a quantile other than the one named: with a higher one, requests would be refused that most often are
 // completed.
-func TestQuartileAndMedianOfVaryingTimes(t *testing.T) {
+func TestQuartileOfVaryingTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := duration.New()
 		r := rand.New(rand.NewPCG(1, 2))
@@ -68,9 +63,6 @@
 			e.Completed("s", "r", time.Second+time.Duration(r.Int64N(int64(2*time.Second))))
 		}
 		near(t, least(t, e), 1500*time.Millisecond)
-		typical, ok := e.Typical("s", "r")
-		assert.Assert(t, ok)
-		near(t, typical, 2*time.Second)
 	})
 }
 
@@ -85,8 +77,6 @@
 		time.Sleep(time.Nanosecond)
 		_, ok := e.Least("s", "r")
 		assert.Assert(t, !ok)
-		_, ok = e.Typical("s", "r")
-		assert.Assert(t, !ok)
 		complete(e, 19, 100*time.Millisecond, time.Millisecond)
 		_, ok = e.Least("s", "r")
 		assert.Assert(t, !ok)
@@ -169,7 +159,6 @@
 	}
 	allocated := testing.AllocsPerRun(1000, func() {
 		_, _ = e.Least("s", "r")
-		_, _ = e.Typical("s", "r")
 		_ = e.Decide("s", "r", time.Millisecond)
 		e.ProbeCompleted("s", "r")
 		e.Completed("s", "r", time.Second)
@@ -195,7 +184,7 @@
 	}
 	running.Wait()
 	for i := range 16 {
-		d, ok := e.Typical("s", strconv.Itoa(i))
+		d, ok := e.Least("s", strconv.Itoa(i))
 		assert.Assert(t, ok)
 		near(t, d, time.Second)
 	}
--- a/internal/route/duration/probes.go
+++ b/internal/route/duration/probes.go
@@ -39,23 +39,23 @@
 }
 
 // next reports whether the next request is sent. The first one is.
-func (t *probes) next() bool {
-	if (t.asked.Add(1)-1)%probeInterval == 0 {
+func (p *probes) next() bool {
+	if (p.asked.Add(1)-1)%probeInterval == 0 {
 		return true
 	}
-	for n := t.sends.Load(); n > 0; n = t.sends.Load() {
-		if t.sends.CompareAndSwap(n, n-1) {
+	for n := p.sends.Load(); n > 0; n = p.sends.Load() {
+		if p.sends.CompareAndSwap(n, n-1) {
 			return true
 		}
 	}
 	return false
 }
 
-// succeeded counts a request with too little time that was completed.
-func (t *probes) succeeded() {
+// add allows n further requests with too little time to be sent.
+func (p *probes) add(n int64) {
 	for {
-		n := t.sends.Load()
-		if t.sends.CompareAndSwap(n, min(n+sendsPerSuccess, maxSends)) {
+		old := p.sends.Load()
+		if p.sends.CompareAndSwap(old, min(old+n, maxSends)) {
 			return
 		}
 	}
@@ -68,7 +68,7 @@
 	if known == nil {
 		return Enough
 	}
-	least, ok := known.current(&known.least, e.now())
+	least, ok := known.current(e.now())
 	switch {
 	case !ok || remaining >= least:
 		return Enough
@@ -82,6 +82,13 @@
 // ProbeCompleted records that a request that was a Probe has been completed. Completed must be called too.
 func (e *Estimates) ProbeCompleted(service, route string) {
 	if known := (*e.routes.Load())[key{service, route}]; known != nil {
-		known.probes.succeeded()
+		known.probes.add(sendsPerSuccess)
+	}
+}
+
+// ProbeNotSent records that a request that was a Probe has not been sent, so that another one may be sent in its place.
+func (e *Estimates) ProbeNotSent(service, route string) {
+	if known := (*e.routes.Load())[key{service, route}]; known != nil {
+		known.probes.add(1)
 	}
 }
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -41,6 +41,7 @@
 		x.notSent(c, err)
 		return err
 	}
+	x.countProbe()
 	x.runs++
 	x.decision = quarantine.Decision{}
 	if err != nil {
@@ -217,7 +218,7 @@
 	if success {
 		c.ResponseCompleted()
 		if !response.CloseDelimited {
-			x.completed(time.Since(x.trace.SentAt))
+			x.recordDuration(time.Since(x.trace.SentAt))
 		}
 	}
 	// The upstream has finished. A caller that reads slowly must not keep its slot and connection from others.
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -36,8 +36,8 @@
 	// missedObjectivePriority is added to the priority of requests whose objective is already missed, so that they
 	// wait behind all others.
 	missedObjectivePriority = 100
-	// sentAheadPriority is added to the priority of requests that the caller sent before it had the response to the previous one
-	// on the connection. Otherwise a caller that sends thousands of requests and reads nothing has one in the queue at any time,
+	// sentAheadPriority is added to the priority of requests that the caller sent before the response to the previous one on the
+	// connection began. Otherwise a caller that sends thousands of requests and reads nothing has one in the queue at any time,
 	// and callers that wait for their responses rarely get a slot.
 	sentAheadPriority = 1000
 	// attemptTimeoutFactor times the objective is the time after which a retryable request is sent to another
@@ -72,7 +72,7 @@
 	started  time.Time
 	deadline time.Time
 	caller   hub.RequestInfo
-	// sentAhead is true if the caller sent the request before the response to the previous one was complete.
+	// sentAhead is true if the caller sent the request before the response to the previous one began.
 	sentAhead bool
 	// snapshot is the desired state in which route and account were found.
 	snapshot *directory.Snapshot
@@ -278,10 +278,18 @@
 	if ran && !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
 		return false
 	}
-	if !x.timeForAnother() {
+	if errors.Is(err, channel.ErrNotSent) {
+		return x.timeForAnother()
+	}
+	x.timeProbe = false
+	if !x.handler.options.RetryBudget.Allows(x.service) || !x.timeForAnother() {
+		return false
+	}
+	if !x.handler.options.RetryBudget.Take(x.service) {
+		x.returnProbe()
 		return false
 	}
-	return errors.Is(err, channel.ErrNotSent) || x.handler.options.RetryBudget.Take(x.service)
+	return true
 }
 
 // giveUp ends a request that will not be sent again because of err: it responds with the reason, forwards the stored
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -59,7 +59,9 @@
 			c.Load.Succeeded()
 			if !response.CloseDelimited || forwarded > maxEventsBeforeCrash {
 				x.handler.options.Quarantine.Completed(&x.keys)
-				x.completed(took)
+			}
+			if !response.CloseDelimited {
+				x.recordDuration(took)
 			}
 			x.finish("answered", http.StatusOK, "")
 			return nil
--- a/internal/route/forward/remaining.go
+++ b/internal/route/forward/remaining.go
@@ -18,10 +18,10 @@
 // responseTimes are the times that responses take, and the numbers of requests for which too little time remained.
 type responseTimes struct {
 	*duration.Estimates
-	refused     *metrics.Counter
-	notRepeated *metrics.Counter
-	probes      *metrics.Counter
-	completed   *metrics.Counter
+	refused         *metrics.Counter
+	notRepeated     *metrics.Counter
+	probesSent      *metrics.Counter
+	probesCompleted *metrics.Counter
 }
 
 // newResponseTimes returns responseTimes without responses and registers its metrics in set.
@@ -31,7 +31,7 @@
 	}
 	return responseTimes{
 		Estimates: duration.New(),
-		refused:   counter("refused"), notRepeated: counter("not_repeated"), probes: counter("sent"), completed: counter("completed"),
+		refused:   counter("refused"), notRepeated: counter("not_repeated"), probesSent: counter("sent"), probesCompleted: counter("completed"),
 	}
 }
 
@@ -42,11 +42,30 @@
 		return placement.Choice{}, x.shortOfTime()
 	}
 	choice, err := x.acquire(ctx)
-	if err == nil && !x.timeSuffices() {
+	if err != nil {
+		x.returnProbe()
+		return choice, err
+	}
+	if !x.timeSuffices() {
 		choice.Release()
 		return choice, x.shortOfTime()
 	}
-	return choice, err
+	return choice, nil
+}
+
+// returnProbe lets another request be sent in place of this one, which is not sent, if that was a probe.
+func (x *exchange) returnProbe() {
+	if x.timeProbe {
+		x.timeProbe = false
+		x.handler.times.ProbeNotSent(x.service, x.route.Name)
+	}
+}
+
+// countProbe counts a request as sent although too little time may remain.
+func (x *exchange) countProbe() {
+	if x.timeProbe {
+		x.handler.times.probesSent.Inc()
+	}
 }
 
 // timeSuffices reports whether the request may be sent in its remaining time. A stream that has begun is continued in any
@@ -61,16 +80,19 @@
 	case duration.TooShort:
 		return false
 	case duration.Probe:
-		times.probes.Inc()
 		x.timeProbe = true
 	case duration.Enough:
 	}
 	return true
 }
 
-// shortOfTime counts the request as refused and returns an error that wraps errTooShort.
+// shortOfTime counts the request, as refused if it has not run, and returns an error that wraps errTooShort.
 func (x *exchange) shortOfTime() error {
-	x.handler.times.refused.Inc()
+	if x.runs > 0 {
+		x.handler.times.notRepeated.Inc()
+	} else {
+		x.handler.times.refused.Inc()
+	}
 	least, _ := x.handler.times.Least(x.service, x.route.Name)
 	left := time.Until(x.deadline)
 	return fmt.Errorf("%w: %v left, three quarters of the responses take over %v", errTooShort, left.Round(time.Millisecond), least.Round(time.Millisecond))
@@ -78,7 +100,6 @@
 
 // timeForAnother reports whether the request may be sent again in its remaining time, and logs if not.
 func (x *exchange) timeForAnother() bool {
-	x.timeProbe = false
 	if x.timeSuffices() {
 		return true
 	}
@@ -99,9 +120,9 @@
 	return !known || time.Until(deadline) >= least+minRemaining
 }
 
-// completed records that a complete successful response took d since the request was sent. The rest of a response that was
+// recordDuration records that a complete successful response took d since the request was sent. The rest of a response that was
 // continued does not show how long whole ones take.
-func (x *exchange) completed(d time.Duration) {
+func (x *exchange) recordDuration(d time.Duration) {
 	if x.caller.LastEvent != "" || x.relay != nil && x.relay.resumed > 0 {
 		return
 	}
@@ -109,6 +130,6 @@
 	times.Completed(x.service, x.route.Name, d)
 	if x.timeProbe {
 		times.ProbeCompleted(x.service, x.route.Name)
-		times.completed.Inc()
+		times.probesCompleted.Inc()
 	}
 }
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -40,7 +40,7 @@
 	// the next, so that a document received from one is not requested from the others. 0 means the default of 25 ms.
 	NeighbourDelay time.Duration
 	// Required names the documents without which the process cannot work. While one of them is missing after the start,
-	// seeds are asked at short intervals, and once all are there they are passed on at once.
+	// for at most joinTime, seeds are asked at short intervals, and once all are there they are passed on at once.
 	Required []string
 	// Seeds are addresses of other processes. One of them, chosen at random, is contacted at startup and every
 	// SeedInterval.
--- a/internal/state/exchange/join.go
+++ b/internal/state/exchange/join.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// transferEnded ends the reservation, because documents have arrived. It may be called on nil.
+func (j *joining) transferEnded() {
+	if j == nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.reservedUntil = time.Time{}
+}
+
 // reserved reports whether a transfer is reserved.
 func (j *joining) reserved() bool {
 	j.mu.Lock()
--- a/internal/state/exchange/server.go
+++ b/internal/state/exchange/server.go
@@ -36,6 +36,9 @@
 // lacks. A sender that does not know the catalog's epoch receives the member records of the buckets that differ.
 func (s *Server) Exchange(_ context.Context, r *message.ExchangeRequest) (*message.ExchangeReply, error) {
 	merge(s.catalog, r.GetSender(), r.GetDocuments(), r.GetMembers())
+	if len(r.GetDocuments()) > 0 {
+		s.joining.transferEnded()
+	}
 	reply := &message.ExchangeReply{
 		Documents:      newerThan(s.catalog, fromRevisions(r.GetRevisions()), r.GetAcceptsEntries()),
 		Revisions:      s.joining.revisions(s.catalog, !s.joining.reserve(r.GetRevisions()).IsZero()),
--- a/internal/upstream/stager/manifests.go
+++ b/internal/upstream/stager/manifests.go
@@ -14,8 +14,9 @@
 const (
 	// manifestDocumentPrefix is followed by the model in the name of the document with the model's newest manifest.
 	manifestDocumentPrefix = "Manifest/"
-	// rankDelay is the delay, per rank, after which a side process reads a manifest that has not been replicated to it.
-	rankDelay = 400 * time.Millisecond
+	// rankDelay is the delay, per rank, after which a side process reads a manifest that has not been replicated to it. It is
+	// short because after a start of all processes the one of the lowest rank may be among the last to learn of the version.
+	rankDelay = 150 * time.Millisecond
 	// originRetryDelay is the delay before a retry after a failed read from the origin.
 	originRetryDelay = 150 * time.Millisecond
 	// manifestTimeout limits the duration of both reads of a manifest.
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -47,8 +47,9 @@
 	receiving atomic.Bool
 	unmarked  atomic.Int64
 	kept      atomic.Bool
-	// sentAhead is true if a part of the next request, or of the one in progress, was received before the response to the one
-	// before it was complete.
+	// responding is true once a part of the response to the request in progress has been written.
+	responding atomic.Bool
+	// sentAhead is true if a part of the request in progress was received before the response to the previous one began.
 	sentAhead atomic.Bool
 	// held is the number of bytes of bodies that are held for the connection, charged that for its request header.
 	held    atomic.Int64
@@ -113,7 +114,7 @@
 		c.progress()
 		return
 	}
-	c.header.remember(data)
+	c.header.remember(data, c.responding.Load())
 	if c.receiving.Load() && c.unmarked.Add(int64(len(data))) >= bodyProgress {
 		c.unmarked.Store(0)
 		c.progress()
@@ -123,6 +124,7 @@
 // Write implements net.Conn. It fails with a timeout if the peer does not accept a part of the data in time.
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
+	c.responding.Store(true)
 	c.writingAt.Store(int64(c.listener.now()) + 1)
 	defer c.writingAt.Store(0)
 	for {
--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -45,7 +45,8 @@
 	expected int64
 	// tail is the cost of the bytes that http.Server may have read beyond the end of the last body.
 	tail int64
-	// beyond is true if data have been received beyond the end of the request in progress.
+	// beyond is true if data beyond the end of the request in progress were received before the response began. Later data may
+	// follow a response that the caller has, because http.Server reads ahead until its response has been sent.
 	beyond bool
 }
 
@@ -59,14 +60,14 @@
 	return n, nil
 }
 
-// remember notes what may have been read beyond the end of a body.
-func (h *headerReader) remember(data []byte) {
+// remember notes what may have been read beyond the end of a body. responding is true if the response has begun.
+func (h *headerReader) remember(data []byte, responding bool) {
 	h.body += int64(len(data))
 	beyond := int64(len(data))
 	if h.expected != unknownLength {
 		beyond = min(beyond, h.body-h.expected)
 	}
-	if h.expected != unknownLength && beyond > 0 {
+	if h.expected != unknownLength && beyond > 0 && !responding {
 		h.beyond = true
 	}
 	// A single byte is read while a request is in progress to notice that the caller has left.
@@ -167,6 +168,7 @@
 	c.releaseHeader()
 	tail := c.header.tail
 	c.sentAhead.Store(c.header.beyond || len(c.header.rest) > 0)
+	c.responding.Store(false)
 	c.header.tail, c.header.blank, c.header.body, c.header.expected, c.header.beyond = 0, false, 0, 0, false
 	if b := c.listener.options.Headers; b == nil || tail == 0 {
 		return
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -57,7 +57,7 @@
 }
 
 // SentAhead reports whether the request in progress began to arrive before the response to the previous one on the connection
-// was complete. A request after one with a body in chunks counts only if its beginning was not received together with the end of
+// began. A request after one with a body in chunks counts only if its beginning was not received together with the end of
 // that body.
 func (c *Conn) SentAhead() bool { return c != nil && c.sentAhead.Load() }
 
