route/forward: the test of unreadable pauses fails if they count as pauses

TestUnreadablePauseIsARefusal listed a second upstream, which served the requests even while the first was paused. Now the only upstream has to receive a request again after the pause that follows a refusal.

Run 20 times (GOMAXPROCS=3) and 200 times (GOMAXPROCS=1) without a failure. With hub.RetryAfter returning an hour for unreadable values, 5 of 5 runs fail at the first value.

--- a/internal/route/forward/leaving_test.go
+++ b/internal/route/forward/leaving_test.go
@@ -102,16 +102,23 @@
 	assert.Assert(t, a.count() > 1, "no request reached the upstream after its pause")
 }
 
-// Values that ask for no pause, or that can't be read, mean a refusal like any other. The test uses the fake clock, because the
-// pause after a refusal may end before the request is sent again on a busy machine.
+// Values that ask for no pause, or that can't be read, mean a refusal like any other. Guards against a long pause for them: the
+// upstream would get no requests although the pause after a refusal has ended. The test uses the fake clock, because that pause
+// may end before the request is sent again on a busy machine.
 func TestUnreadablePauseIsARefusal(t *testing.T) {
 	for _, value := range []string{"0", "-3", "soon", "NaN"} {
 		synctest.Test(t, func(t *testing.T) {
 			p := withTestPipes(t)
-			f := withPipedEntry(t, p, p.upstream(pause(value)), p.upstream(respond(200, "done")))
-			for range 4 {
-				assert.Equal(t, f.post(t, "/once/").status, 200)
-			}
+			a, b := p.upstream(pause(value)), p.upstream(respond(200, "done"))
+			f := withPipedEntry(t, p, a)
+			assert.Equal(t, f.post(t, "/once/").status, 503)
+			refused := a.count()
+			assert.Assert(t, refused > 0)
+			time.Sleep(100 * time.Millisecond) // the pause after a refusal
+			assert.Equal(t, f.post(t, "/once/").status, 503)
+			assert.Assert(t, a.count() > refused, value+" counts as a pause")
+			f.list([]*upstream{a, b}, false)
+			assert.Equal(t, f.post(t, "/once/").status, 200)
 		})
 	}
 }
