route/forward: the test of retried refusals has more than one refusal

The fake clock did not advance between the requests of TestRefusedAtMostOnceIsRetriedElsewhere, so that the upstream was paused after its first refusal and the other requests were not retried. They are now sent after the pause.

--- a/internal/route/forward/retries_test.go
+++ b/internal/route/forward/retries_test.go
@@ -25,14 +25,18 @@
 }
 
 // An upstream that refuses a request has not run it, so even an at-most-once request must be retried elsewhere. The test uses the
-// fake clock, because the pause after a refusal may end before the request is sent again on a busy machine.
+// fake clock, because the pause after a refusal may end before the request is sent again on a busy machine. It sends at least 6
+// requests, and more until two were refused: the upstream of the first attempt is chosen at random.
 func TestRefusedAtMostOnceIsRetriedElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := withTestPipes(t)
-		f := withPipedEntry(t, p, p.upstream(refuse), p.upstream(respond(200, "done")))
-		for range 6 {
+		a := p.upstream(refuse)
+		f := withPipedEntry(t, p, a, p.upstream(respond(200, "done")))
+		for i := 0; i < 6 || a.count() < 2; i++ {
+			assert.Assert(t, i < 100, "%d of %d requests were refused", a.count(), i)
 			got := f.post(t, "/once/")
 			assert.Equal(t, got.status, 200, got.body)
+			time.Sleep(100 * time.Millisecond) // the pause after a refusal
 		}
 	})
 }
@@ -94,7 +98,7 @@
 // no longer hold, and the callers of all requests that these refuse would use up their retries before one holds them.
 func TestCallersOfUpstreamsWithoutWeightsReturnLater(t *testing.T) {
 	var upstreams []*upstream
-	for range 6 {
+	for range 40 {
 		upstreams = append(upstreams, withTestUpstream(t, misdirect))
 	}
 	f := withTestEntry(t, upstreams...)
