route/forward: the test of a request that waited too long uses the fake clock

TestRequestThatWaitedTooLongIsNotSent depended on the speed of the machine: a slow one could have too little time left when the request arrived, and then it passed without a wait. It now runs with the fake clock, asserts that the request still waits before the slot is released, that the first one is answered, and that too little time is the reason for the refusal.

--- a/internal/route/forward/pipe_test.go
+++ b/internal/route/forward/pipe_test.go
@@ -37,7 +37,13 @@
 // withPipedEntry is withTestEntry with connections through p to upstreams of p.
 func withPipedEntry(t *testing.T, p *pipes, upstreams ...*upstream) *fixture {
 	t.Helper()
-	f := withFixtureOptions(t, fixtureOptions{pool: channel.NewPool(p.dial), serve: p.serve}, upstreams...)
+	return withPipedServer(t, p, p.serve, upstreams...)
+}
+
+// withPipedServer is withPipedEntry with a server that serve starts for the connections of p.
+func withPipedServer(t *testing.T, p *pipes, serve func(http.Handler) *httptest.Server, upstreams ...*upstream) *fixture {
+	t.Helper()
+	f := withFixtureOptions(t, fixtureOptions{pool: channel.NewPool(p.dial), serve: serve}, upstreams...)
 	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return p.connect() }}
 	t.Cleanup(transport.CloseIdleConnections)
 	f.client = &http.Client{Transport: transport}
--- a/internal/route/forward/remaining_test.go
+++ b/internal/route/forward/remaining_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,6 +32,17 @@
 	return withLimitedEntry(t, serve, nil, upstreams...), estimates
 }
 
+// withPipedEstimates is withPipedEntry with access to the estimates of response times.
+func withPipedEstimates(t *testing.T, p *pipes) (*fixture, *duration.Estimates) {
+	t.Helper()
+	var estimates *duration.Estimates
+	serve := func(h http.Handler) *httptest.Server {
+		estimates = h.(*forward.Handler).Estimates()
+		return p.serve(h)
+	}
+	return withPipedServer(t, p, serve), estimates
+}
+
 // breaksOnce streams the events up to 6 and breaks off after 3 of them the first time.
 func breaksOnce(r *http.Request, c net.Conn) bool {
 	if r.Header.Get("Last-Event-Id") == "" {
@@ -182,39 +194,48 @@
 	assert.Equal(t, a.count()+b.count(), 1)
 }
 
-// Guards against sending a request that had enough time when it arrived and has too little after its wait for an upstream.
+// Guards against sending a request that had enough time when it arrived and has too little after its wait for an upstream. The
+// test uses the fake clock: on a busy machine, the request could arrive with too little time, or wait for too short a time.
 func TestRequestThatWaitedTooLongIsNotSent(t *testing.T) {
-	release := make(chan struct{})
-	u := withTestUpstream(t, func(r *http.Request, c net.Conn) bool {
-		<-release
-		return respond(200, "done")(r, c)
-	})
-	f, estimates := withTestEstimates(t)
-	f.publisher.PublishConfiguration(hub.Configuration{
-		Version: 2,
-		Routes: []hub.Route{{
-			Name: "patient", Host: "h.test", PathPrefix: "/patient/", Kind: hub.Idempotent, MaxAttempts: 1,
-			Timeout: 10 * time.Second, Objective: 40 * time.Second, Targets: []hub.Target{{Service: "s", Weight: 1}},
-		}},
-		Services: []hub.Service{{Name: "s"}},
-		Accounts: []hub.Account{{Name: "acme", Keys: []string{"k1"}}},
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		var once sync.Once
+		endFirst := func() { once.Do(func() { close(release) }) }
+		p := withTestPipes(t)
+		u := p.upstream(func(r *http.Request, c net.Conn) bool {
+			<-release
+			return respond(200, "done")(r, c)
+		})
+		f, estimates := withPipedEstimates(t, p)
+		t.Cleanup(endFirst)
+		f.publisher.PublishConfiguration(hub.Configuration{
+			Version: 2,
+			Routes: []hub.Route{{
+				Name: "patient", Host: "h.test", PathPrefix: "/patient/", Kind: hub.Idempotent, MaxAttempts: 1,
+				Timeout: 10 * time.Second, Objective: 40 * time.Second, Targets: []hub.Target{{Service: "s", Weight: 1}},
+			}},
+			Services: []hub.Service{{Name: "s"}},
+			Accounts: []hub.Account{{Name: "acme", Keys: []string{"k1"}}},
+		})
+		f.publisher.PublishUpstreams(hub.Instance{Id: "i0", Service: "s", Address: u.address, Domain: "a", Slots: 1, Born: 1})
+		f.refresh()
+		first, waiting := make(chan reply, 1), make(chan reply, 1)
+		go func() { first <- f.post(t, "/patient/") }()
+		synctest.Wait()
+		assert.Equal(t, u.count(), 1)
+		learn(estimates, "patient", 9*time.Second)
+		assert.Equal(t, estimates.Decide("s", "patient", 0), duration.Probe)
+		go func() { waiting <- f.post(t, "/patient/") }()
+		time.Sleep(1200 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, len(waiting), 0, "the request does not wait")
+		endFirst()
+		assert.Equal(t, (<-first).status, 200)
+		got := <-waiting
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, strings.HasPrefix(got.body, "too little time remains for a response: "), got.body)
+		assert.Equal(t, u.count(), 1)
 	})
-	f.publisher.PublishUpstreams(hub.Instance{Id: "i0", Service: "s", Address: u.address, Domain: "a", Slots: 1, Born: 1})
-	f.refresh()
-	var running sync.WaitGroup
-	running.Go(func() { f.post(t, "/patient/") })
-	for u.count() == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	learn(estimates, "patient", 9*time.Second)
-	assert.Equal(t, estimates.Decide("s", "patient", 0), duration.Probe)
-	var got reply
-	running.Go(func() { got = f.post(t, "/patient/") })
-	time.Sleep(1200 * time.Millisecond)
-	close(release)
-	running.Wait()
-	assert.Equal(t, got.status, 503)
-	assert.Equal(t, u.count(), 1)
 }
 
 // Guards against estimates that don't follow the responses, or that errors and parts of streams make too low.
