soak/session: IDs of requests outside the limits differ between faults

The IDs were made of the kind, the target and the time of the fault, which is drawn in steps of 100 ms. Two equal faults at the same time used the same IDs, so that the check on the retry budget counted their requests as repeats. A counter of the session replaces the time.

TestCallersOutsideTheLimitsExcuseNothing does not run exceed, so it passes if exceed records a disturbance.

--- a/internal/soak/session/exceed.go
+++ b/internal/soak/session/exceed.go
@@ -29,6 +29,6 @@
 	ctx, cancel := context.WithTimeout(ctx, f.For)
 	defer cancel()
 	kind := exceeding[f.Kind]
-	name := fmt.Sprintf("%s-%s-%s", f.Kind, f.Target, f.At)
+	name := fmt.Sprintf("%s-%s-%d", f.Kind, f.Target, s.exceeds.Add(1))
 	excess.Run(ctx, s.cluster.ListenerAddress(f.Target), name, kind.connections, kind.client, &s.excess)
 }
--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -80,6 +80,8 @@
 	domainsMu sync.Mutex
 	domains   map[string]int
 	excess    excess.Totals
+	// exceeds is the number of faults with callers outside the limits so far, so that the IDs of their requests differ.
+	exceeds atomic.Int64
 }
 
 // Run plays a plan and returns what callers and upstreams have seen, and which promises were not kept.
