--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	spec/check.sh
 
 .PHONY: soak soak-regressions
-soak: build ## Plays one seed of the soak, without and with faults of load: processes on this machine while faults befall them.
+soak: build ## Runs the processes on this machine with one seed's faults, then again with faults of load added.
 	out/oriolehub soak --seed 1 --time 45s
 	out/oriolehub soak --seed 1 --time 45s --load --folder out/soak/load
 
--- a/internal/soak/cluster/memory_test.go
+++ b/internal/soak/cluster/memory_test.go
@@ -46,7 +46,7 @@
 	assert.Assert(t, errors.Is(p.running().cmd.Process.Signal(syscall.SIGTERM), os.ErrProcessDone))
 }
 
-// The settings of plans that name no memory stay as they were.
+// Guards against a memory setting in plans without a Memory line: recorded plans would play with other settings.
 func TestMemoryIsInTheSettingsOnlyIfNamed(t *testing.T) {
 	c := &Cluster{options: Options{Size: plan.Size{Entries: 1, Engines: 1, Plain: 1}}}
 	assert.Assert(t, !strings.Contains(c.settings(nil), "MemoryMegabytes"))
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -24,8 +24,8 @@
 	assert.Equal(t, p.String(), text)
 }
 
-// The plan that CI plays stays as it was before there were faults of load.
-func TestPlanOfCIStaysAsItWas(t *testing.T) {
+// Guards against plans that change with the program: a seed that failed would no longer play the same faults.
+func TestPlanOfSeedOne(t *testing.T) {
 	golden.Assert(t, Generate(1, 45*time.Second, Size{Entries: 3, Engines: 6, Plain: 3}).String(), "../_fixtures/seed-1-soak.golden")
 }
 
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -77,7 +77,8 @@
 	Leaving      Kind = "upstream leaving"
 	OutOfService Kind = "failure domain out of service"
 	RateLimited  Kind = "upstream names a rate limit"
-	// OutsideLimits is not a change: callers outside the limits have connections to the entry process that is the subject.
+	// OutsideLimits is the time for which callers outside the limits have connections to the entry process Subject. It is kept
+	// among the changes because it excuses nothing.
 	OutsideLimits Kind = "callers outside the limits"
 )
 
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -65,7 +65,8 @@
 	s.applyOther(ctx, f)
 }
 
-// change returns what a fault does that the record does not hold as a disturbance, such as a change by the operator, or nil.
+// change returns the function that applies a fault and itself records what it does, nil for a fault that apply records as a
+// disturbance.
 func (s *session) change(ctx context.Context, f plan.Fault) func() {
 	switch f.Kind {
 	case plan.ChangeKey:
