--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -119,6 +119,8 @@
 
 // restart ends a process and waits until it serves again.
 func (s *session) restart(name string, sig syscall.Signal, wait time.Duration) {
+	// The kernel keeps the largest memory of a process only while the process runs.
+	s.recordMemory(name)
 	if err := s.cluster.Processes[name].Restart(sig, wait); err != nil {
 		s.record.AddFault(err.Error())
 		return
--- a/internal/soak/session/memory.go
+++ b/internal/soak/session/memory.go
@@ -15,17 +15,26 @@
 // measureMemory records the memory of all processes until ctx is done.
 func (s *session) measureMemory(ctx context.Context) {
 	for {
-		for name, p := range s.cluster.Processes {
-			if bytes, run, ok := p.PeakMemory(); ok {
-				s.record.AddMemory(record.Memory{Process: name, Run: run, Bytes: bytes})
-			}
-		}
+		s.recordAllMemory()
 		if hub.Sleep(ctx, memoryInterval) != nil {
 			return
 		}
 	}
 }
 
+func (s *session) recordAllMemory() {
+	for name := range s.cluster.Processes {
+		s.recordMemory(name)
+	}
+}
+
+// recordMemory records the memory of a process, if it runs.
+func (s *session) recordMemory(name string) {
+	if bytes, run, ok := s.cluster.Processes[name].PeakMemory(); ok {
+		s.record.AddMemory(record.Memory{Process: name, Run: run, Bytes: bytes})
+	}
+}
+
 // seen returns the record, with the memory that the settings of the processes name.
 func (s *session) seen(p *plan.Plan) *record.Seen {
 	out := s.record.Seen()
--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -109,6 +109,7 @@
 	}
 	s.operator = newOperator(c.Site, s.record)
 	s.play(ctx, o.Plan)
+	s.recordAllMemory()
 	for _, text := range c.WrongWeights(s.operator.newestVersion()) {
 		s.record.AddFault(text)
 	}
