--- a/internal/cli/experiments/soak.go
+++ b/internal/cli/experiments/soak.go
@@ -190,8 +190,13 @@
 			most = m
 		}
 	}
+	var connections, bytes int64
+	for _, totals := range r.Excess {
+		connections += totals.Connections.Load()
+		bytes += totals.Bytes.Load()
+	}
 	fmt.Fprintf(env.Out, "  memory: at most %d of %d MiB, at %s; outside the limits: %d connections, %d KiB sent\n",
-		most.Bytes>>20, r.Plan.Memory, most.Process, r.Excess.Connections.Load(), r.Excess.Bytes.Load()>>10)
+		most.Bytes>>20, r.Plan.Memory, most.Process, connections, bytes>>10)
 }
 
 // shrinkPlan leaves out parts of the faults, ever smaller ones, as long as the plan still fails.
--- a/internal/soak/session/exceed.go
+++ b/internal/soak/session/exceed.go
@@ -30,5 +30,21 @@
 	defer cancel()
 	kind := exceeding[f.Kind]
 	name := fmt.Sprintf("%s-%s-%d", f.Kind, f.Target, s.exceeds.Add(1))
-	excess.Run(ctx, s.cluster.ListenerAddress(f.Target), name, kind.connections, kind.client, &s.excess)
+	excess.Run(ctx, s.cluster.ListenerAddress(f.Target), name, kind.connections, kind.client, s.totals(f.Kind))
+}
+
+// totals returns the totals of a kind, which all its faults share.
+func (s *session) totals(kind plan.Kind) *excess.Totals {
+	totals, _ := s.excess.LoadOrStore(kind, &excess.Totals{})
+	return totals.(*excess.Totals)
+}
+
+// excessByKind returns the totals of all kinds that were applied.
+func (s *session) excessByKind() map[plan.Kind]*excess.Totals {
+	out := map[plan.Kind]*excess.Totals{}
+	s.excess.Range(func(kind, totals any) bool {
+		out[kind.(plan.Kind)] = totals.(*excess.Totals)
+		return true
+	})
+	return out
 }
--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -64,8 +64,8 @@
 	Plan       *plan.Plan
 	Seen       *record.Seen
 	Violations []check.Violation
-	// Excess is what callers outside the limits have done.
-	Excess *excess.Totals
+	// Excess is what callers outside the limits have done, for each kind of fault that was applied.
+	Excess map[plan.Kind]*excess.Totals
 }
 
 // session is a running session.
@@ -79,7 +79,8 @@
 	// domains holds the number of faults that have a failure domain out of service now.
 	domainsMu sync.Mutex
 	domains   map[string]int
-	excess    excess.Totals
+	// excess holds an *excess.Totals for each plan.Kind with callers outside the limits that was applied.
+	excess sync.Map
 	// exceeds is the number of faults with callers outside the limits so far, so that the IDs of their requests differ.
 	exceeds atomic.Int64
 }
@@ -114,7 +115,7 @@
 		s.record.AddFault(text)
 	}
 	seen := s.seen(o.Plan)
-	return &Result{Plan: o.Plan, Seen: seen, Violations: check.Check(seen, check.DefaultBounds()), Excess: &s.excess}, ctx.Err()
+	return &Result{Plan: o.Plan, Seen: seen, Violations: check.Check(seen, check.DefaultBounds()), Excess: s.excessByKind()}, ctx.Err()
 }
 
 // play sends requests and applies the faults of a plan until both have ended.
