--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go run ./cmd/oriolehub try
 
 test: ## Runs all tests with the race detector.
-	go test -race -count=1 $(if $(SKIP),-skip '^($(SKIP))$$') ./...
+	go test -race -count=1 -timeout 30m $(if $(SKIP),-skip '^($(SKIP))$$') ./...
 
 .PHONY: crowd
 crowd: ## Runs the tests with crowds of uncontrolled callers, one at a time and without the race detector.
@@ -33,7 +33,7 @@
 	spec/check.sh
 
 .PHONY: soak soak-regressions
-soak: build ## Plays one seed of the soak, without and with faults of load: processes on this machine while faults befall them.
+soak: build ## Runs the processes on this machine with one seed's faults, then again with faults of load added.
 	out/oriolehub soak --seed 1 --time 45s
 	out/oriolehub soak --seed 1 --time 45s --load --folder out/soak/load
 
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -65,7 +65,8 @@
 	s.applyOther(ctx, f)
 }
 
-// change returns what a fault does that the record does not hold as a disturbance, such as a change by the operator, or nil.
+// change returns the function that applies a fault and itself records what it does, nil for a fault that apply records as a
+// disturbance.
 func (s *session) change(ctx context.Context, f plan.Fault) func() {
 	switch f.Kind {
 	case plan.ChangeKey:
@@ -118,6 +119,8 @@
 
 // restart ends a process and waits until it serves again.
 func (s *session) restart(name string, sig syscall.Signal, wait time.Duration) {
+	// The kernel keeps the largest memory of a process only while the process runs.
+	s.recordMemory(name)
 	if err := s.cluster.Processes[name].Restart(sig, wait); err != nil {
 		s.record.AddFault(err.Error())
 		return
