--- a/cmd/oriolehub/crowd_others_process_test.go
+++ b/cmd/oriolehub/crowd_others_process_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/bench/network"
 )
 
 const (
@@ -134,11 +136,12 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port is free now for TCP and UDP. The tests need the addresses of
-// listeners that a process does not print.
+// freeAddress returns an address with a port that is free now. The tests need the addresses of listeners that a process
+// does not print. The IP address is a new one: a port of 127.0.0.1 may be taken by a connection of another process before
+// the process under test listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", network.Loopback()+":0")
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
