--- a/internal/route/concurrency/monitor.go
+++ b/internal/route/concurrency/monitor.go
@@ -9,7 +9,7 @@
 	"github.com/phuslu/log"
 )
 
-// maxLinesPerSecond limits the log lines about changed limits in a process; slow periods of many servers would fill the log.
+// maxLinesPerSecond limits the log lines about changed limits in a process; many servers that are slow at once would fill the log.
 const maxLinesPerSecond = 10
 
 // Reasons for which an upstream gets less than its slots.
--- a/internal/route/concurrency/signal.go
+++ b/internal/route/concurrency/signal.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// slowRatio is the ratio to the reference from which a smoothed time is slow. Queues at healthy engines make single
-	// responses late; a server in a slow period takes 2.5 times as long.
+	// slowRatio is the ratio to the reference from which a smoothed time is slow. It is well above onTimeRatio, because queues
+	// at healthy engines make single responses late.
 	slowRatio = 2.0
 	// onTimeRatio is the ratio to the reference up to which a time is normal.
 	onTimeRatio = 1.5
 	// maxRatio limits the effect of a single time.
 	maxRatio = 4.0
-	// ratioWeight is the weight of a new ratio in the moving average: two times of a slow period exceed slowRatio.
+	// ratioWeight is the weight of a new ratio in the moving average: two consecutive times of 2.5 times the reference exceed slowRatio.
 	ratioWeight = 0.5
 	// levelWeight is the weight of a new time in the level that the other upstreams are compared with.
 	levelWeight = 0.2
--- a/internal/route/duration/probes.go
+++ b/internal/route/duration/probes.go
@@ -9,8 +9,8 @@
 	// probeInterval is the number of requests with too little time of which one is sent nevertheless.
 	probeInterval = 16
 	// sendsPerSuccess is the number of further requests with too little time that are sent after one that was completed.
-	// As Least is the first quartile, sending them is worth while if at least a quarter of them is completed; with 4 for each
-	// completed one, they go on being sent just then.
+	// As Least is the first quartile, sending them pays off if at least a quarter of them is completed: with 4 for each
+	// completed one, they go on being sent exactly in this case.
 	sendsPerSuccess = 4
 	// maxSends limits the requests that are sent because of earlier ones.
 	maxSends = 16
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -43,8 +43,8 @@
 }
 
 // Receive marks the start of the receipt of a body of the given length, -1 if it is sent in chunks, and returns a function that
-// marks its end. The end of the request marks it
-// too. A connection whose peer stops sending meanwhile may be closed in favour of others.
+// marks its end. The end of the request marks it too. A connection whose peer stops sending meanwhile may be closed in favour of
+// others.
 func (c *Conn) Receive(length int64) (end func()) {
 	if c == nil {
 		return func() {}
