route/forward: panics are logged with their request and counted; the end of a request names its last failure

A panic closed the caller's connection with a line of http.Server that names no request, and the request had no line of its end; a stream that was cut named the last obstacle only. No change of behaviour towards callers.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -85,6 +85,8 @@
 	// sent is the number of attempts, runs the number of those that may have run at an upstream.
 	sent int
 	runs int
+	// failure is the reason why the last attempt failed, nil if none has.
+	failure error
 	// trace describes how the last attempt was sent.
 	trace channel.Trace
 	// tried lists the upstreams that must not be chosen again.
@@ -145,6 +147,7 @@
 		if err == nil {
 			return
 		}
+		x.failure = err
 		x.logFailure(&choice, err)
 		if !x.mayRetry(ctx, err) {
 			x.giveUp(ctx, err)
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -70,7 +70,9 @@
 	firstPart *metrics.Histogram
 	// sentToLimited counts the attempts at upstreams that name a rate limit.
 	sentToLimited *metrics.Counter
-	memory        budgets
+	// panics counts the requests whose handling panicked.
+	panics *metrics.Counter
+	memory budgets
 	// times are the times that responses take.
 	times responseTimes
 }
@@ -85,6 +87,7 @@
 		memory:        newBudgets(o.Memory, o.Metrics),
 		times:         newResponseTimes(o.Metrics),
 		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
+		panics:        o.Metrics.NewCounter("oriolehub_request_panics_total"),
 	}
 }
 
@@ -96,6 +99,7 @@
 		sentAhead: listener.FromContext(r.Context()).SentAhead(),
 	}
 	defer x.releaseMemory()
+	defer x.reportPanic()
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
@@ -262,6 +266,9 @@
 	if reason != "" {
 		line = line.Str("Reason", reason)
 	}
+	if x.failure != nil && outcome != "answered" {
+		line = line.Str("LastFailure", x.failure.Error())
+	}
 	if status == http.StatusServiceUnavailable && outcome == "own" {
 		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
 	}
