route/forward: a request whose route is removed while it waits keeps its route

What callers saw: the connection closed without a byte, neither an answer nor a refusal, when a change of the configuration removed the route of a request that waited for an upstream and was a probe of the estimate of response times. Cause: stillAllowed applied the new configuration by authorize, which set the route to nil before it refused the request; acquireInTime then gave the probe back under the name of that route, and the nil pointer ended the goroutine. http.Server closes the connection in this case and drops the 404 that was still in its buffer. Evidence: TestProbeWhoseRouteIsRemovedIsAnswered failed on: 'EOF', panic in returnProbe. Now a route is only ever replaced by another one, so that all code after the first authorization has one.

--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -132,16 +132,17 @@
 }
 
 // authorize sets the route, account and deadline of the request from the snapshot s. If s has no matching route or
-// requires an API key that the request lacks, it responds with an error and returns false.
+// requires an API key that the request lacks, it responds with an error and returns false. A request that had a route keeps
+// one in any case, because what has begun for it is ended under the name of its route.
 func (x *exchange) authorize(s *directory.Snapshot) bool {
 	x.snapshot = s
 	path, _, _ := strings.Cut(x.target(), "?")
-	x.route = s.Route(x.r.Host, path)
-	if x.route == nil {
+	route := s.Route(x.r.Host, path)
+	if route == nil {
 		x.fail(http.StatusNotFound, "no route")
 		return false
 	}
-	x.account = nil
+	x.route, x.account = route, nil
 	if x.caller.HasKey {
 		x.account = s.Account(x.caller.Key)
 	}
