route/forward: a request is answered after a panic, and its slot is freed

The slot at the upstream stayed taken for as long as the process ran. Class: a failure of our own ends a request without the last step that each other ending has. Now the end of a panic is one of the endings of an exchange: status 500 if nothing has been sent, nothing if the response is complete, and the connection is aborted only within a response. Test: TestRequestIsAnsweredAndLoggedAfterAPanic, which failed before ('EOF').

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -23,8 +23,9 @@
 }
 
 // attempt sends the request to the chosen upstream and forwards the response to the caller. It returns nil if the
-// exchange is finished, else the reason why the attempt failed.
+// exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case.
 func (x *exchange) attempt(ctx context.Context, c *placement.Choice) error {
+	defer c.Release()
 	remaining := time.Until(x.deadline)
 	if remaining < minRemaining {
 		return errTimedOut
@@ -238,7 +239,7 @@
 func (x *exchange) writeResponse(b *bufferedResponse) {
 	x.handler.options.Format.CallerHeader(x.w.Header(), b.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
-	x.w.WriteHeader(b.status)
+	x.writeHeader(b.status)
 	if _, err := x.w.Write(b.body); err != nil {
 		x.finish("answered", b.status, "caller has left: "+err.Error())
 		return
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -99,6 +99,9 @@
 	relay *relay
 	// begun is true once relay is set. Unlike relay it may be read in any goroutine.
 	begun atomic.Bool
+	// responding is true once the header of a response has been sent to the caller, ended once the exchange has ended.
+	responding bool
+	ended      bool
 	// timeProbe is true if the request is sent although too little time may remain.
 	timeProbe bool
 	// keys are the keys under which the quarantine knows the request.
@@ -143,7 +146,6 @@
 			return
 		}
 		err = x.attempt(ctx, &choice)
-		choice.Release()
 		if err == nil {
 			return
 		}
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -99,7 +99,7 @@
 		sentAhead: listener.FromContext(r.Context()).SentAhead(),
 	}
 	defer x.releaseMemory()
-	defer x.reportPanic()
+	defer x.endAfterPanic()
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
@@ -243,13 +243,20 @@
 // fail responds with an error of this process, with the reason as the body.
 func (x *exchange) fail(status int, reason string) {
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(status)
+	x.writeHeader(status)
 	_, _ = io.WriteString(x.w, reason+"\n")
 	x.finish("own", status, reason)
 }
 
+// writeHeader sends the header of the response to the caller.
+func (x *exchange) writeHeader(status int) {
+	x.responding = true
+	x.w.WriteHeader(status)
+}
+
 // finish logs the outcome of the request and counts it in the metrics.
 func (x *exchange) finish(outcome string, status int, reason string) {
+	x.ended = true
 	o := &x.handler.options
 	took := time.Since(x.started)
 	x.handler.latency.Update(took.Seconds())
--- a/internal/route/forward/panic.go
+++ b/internal/route/forward/panic.go
@@ -6,16 +6,25 @@
 	"runtime/debug"
 )
 
-// reportPanic logs and counts a panic of the request's goroutine and aborts the caller's connection. It must be deferred.
-func (x *exchange) reportPanic() {
+// endAfterPanic ends a request whose handling has panicked, with a response unless a part of one has been sent. It must be
+// deferred.
+func (x *exchange) endAfterPanic() {
 	v := recover()
 	if v == nil {
 		return
 	}
-	if v != http.ErrAbortHandler {
-		x.handler.panics.Inc()
-		x.handler.options.Log.Error().Str("RequestId", x.caller.RequestId).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
-			Msg("request handler panicked; closing the connection")
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	x.handler.panics.Inc()
+	x.handler.options.Log.Error().Str("RequestId", x.caller.RequestId).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
+		Msg("request handler panicked")
+	switch {
+	case x.ended:
+	case x.responding:
+		x.finish("cut", http.StatusOK, "request handler panicked")
+		panic(http.ErrAbortHandler)
+	default:
+		x.fail(http.StatusInternalServerError, "internal error")
 	}
-	panic(http.ErrAbortHandler)
 }
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -120,7 +120,7 @@
 func (x *exchange) writeEvent(e stream.Event, response *channel.Response) error {
 	if x.relay == nil {
 		x.handler.options.Format.CallerHeader(x.w.Header(), response.Header)
-		x.w.WriteHeader(response.Status)
+		x.writeHeader(response.Status)
 		x.relay = &relay{exchange: x, firstAt: time.Now(), sequence: stream.NewSequence(x.caller.LastEvent)}
 		x.begun.Store(true)
 		x.handler.firstPart.Update(time.Since(x.started).Seconds())
