route/forward: a late attempt is ended only for a reserved one

What callers saw: streams whose engine was silent for a second were cut, although the engine went on: the channel ended without a whole answer. Cause: after 0.9 s without an event a stream is continued elsewhere if an upstream has room. The room was only looked at: all streams of the silent engine found the same free slot and left their engine, one got the slot, and the others waited 0.1 s for another one and were cut. The same held for the retry budget and for the limit of four sendings. Class: check, then act; an attempt that may succeed is given up for one that is not assured. Evidence: TestStreamsOfASilentUpstreamAreCompleted failed on ('unexpected EOF'). Now the slot, the retry and the quarantine's decision are reserved first, and only then the attempt in progress is ended. HasRoom is gone with its last use.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -23,7 +23,8 @@
 }
 
 // attempt sends the request to the chosen upstream and forwards the response to the caller. It returns nil if the
-// exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case.
+// exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case, and sets
+// x.reserved if the attempt was ended in favour of another one.
 func (x *exchange) attempt(ctx context.Context, c *placement.Choice) error {
 	defer c.Release()
 	remaining := time.Until(x.deadline)
@@ -36,7 +37,7 @@
 	x.trace = channel.Trace{}
 	x.logChoice(c, remaining)
 	timer := x.startTimer(c, cancel)
-	defer timer.stop()
+	defer func() { x.reserved = timer.finish() }()
 	response, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
 		x.notSent(c, err)
@@ -56,11 +57,10 @@
 	return x.handleResponse(ctx, c, response, timer)
 }
 
-// startTimer starts a timer that cancels the attempt if its response takes too long and another upstream can take the
-// request, or if the upstream's version is due to be replaced before the first event of a stream or the end of another
+// startTimer starts a timer that cancels the attempt if its response takes too long and another attempt is reserved, or if the upstream's version is due to be replaced before the first event of a stream or the end of another
 // response.
 func (x *exchange) startTimer(c *placement.Choice, cancel context.CancelCauseFunc) *attemptTimer {
-	t := newAttemptTimer(func() { cancel(errSlow) }, x.othersHaveRoom(c))
+	t := newAttemptTimer(func() { cancel(errSlow) }, x.reserver(c))
 	t.limit(c.StartBy)
 	if x.route.Retryable() && x.runs+1 < x.route.MaxAttempts {
 		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective))
@@ -68,17 +68,6 @@
 	return t
 }
 
-// othersHaveRoom returns a function that reports whether the request may be sent once more in its remaining time and an
-// upstream that has not been tried has room for it. The function may be called from any goroutine.
-func (x *exchange) othersHaveRoom(c *placement.Choice) func() bool {
-	o := &x.handler.options
-	service, route, deadline, requirements := x.service, x.route.Name, x.deadline, x.requirements()
-	requirements.Tried = append(slices.Clone(x.tried), c.Upstream.Key())
-	return func() bool {
-		return x.mayMoveInTime(service, route, deadline) && o.RetryBudget.Allows(service) && o.Placement.HasRoom(requirements)
-	}
-}
-
 // call returns the call that sends the request to the chosen upstream. A resumed stream continues after the last event
 // that was forwarded.
 func (x *exchange) call(c *placement.Choice, remaining time.Duration) *channel.Call {
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -85,6 +85,8 @@
 	// sent is the number of attempts, runs the number of those that may have run at an upstream.
 	sent int
 	runs int
+	// reserved is the reservation for the next attempt, nil if there is none.
+	reserved *reservation
 	// failure is the reason why the last attempt failed, nil if none has.
 	failure error
 	// trace describes how the last attempt was sent.
@@ -135,12 +137,9 @@
 	defer interrupt(nil)
 	stop := x.whenInterrupted(func() { interrupt(errStopping) })
 	defer stop()
+	defer x.releaseReservation()
 	for {
-		if x.decision = x.checkQuarantine(); x.decision.Blocked() {
-			x.giveUp(ctx, errQuarantined)
-			return
-		}
-		choice, err := x.acquireInTime(ctx)
+		choice, err := x.choose(ctx)
 		if err != nil {
 			x.giveUp(ctx, err)
 			return
@@ -159,6 +158,18 @@
 	}
 }
 
+// choose returns the upstream of the next attempt with a slot there: the one that is reserved, or one for which it waits.
+func (x *exchange) choose(ctx context.Context) (placement.Choice, error) {
+	if r := x.reserved; r != nil {
+		x.reserved, x.decision = nil, r.decision
+		return r.choice, nil
+	}
+	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
+		return placement.Choice{}, errQuarantined
+	}
+	return x.acquireInTime(ctx)
+}
+
 // checkQuarantine returns the decision of the quarantine whether the request may be sent. A request that is a probe stays
 // one until it has been sent.
 func (x *exchange) checkQuarantine() quarantine.Decision {
@@ -207,7 +218,7 @@
 	}
 	switch {
 	case x.relay != nil:
-		r.Priority, r.Backlog = resumedPriority, 0
+		requireForResumed(r)
 	case x.missedObjective():
 		r.Priority += missedObjectivePriority
 	}
@@ -217,6 +228,9 @@
 	return r
 }
 
+// requireForResumed changes the requirements of a request to those of its stream that has begun.
+func requireForResumed(r *placement.Requirements) { r.Priority, r.Backlog = resumedPriority, 0 }
+
 // acquire chooses an upstream and reserves a slot there, waiting for up to queueTimeout. It returns errDenied if the
 // desired state has changed meanwhile and no longer allows the request.
 func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
@@ -270,7 +284,7 @@
 }
 
 // mayRetry reports whether the request may be sent again after an attempt that failed with err. It takes the
-// retry from the service's retry budget, except after an attempt of which no byte was sent.
+// retry from the service's retry budget, except after an attempt of which no byte was sent and if one is reserved.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) {
 		return false
@@ -283,6 +297,10 @@
 	if ran && !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
 		return false
 	}
+	if x.reserved != nil {
+		x.timeProbe = false
+		return true
+	}
 	if errors.Is(err, channel.ErrNotSent) {
 		return x.timeForAnother()
 	}
--- a/internal/route/placement/choice.go
+++ b/internal/route/placement/choice.go
@@ -91,13 +91,6 @@
 	return c, true
 }
 
-// HasRoom reports whether Choose would find an upstream.
-func (p *Placement) HasRoom(r *Requirements) bool {
-	snapshot := p.options.Directory.Current()
-	service := snapshot.Service(r.Service)
-	return service != nil && len(service.Upstreams) > 0 && p.search(snapshot, service, r).best != nil
-}
-
 // ResponseStarted must be called when the response has started: its prompt no longer counts as waiting. Further calls
 // have no effect.
 func (c *Choice) ResponseStarted() {
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -36,6 +36,15 @@
 	return c, err
 }
 
+// TryAcquire is Acquire without waiting. It returns false if no upstream has room now or if others wait for one before the
+// request; the Choice then has Candidates and PauseLeft as far as they are known.
+func (p *Placement) TryAcquire(r *Requirements) (Choice, bool) {
+	if !p.queue(r).Empty() || p.higherPriorityWaits(r) {
+		return Choice{}, false
+	}
+	return p.Choose(r)
+}
+
 // Pressure returns the recent share of the requests of a service for which no upstream had room, from 0 to 1.
 func (p *Placement) Pressure(service string) float64 { return p.pressure(service).share(time.Now()) }
 
@@ -48,23 +57,21 @@
 }
 
 func (p *Placement) acquire(ctx context.Context, r *Requirements, timeout time.Duration) (Choice, error) {
-	q := p.queue(r)
-	if q.Empty() && !p.higherPriorityWaits(r) {
-		c, ok := p.Choose(r)
-		if ok {
-			return c, nil
-		}
-		if c.paused() && c.PauseLeft > timeout {
-			return c, ErrPaused
-		}
+	c, ok := p.TryAcquire(r)
+	if ok {
+		return c, nil
 	}
+	if c.paused() && c.PauseLeft > timeout {
+		return c, ErrPaused
+	}
+	q := p.queue(r)
 	ctx, cancel := context.WithTimeoutCause(ctx, timeout, ErrNoRoom)
 	defer cancel()
 	ticket, err := q.Enter(r.Account, 1)
 	if err != nil {
 		return Choice{}, fmt.Errorf("%w: %w", ErrNoRoom, err)
 	}
-	c, err := p.wait(ctx, r, ticket)
+	c, err = p.wait(ctx, r, ticket)
 	if err != nil {
 		q.Leave(ticket)
 		return c, err
