route/forward: a stream that has lost its upstream waits for a busy one as long as its caller

Cause: a stream that has begun waited for an upstream for no longer than a new request, which loses nothing when it is refused. Now it waits until two seconds after its last event, in turns between which new requests are served. It still ends at once if no upstream may run it. TestBegunStreamWaitsForABusyUpstream failed before ('unexpected EOF').

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -167,7 +167,11 @@
 	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
 		return placement.Choice{}, errQuarantined
 	}
-	return x.acquireInTime(ctx)
+	choice, err := x.acquireInTime(ctx)
+	for err != nil && x.waitsOn(ctx, err) {
+		choice, err = x.acquireInTime(ctx)
+	}
+	return choice, err
 }
 
 // checkQuarantine returns the decision of the quarantine whether the request may be sent. A request that is a probe stays
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/oriolehub/oriolehub/internal/hub"
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/route/stream"
@@ -19,6 +20,12 @@
 	// which a stream is resumed at another upstream if one has room.
 	stallTimeoutFactor = 3
 	minStallTimeout    = 700 * time.Millisecond
+	// callerPatience is the time since the last event for which a stream that has lost its upstream waits for another one
+	// with room. Callers abandon a stream after a pause of two seconds, or a longer one on slow routes.
+	callerPatience = 2 * time.Second
+	// resumeRetryDelay is the pause between two such waits. Each of them ends as that of a new request does, so that new
+	// requests are served in between.
+	resumeRetryDelay = 20 * time.Millisecond
 	// maxEventsBeforeCrash is the number of events of a stream after which a lost connection is not attributed to
 	// the request: an upstream that crashes under a request does so when it begins to answer it.
 	maxEventsBeforeCrash = 1
@@ -149,6 +156,22 @@
 	return max(minStallTimeout, stallTimeoutFactor*x.route.MaxPause), true
 }
 
+// waitsOn reports, after a pause, whether a request that has got no upstream because of err waits on for one: a new request is
+// refused instead, but the caller of a stream that has begun would lose what it has received.
+func (x *exchange) waitsOn(ctx context.Context, err error) bool {
+	if x.relay == nil {
+		return false
+	}
+	left := callerPatience - time.Since(x.relay.lastAt)
+	switch {
+	case errors.Is(err, placement.ErrNoRoom):
+	case errors.Is(err, placement.ErrPaused) && x.pauseLeft < left:
+	default:
+		return false
+	}
+	return left > 0 && hub.Sleep(ctx, resumeRetryDelay) == nil
+}
+
 // abort logs err and aborts the caller's connection, so that the caller recognizes the stream as incomplete.
 func (r *relay) abort(err error) {
 	x := r.exchange
