--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -23,8 +23,10 @@
 }
 
 // attempt sends the request to the chosen upstream and forwards the response to the caller. It returns nil if the
-// exchange is finished, else the reason why the attempt failed.
+// exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case, and sets
+// x.reserved if the attempt was ended in favour of another one.
 func (x *exchange) attempt(ctx context.Context, c *placement.Choice) error {
+	defer c.Release()
 	remaining := time.Until(x.deadline)
 	if remaining < minRemaining {
 		return errTimedOut
@@ -35,7 +37,7 @@
 	x.trace = channel.Trace{}
 	x.logChoice(c, remaining)
 	timer := x.startTimer(c, cancel)
-	defer timer.stop()
+	defer func() { x.reserved = timer.finish() }()
 	response, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
 		x.notSent(c, err)
@@ -55,11 +57,10 @@
 	return x.handleResponse(ctx, c, response, timer)
 }
 
-// startTimer starts a timer that cancels the attempt if its response takes too long and another upstream can take the
-// request, or if the upstream's version is due to be replaced before the first event of a stream or the end of another
+// startTimer starts a timer that cancels the attempt if its response takes too long and another attempt is reserved, or if the upstream's version is due to be replaced before the first event of a stream or the end of another
 // response.
 func (x *exchange) startTimer(c *placement.Choice, cancel context.CancelCauseFunc) *attemptTimer {
-	t := newAttemptTimer(func() { cancel(errSlow) }, x.othersHaveRoom(c))
+	t := newAttemptTimer(func() { cancel(errSlow) }, x.reserver(c))
 	t.limit(c.StartBy)
 	if x.route.Retryable() && x.runs+1 < x.route.MaxAttempts {
 		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective))
@@ -67,17 +68,6 @@
 	return t
 }
 
-// othersHaveRoom returns a function that reports whether the request may be sent once more in its remaining time and an
-// upstream that has not been tried has room for it. The function may be called from any goroutine.
-func (x *exchange) othersHaveRoom(c *placement.Choice) func() bool {
-	o := &x.handler.options
-	service, route, deadline, requirements := x.service, x.route.Name, x.deadline, x.requirements()
-	requirements.Tried = append(slices.Clone(x.tried), c.Upstream.Key())
-	return func() bool {
-		return x.mayMoveInTime(service, route, deadline) && o.RetryBudget.Allows(service) && o.Placement.HasRoom(requirements)
-	}
-}
-
 // call returns the call that sends the request to the chosen upstream. A resumed stream continues after the last event
 // that was forwarded.
 func (x *exchange) call(c *placement.Choice, remaining time.Duration) *channel.Call {
@@ -238,7 +228,7 @@
 func (x *exchange) writeResponse(b *bufferedResponse) {
 	x.handler.options.Format.CallerHeader(x.w.Header(), b.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
-	x.w.WriteHeader(b.status)
+	x.writeHeader(b.status)
 	if _, err := x.w.Write(b.body); err != nil {
 		x.finish("answered", b.status, "caller has left: "+err.Error())
 		return
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -85,6 +85,10 @@
 	// sent is the number of attempts, runs the number of those that may have run at an upstream.
 	sent int
 	runs int
+	// reserved is the reservation for the next attempt, nil if there is none.
+	reserved *reservation
+	// failure is the reason why the last attempt failed, nil if none has.
+	failure error
 	// trace describes how the last attempt was sent.
 	trace channel.Trace
 	// tried lists the upstreams that must not be chosen again.
@@ -97,6 +101,9 @@
 	relay *relay
 	// begun is true once relay is set. Unlike relay it may be read in any goroutine.
 	begun atomic.Bool
+	// responding is true once the header of a response has been sent to the caller, ended once the exchange has ended.
+	responding bool
+	ended      bool
 	// timeProbe is true if the request is sent although too little time may remain.
 	timeProbe bool
 	// keys are the keys under which the quarantine knows the request.
@@ -130,21 +137,18 @@
 	defer interrupt(nil)
 	stop := x.whenInterrupted(func() { interrupt(errStopping) })
 	defer stop()
+	defer x.releaseReservation()
 	for {
-		if x.decision = x.checkQuarantine(); x.decision.Blocked() {
-			x.giveUp(ctx, errQuarantined)
-			return
-		}
-		choice, err := x.acquireInTime(ctx)
+		choice, err := x.choose(ctx)
 		if err != nil {
 			x.giveUp(ctx, err)
 			return
 		}
 		err = x.attempt(ctx, &choice)
-		choice.Release()
 		if err == nil {
 			return
 		}
+		x.failure = err
 		x.logFailure(&choice, err)
 		if !x.mayRetry(ctx, err) {
 			x.giveUp(ctx, err)
@@ -154,6 +158,22 @@
 	}
 }
 
+// choose returns the upstream of the next attempt with a slot there: the one that is reserved, or one for which it waits.
+func (x *exchange) choose(ctx context.Context) (placement.Choice, error) {
+	if r := x.reserved; r != nil {
+		x.reserved, x.decision = nil, r.decision
+		return r.choice, nil
+	}
+	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
+		return placement.Choice{}, errQuarantined
+	}
+	choice, err := x.acquireInTime(ctx)
+	for err != nil && x.waitsOn(ctx, err) {
+		choice, err = x.acquireInTime(ctx)
+	}
+	return choice, err
+}
+
 // checkQuarantine returns the decision of the quarantine whether the request may be sent. A request that is a probe stays
 // one until it has been sent.
 func (x *exchange) checkQuarantine() quarantine.Decision {
@@ -202,7 +222,7 @@
 	}
 	switch {
 	case x.relay != nil:
-		r.Priority, r.Backlog = resumedPriority, 0
+		requireForResumed(r)
 	case x.missedObjective():
 		r.Priority += missedObjectivePriority
 	}
@@ -212,6 +232,9 @@
 	return r
 }
 
+// requireForResumed changes the requirements of a request to those of its stream that has begun.
+func requireForResumed(r *placement.Requirements) { r.Priority, r.Backlog = resumedPriority, 0 }
+
 // acquire chooses an upstream and reserves a slot there, waiting for up to queueTimeout. It returns errDenied if the
 // desired state has changed meanwhile and no longer allows the request.
 func (x *exchange) acquire(ctx context.Context) (placement.Choice, error) {
@@ -265,7 +288,7 @@
 }
 
 // mayRetry reports whether the request may be sent again after an attempt that failed with err. It takes the
-// retry from the service's retry budget, except after an attempt of which no byte was sent.
+// retry from the service's retry budget, except after an attempt of which no byte was sent and if one is reserved.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) {
 		return false
@@ -278,6 +301,10 @@
 	if ran && !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
 		return false
 	}
+	if x.reserved != nil {
+		x.timeProbe = false
+		return true
+	}
 	if errors.Is(err, channel.ErrNotSent) {
 		return x.timeForAnother()
 	}
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -70,7 +70,9 @@
 	firstPart *metrics.Histogram
 	// sentToLimited counts the attempts at upstreams that name a rate limit.
 	sentToLimited *metrics.Counter
-	memory        budgets
+	// panics counts the requests whose handling panicked.
+	panics *metrics.Counter
+	memory budgets
 	// times are the times that responses take.
 	times responseTimes
 }
@@ -85,6 +87,7 @@
 		memory:        newBudgets(o.Memory, o.Metrics),
 		times:         newResponseTimes(o.Metrics),
 		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
+		panics:        o.Metrics.NewCounter("oriolehub_request_panics_total"),
 	}
 }
 
@@ -96,6 +99,7 @@
 		sentAhead: listener.FromContext(r.Context()).SentAhead(),
 	}
 	defer x.releaseMemory()
+	defer x.endAfterPanic()
 	if !x.admit() || !x.readBody() || x.refuseIfStopping() {
 		return
 	}
@@ -128,16 +132,17 @@
 }
 
 // authorize sets the route, account and deadline of the request from the snapshot s. If s has no matching route or
-// requires an API key that the request lacks, it responds with an error and returns false.
+// requires an API key that the request lacks, it responds with an error and returns false. A request that had a route keeps
+// one in any case, because what has begun for it is ended under the name of its route.
 func (x *exchange) authorize(s *directory.Snapshot) bool {
 	x.snapshot = s
 	path, _, _ := strings.Cut(x.target(), "?")
-	x.route = s.Route(x.r.Host, path)
-	if x.route == nil {
+	route := s.Route(x.r.Host, path)
+	if route == nil {
 		x.fail(http.StatusNotFound, "no route")
 		return false
 	}
-	x.account = nil
+	x.route, x.account = route, nil
 	if x.caller.HasKey {
 		x.account = s.Account(x.caller.Key)
 	}
@@ -238,13 +243,20 @@
 // fail responds with an error of this process, with the reason as the body.
 func (x *exchange) fail(status int, reason string) {
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	x.w.WriteHeader(status)
+	x.writeHeader(status)
 	_, _ = io.WriteString(x.w, reason+"\n")
 	x.finish("own", status, reason)
 }
 
+// writeHeader sends the header of the response to the caller.
+func (x *exchange) writeHeader(status int) {
+	x.responding = true
+	x.w.WriteHeader(status)
+}
+
 // finish logs the outcome of the request and counts it in the metrics.
 func (x *exchange) finish(outcome string, status int, reason string) {
+	x.ended = true
 	o := &x.handler.options
 	took := time.Since(x.started)
 	x.handler.latency.Update(took.Seconds())
@@ -262,6 +274,9 @@
 	if reason != "" {
 		line = line.Str("Reason", reason)
 	}
+	if x.failure != nil && outcome != "answered" {
+		line = line.Str("LastFailure", x.failure.Error())
+	}
 	if status == http.StatusServiceUnavailable && outcome == "own" {
 		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
 	}
--- /dev/null
+++ b/internal/route/forward/panic.go
@@ -0,0 +1,30 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+)
+
+// endAfterPanic ends a request whose handling has panicked, with a response unless a part of one has been sent. It must be
+// deferred.
+func (x *exchange) endAfterPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	x.handler.panics.Inc()
+	x.handler.options.Log.Error().Str("RequestId", x.caller.RequestId).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
+		Msg("request handler panicked")
+	switch {
+	case x.ended:
+	case x.responding:
+		x.finish("cut", http.StatusOK, "request handler panicked")
+		panic(http.ErrAbortHandler)
+	default:
+		x.fail(http.StatusInternalServerError, "internal error")
+	}
+}
