route/forward: a time limit that was removed does not end the attempt

The callback of the limit for a version that is due to be replaced called end without the lock. If it had begun when the first event of a stream came, it ended the attempt after that: the stream was resumed or cut although its upstream went on. It now looks whether the limit is still set, under the lock.

--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -19,7 +19,8 @@
 	// reserved is the reservation for which the attempt was ended.
 	reserved *reservation
 	timer    *time.Timer
-	// limitTimer ends the attempt whether or not another upstream can take the request, nil if there is no such limit.
+	// limitTimer ends the attempt whether or not another upstream can take the request, nil if there is no such limit or if it
+	// has been removed.
 	limitTimer *time.Timer
 	// round changes with each start and stop, so that a check in progress does not restart a stopped timer.
 	round int
@@ -37,7 +38,16 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limitTimer = time.AfterFunc(time.Until(at), t.end)
+	t.limitTimer = time.AfterFunc(time.Until(at), t.passLimit)
+}
+
+// passLimit ends the attempt unless the limit has been removed meanwhile.
+func (t *attemptTimer) passLimit() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.limitTimer != nil {
+		t.end()
+	}
 }
 
 // start makes the response late after d. It has no effect once the attempt has been ended for a reservation.
@@ -96,5 +106,6 @@
 	}
 	if t.limitTimer != nil {
 		t.limitTimer.Stop()
+		t.limitTimer = nil
 	}
 }
