process/node: a readiness check with a body does not hold its connection

http.Server reads the body of a request that its handler has not read, for up to five seconds, and the connection could not be closed in favour of others meanwhile. So a few requests with incomplete bodies (64, and 12 with few descriptors) took all connections of the readiness listener, and checks were reset. The connection of such a request is now closed once it has been answered. TestReadinessChecksAreAnsweredBesideBodies failed before, for all forms of a body (unexpected EOF).

--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	e.ready = &http.Server{
-		Handler:           noStore(http.HandlerFunc(e.handleReady)),
+		Handler:           noStore(endWithBody(http.HandlerFunc(e.handleReady))),
 		ReadHeaderTimeout: readyTimeout,
 		ReadTimeout:       readyTimeout,
 		WriteTimeout:      readyTimeout,
@@ -142,3 +142,21 @@
 	go func() { _ = e.ready.Serve(limited) }()
 	return nil
 }
+
+// endWithBody closes the connection of a request with a body, which readiness checks do not have, once it has been answered.
+// http.Server would read a part of the body first, and the connection could not be closed in favour of others meanwhile.
+func endWithBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		next.ServeHTTP(w, r)
+		c := http.NewResponseController(w)
+		_ = c.Flush()
+		// Even after a panic http.Server reads the body, until the deadline.
+		_ = c.SetReadDeadline(time.Now())
+		panic(http.ErrAbortHandler)
+	})
+}
