route/forward: limits of bodies out of range have no effect on other requests

With a negative max_body_bytes the body of a request in chunks was read into a buffer of no bytes without end: the request was never answered and took a processor. With a limit near the largest integer, the length of the first buffer was negative, so that the memory counted as held was too low meanwhile and releasing that of other requests panicked, after which their connections were closed. A limit that is not positive now counts as none, and high ones are bounded.

--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -25,8 +25,10 @@
 const (
 	// defaultTimeout is the timeout of requests whose route sets none.
 	defaultTimeout = 30 * time.Second
-	// defaultMaxBodyBytes limits request bodies if the desired state sets no limit.
-	defaultMaxBodyBytes = 4 << 20
+	// defaultMaxBodyBytes limits request bodies if the desired state sets no positive limit, largestMaxBodyBytes replaces higher
+	// limits.
+	defaultMaxBodyBytes int64 = 4 << 20
+	largestMaxBodyBytes int64 = 1 << 40
 	// notReadyRetryAfter is the Retry-After time while this process has not received the desired state yet.
 	notReadyRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After time while this process stops; others serve meanwhile.
@@ -181,10 +183,7 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	limit := x.snapshot.Configuration.Limits.MaxBodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := bodyLimit(x.snapshot.Configuration.Limits)
 	c := http.NewResponseController(x.w)
 	stop := x.whenInterrupted(func() { _ = c.SetReadDeadline(time.Now()) })
 	body, err := x.readAll(limit, &bodyReader{exchange: x, control: c, body: http.MaxBytesReader(x.w, x.r.Body, limit)})
@@ -217,6 +216,14 @@
 	return true
 }
 
+// bodyLimit returns the maximum length of the body of a request.
+func bodyLimit(l hub.RequestLimits) int64 {
+	if l.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return min(l.MaxBodyBytes, largestMaxBodyBytes)
+}
+
 // whenInterrupted calls f in its own goroutine once the process ends the requests in progress. Calling stop prevents that, and
 // returns false if it is too late.
 func (x *exchange) whenInterrupted(f func()) (stop func() bool) {
--- a/internal/route/forward/requestbody_test.go
+++ b/internal/route/forward/requestbody_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -47,6 +48,23 @@
 	return w, status
 }
 
+// Guards against limits out of range in the desired state, with which bodies in chunks were never answered (-1), and with which
+// the memory counted as held was wrong for all requests.
+func TestBodyLimitsOutOfRange(t *testing.T) {
+	f := withLimitedEntry(t, nil, nil, withTestUpstream(t, respond(http.StatusOK, "whole")))
+	f.extendTimeouts()
+	for _, limit := range []int64{-1, -1000, math.MinInt64, math.MaxInt64} {
+		f.limitBodies(limit)
+		for _, length := range []int64{-1, 4} {
+			w, status := f.sendBody(t, length)
+			_, err := io.WriteString(w, "body")
+			assert.NilError(t, err)
+			assert.NilError(t, w.Close())
+			assert.Equal(t, <-status, http.StatusOK, "limit %d, length %d", limit, length)
+		}
+	}
+}
+
 // Guards against bodies of requests, each within the limit, that together exceed the memory of the process.
 func TestLongBodiesBeyondTheMemoryAreRefused(t *testing.T) {
 	const (
