route/forward: a request is routed by the state that was found ready

If the first one was published in between, a request got 404 by the empty one, after which callers do not return. TestRequestIsRoutedByTheStateThatIsReady failed before (404).

--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -111,7 +111,6 @@
 // admit finds the route and the account of the request in the current desired state. If the request is not allowed, it
 // responds with an error and returns false.
 func (x *exchange) admit() bool {
-	s := x.handler.options.Directory.Current()
 	if x.refuseIfStopping() {
 		return false
 	}
@@ -119,7 +118,7 @@
 		x.refuse("desired state or upstreams not known yet", notReadyRetryAfter)
 		return false
 	}
-	return x.authorize(s)
+	return x.authorize(x.handler.options.Directory.Current())
 }
 
 // refuseIfStopping refuses the request if the process stops and sends no more requests. It returns whether it did. A body may
