route/placement: a request that panics while it waits leaves its queue

It kept its place, at the head of the queue in the end. No other request of the queue was served from then on before its wait was over, and each of them was refused unless an upstream had room at that moment.

--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -29,8 +29,9 @@
 	placement *placement.Placement
 	// reports is the number of reports delivered.
 	reports uint64
-	// entries is the number of entry processes.
+	// entries is the number of entry processes. asked is called whenever it is asked for, if it is not nil.
 	entries int
+	asked   func()
 	// turn is the place of the process in the order of the entry processes.
 	turn placement.Turn
 	// connections is the number of connections to each address that may be used, without a limit if not set.
@@ -47,7 +48,13 @@
 	})
 	f.placement = placement.New(placement.Options{
 		Directory: f.directory, Domain: "a", Region: "north",
-		SwitchBound: func() time.Duration { return switchBound }, Entries: func() int { return f.entries },
+		SwitchBound: func() time.Duration { return switchBound },
+		Entries: func() int {
+			if f.asked != nil {
+				f.asked()
+			}
+			return f.entries
+		},
 		Turn:      func() placement.Turn { return f.turn },
 		RateShare: func(_ string, limit float64) float64 { return limit / float64(f.entries) },
 		Connections: func(address string, limit int) int {
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -71,9 +71,9 @@
 	if err != nil {
 		return Choice{}, fmt.Errorf("%w: %w", ErrNoRoom, err)
 	}
+	defer q.Leave(ticket)
 	c, err = p.wait(ctx, r, ticket)
 	if err != nil {
-		q.Leave(ticket)
 		return c, err
 	}
 	q.Served(ticket)
