route/forward: a refused body is still awaited, so that its connection may be closed

After a body was refused for lack of memory or as too late, the connection was marked as one that waits for its response, while http.Server read on for up to ten seconds. Connections of callers that sent nothing more could not be closed in favour of others, which were reset at the limit.

--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -32,10 +32,18 @@
 // errTooLarge means that the body of a response exceeds maxResponseBytes.
 var errTooLarge = errors.New("answer is too large")
 
-// readAll reads the complete body of the request, of which limit is the maximum length.
+// readAll reads the complete body of the request, of which limit is the maximum length. After an error the body still counts as
+// awaited, because http.Server goes on reading it.
 func (x *exchange) readAll(limit int64, body *bodyReader) ([]byte, error) {
 	end := listener.FromContext(x.r.Context()).Receive(x.r.ContentLength)
-	defer end()
+	data, err := x.readParts(limit, body)
+	if err == nil {
+		end()
+	}
+	return data, err
+}
+
+func (x *exchange) readParts(limit int64, body *bodyReader) ([]byte, error) {
 	length := x.r.ContentLength
 	if length > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
