wire/listener: no request begins on a connection that is being closed for a new one

Between its choice at a limit and its end, in which the counts are logged, an idle connection could receive a request. The request ran, and its response was lost. A chosen connection now takes no further bytes; one whose phase has changed is not chosen. TestNoRequestBeginsOnAConnectionThatIsBeingClosed failed before.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -27,6 +27,8 @@
 	phaseActive
 	// phaseIdle: the last request has ended.
 	phaseIdle
+	// phaseClosing: the connection is being closed in favour of others.
+	phaseClosing
 )
 
 // Conn is a connection of a Listener.
@@ -47,6 +49,8 @@
 	receiving atomic.Bool
 	unmarked  atomic.Int64
 	kept      atomic.Bool
+	// yieldedIn is the phase in which the connection was chosen to be closed in favour of others.
+	yieldedIn int32
 	// responding is true once a part of the response to the request in progress has been written.
 	responding atomic.Bool
 	// sentAhead is true if a part of the request in progress was received before the response to the previous one began.
@@ -193,17 +197,38 @@
 
 func (c *Conn) phase() int32 { return c.current.Load() }
 
+// yield lets no further request begin on the connection, or returns false if it is no longer in the given phase.
+func (c *Conn) yield(phase int32) bool {
+	if !c.current.CompareAndSwap(phase, phaseClosing) {
+		return false
+	}
+	c.yieldedIn = phase
+	return true
+}
+
+// enter changes the phase, or returns false if the connection is being closed.
+func (c *Conn) enter(phase int32) bool {
+	for {
+		switch p := c.phase(); {
+		case p == phaseClosing:
+			return false
+		case c.current.CompareAndSwap(p, phase):
+			return true
+		}
+	}
+}
+
 // setState follows the state that an http.Server reports: it becomes active once a request header is complete and idle once
 // the response has been sent.
 func (c *Conn) setState(s http.ConnState) {
 	switch s {
 	case http.StateActive:
-		c.current.Store(phaseActive)
+		c.enter(phaseActive)
 	case http.StateIdle:
 		c.receiving.Store(false)
 		c.endRequest()
 		c.progress()
-		c.current.Store(phaseIdle)
+		c.enter(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		c.releaseHeader()
 		c.current.Store(phaseActive)
@@ -214,6 +239,8 @@
 type standing struct {
 	rank       int
 	progressAt int64
+	// phase is the phase of the connection to which the place applies.
+	phase int32
 }
 
 // The ranks of connections: a request that is stalled, no request so far, and no request after one was served.
@@ -233,8 +260,9 @@
 // standing returns the place of c, or false if c must not be closed. grace is the time without progress before which a
 // connection without a request in progress is not closed.
 func (c *Conn) standing(now, grace time.Duration) (standing, bool) {
+	phase := c.phase()
 	at, rank := c.progressAt.Load(), rankUnused
-	switch c.phase() {
+	switch phase {
 	case phaseHeader:
 		if int64(now)-at >= int64(stallTime) {
 			rank = rankStalled
@@ -253,7 +281,7 @@
 	if c.kept.Load() || int64(now)-at < int64(grace) {
 		return standing{}, false
 	}
-	return standing{rank: rank, progressAt: at}, true
+	return standing{rank: rank, progressAt: at, phase: phase}, true
 }
 
 // setBuffers bounds the memory that the kernel holds for the connection.
--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"time"
 )
 
@@ -109,7 +110,9 @@
 	}
 	if c.phase() != phaseHeader {
 		c.unmarked.Store(headerProgress)
-		c.current.Store(phaseHeader)
+		if !c.enter(phaseHeader) {
+			return 0, net.ErrClosed
+		}
 	}
 	if c.unmarked.Add(int64(n)) >= headerProgress {
 		c.unmarked.Store(0)
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -150,12 +150,20 @@
 	return l.leastRecent(0, func(c *Conn) bool { return c.address == busiest })
 }
 
-// leastRecent returns the connection among those that pick selects that is closed first, nil if none may be closed. One that
-// awaits or sends a request header may be closed only if it made no progress for the time grace. The caller holds l.mu. The
-// search takes time proportional to the number of connections, but runs only at a limit.
+// leastRecent returns the connection among those that pick selects that is closed first, on which no further request begins, nil
+// if none may be closed. One that awaits or sends a request header may be closed only if it made no progress for the time grace.
+// The caller holds l.mu. The search takes time proportional to the number of connections, but runs only at a limit.
 func (l *Listener) leastRecent(grace time.Duration, pick func(*Conn) bool) *Conn {
-	var out *Conn
-	var first standing
+	for {
+		c, s := l.search(grace, pick)
+		if c == nil || c.yield(s.phase) {
+			return c
+		}
+	}
+}
+
+// search returns the connection that leastRecent is to return, with its place.
+func (l *Listener) search(grace time.Duration, pick func(*Conn) bool) (out *Conn, first standing) {
 	now := l.now()
 	for c := range l.connections {
 		if pick != nil && !pick(c) {
@@ -165,7 +173,7 @@
 			out, first = c, s
 		}
 	}
-	return out
+	return out, first
 }
 
 // reclaim closes the connection among those that pick selects that is closed first, if there is one.
@@ -190,7 +198,7 @@
 // closeFor closes a connection that had to yield.
 func (l *Listener) closeFor(c *Conn, reason string) {
 	l.count(reason)
-	if c.phase() != phaseIdle {
+	if c.yieldedIn != phaseIdle {
 		setReset(c.Conn)
 	}
 	_ = c.Close()
