wire/listener: a server goes on accepting after an error of the system

http.Server ends for good after an accept error that package net does not call temporary (ENOBUFS, ENOMEM, EPROTO, ENETDOWN), without a line in the log: the process remained ready, and no connection was accepted any more. Accept now tries again after 50 ms unless the socket is closed.

--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,8 @@
 	// not closed in favour of others. Otherwise a crowd that connects all the time would displace callers whose request is on
 	// its way.
 	newcomerGrace = 250 * time.Millisecond
+	// acceptRetryDelay is the time between a failure to accept a connection and the next try.
+	acceptRetryDelay = 50 * time.Millisecond
 	// stallTime is the time without progress after which a request in progress counts as stalled.
 	stallTime = 2 * time.Second
 )
@@ -82,13 +85,18 @@
 	return l, nil
 }
 
-// Accept returns the next connection. It closes connections that exceed a limit and cannot replace another one.
+// Accept returns the next connection. It closes connections that exceed a limit and cannot replace another one. It tries again
+// after an error that need not come again, after which a server would end.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
-		if err != nil {
+		if err != nil && lasting(err) {
 			return nil, err
 		}
+		if err != nil {
+			l.waitAfter(err)
+			continue
+		}
 		c := newConn(l, inner)
 		if l.admit(c) {
 			c.setBuffers()
@@ -99,6 +107,24 @@
 	}
 }
 
+// lasting reports whether err means that no connection will be accepted any more. Others are for lack of memory or descriptors,
+// or belong to one connection.
+func lasting(err error) bool {
+	var number syscall.Errno
+	if errors.Is(err, net.ErrClosed) || !errors.As(err, &number) {
+		return true
+	}
+	return number == syscall.EBADF || number == syscall.EINVAL || number == syscall.ENOTSOCK
+}
+
+// waitAfter logs a failure to accept a connection and waits before the next try.
+func (l *Listener) waitAfter(err error) {
+	if l.options.Log != nil {
+		l.options.Log.Warn().Str("Listener", l.options.Name).Err(err).Msg("cannot accept a connection; trying again")
+	}
+	time.Sleep(acceptRetryDelay)
+}
+
 // Open returns the number of open connections.
 func (l *Listener) Open() int {
 	l.mu.Lock()
