route/forward: a caller that reads no more is no failure of its upstream

A write to the caller that failed or timed out counted as a failure of the upstream, which then got fewer requests, and a stream that may be continued was sent to a second upstream for nobody, from the retry budget. TestUnreadStreamIsNoFailureOfTheUpstream failed before (2 upstreams got the request).

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -290,7 +290,7 @@
 // mayRetry reports whether the request may be sent again after an attempt that failed with err. It takes the
 // retry from the service's retry budget, except after an attempt of which no byte was sent and if one is reserved.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) {
+	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) || errors.Is(err, errGone) {
 		return false
 	}
 	if x.relay != nil && x.relay.sequence.Last() == "" {
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -91,7 +91,9 @@
 			}
 		}
 		if err := x.writeEvent(e, response); err != nil {
-			x.upstreamFailed(c)
+			if !errors.Is(err, errGone) {
+				x.upstreamFailed(c)
+			}
 			return err
 		}
 		if !e.Comment {
