--- a/internal/route/allowance/budget_test.go
+++ b/internal/route/allowance/budget_test.go
@@ -63,3 +63,11 @@
 	assert.Assert(t, taken(r, 100) > 0)
 	assert.Assert(t, r.Take("other"))
 }
+
+// Guards against a division by zero in each request, with a window that the settings allow.
+func TestShortestWindow(t *testing.T) {
+	b := allowance.Bounds{Slack: 10}
+	r := allowance.NewRetryBudget(time.Nanosecond, func() allowance.Bounds { return b }, func() int { return 1 })
+	r.CountRequest("s")
+	assert.Assert(t, r.Take("s"))
+}
