route/channel: a response that comes before the whole call was sent is read

An upstream that refuses a call with a long body and closes the connection resets it. The error of the send was taken for a lost upstream, which may have run the call, and callers got 502 (trial: a body of 4 MiB that is not to be repeated) although the refusal that it has not run was received. TestResponseBeforeTheEndOfTheCall failed before (connection reset by peer).

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -105,17 +105,32 @@
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
 	r.stop = context.AfterFunc(ctx, c.abort)
-	if err := r.send(call); err != nil {
+	if err := r.exchange(call); err != nil {
 		r.Close()
 		return nil, p.sendError(ctx, c, call, reused, err)
 	}
-	if err := r.readHeader(call); err != nil {
-		r.Close()
-		return nil, p.sendError(ctx, c, call, reused, &sentError{op: "read answer", err: err})
-	}
 	return r, nil
 }
 
+// exchange sends the call and reads the header of the response. An upstream that has closed the connection before the whole call
+// was sent may have responded before that.
+func (r *Response) exchange(call *Call) error {
+	err := r.send(call)
+	if _, sent := err.(*sentError); err != nil && !(sent && connectionLost(err)) {
+		return err
+	}
+	readErr := r.readHeader(call)
+	switch {
+	case readErr == nil:
+		r.close = r.close || err != nil
+		return nil
+	case err != nil:
+		return err
+	default:
+		return &sentError{op: "read answer", err: readErr}
+	}
+}
+
 // encode returns the call as an HTTP/1.1 message. A long body is not copied.
 func (call *Call) encode() *net.Buffers {
 	var b bytes.Buffer
