--- a/internal/route/allowance/budget.go
+++ b/internal/route/allowance/budget.go
@@ -43,8 +43,8 @@
 	retries  [windowSteps]int
 }
 
-// NewRetryBudget returns a retry budget with a window of the given length, at least a nanosecond for each step. bounds returns the current limits, entries
-// the number of live entry processes.
+// NewRetryBudget returns a retry budget with a window of the given length, at least a nanosecond for each step. bounds returns
+// the current limits, entries the number of live entry processes.
 func NewRetryBudget(windowLength time.Duration, bounds func() Bounds, entries func() int) *RetryBudget {
 	return &RetryBudget{windowLength: max(windowLength, windowSteps), bounds: bounds, entries: entries, started: time.Now(), services: map[string]*window{}}
 }
