route/forward: a late attempt goes on until another upstream has accepted the request

What callers saw: streams whose engine was silent for a second were cut, and idempotent requests got 502 after a fraction of their time, although the engine went on: the upstream for which the attempt had been ended refused the request. Now the second attempt is a hedge: it is made while the first one is in progress, and the first one is ended only once the header of the second one's response shows that the request runs there. If the first one goes on, the hedge is ended; if it fails, the exchange waits for the hedge. An event of the first one that comes after that is dropped, since the hedge sends it too. Hedges run in goroutines of their own, and a panic there is logged and ends nothing else. Each hedge takes a retry from the shared budget and counts as an attempt, as the retries did.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -23,22 +23,22 @@
 }
 
 // attempt sends the request to the chosen upstream and forwards the response to the caller. It returns nil if the
-// exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case, and sets
-// x.reserved if the attempt was ended in favour of another one.
-func (x *exchange) attempt(ctx context.Context, c *placement.Choice) error {
+// exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case, and sets x.hedge
+// if another attempt goes on in its place.
+func (x *exchange) attempt(ctx context.Context, c *placement.Choice) (err error) {
 	defer c.Release()
 	remaining := time.Until(x.deadline)
 	if remaining < minRemaining {
 		return errTimedOut
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.sent++
 	x.trace = channel.Trace{}
-	x.logChoice(c, remaining)
-	timer := x.startTimer(c, cancel)
-	defer func() { x.reserved = timer.finish() }()
-	response, err := x.handler.options.Pool.Send(ctx, c.Upstream.Address, x.call(c, remaining))
+	x.logChoice(c, remaining, x.sent)
+	timer := x.startTimer(ctx, c, cancel, x.runs+1)
+	defer func() { x.endTimer(timer, err) }()
+	response, err := x.handler.options.Pool.Send(attemptCtx, c.Upstream.Address, x.firstCall(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
 		x.notSent(c, err)
 		return err
@@ -49,53 +49,73 @@
 	if err != nil {
 		x.upstreamFailed(c)
 		x.countReset(err)
-		err = x.brokenError(ctx, err)
+		err = x.brokenError(attemptCtx, err)
 		x.reportCrash(c, err)
 		return err
 	}
 	defer response.Close()
-	return x.handleResponse(ctx, c, response, timer)
+	return x.handleResponse(attemptCtx, c, response, timer)
 }
 
-// startTimer starts a timer that cancels the attempt if its response takes too long and another attempt is reserved, or if the upstream's version is due to be replaced before the first event of a stream or the end of another
-// response.
-func (x *exchange) startTimer(c *placement.Choice, cancel context.CancelCauseFunc) *attemptTimer {
-	t := newAttemptTimer(func() { cancel(errSlow) }, x.reserver(c))
+// startTimer starts a timer for an attempt, which cancel ends: if its response takes too long and a hedge has been accepted, or if
+// the upstream's version is due to be replaced before the first event of a stream or the end of another response. ctx is the context
+// of the exchange, runs the number of attempts that may have run, including this one.
+func (x *exchange) startTimer(ctx context.Context, c *placement.Choice, cancel context.CancelCauseFunc, runs int) *attemptTimer {
+	t := newAttemptTimer(ctx, func() { cancel(errSlow) }, x.newHedger(c, runs))
 	t.limit(c.StartBy)
-	if x.route.Retryable() && x.runs+1 < x.route.MaxAttempts {
-		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective))
+	if x.route.Retryable() && runs < x.route.MaxAttempts {
+		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective), x.lastEvent())
 	}
 	return t
 }
 
-// call returns the call that sends the request to the chosen upstream. A resumed stream continues after the last event
-// that was forwarded.
-func (x *exchange) call(c *placement.Choice, remaining time.Duration) *channel.Call {
-	a := hub.Attempt{Instance: c.Upstream.Id, Remaining: remaining, Priority: x.upstreamPriority()}
+// endTimer ends the timer of an attempt that has ended with err, and takes over the hedge that goes on in its place.
+func (x *exchange) endTimer(t *attemptTimer, err error) {
+	x.hedge = t.finish(err != nil)
+	if err != nil {
+		x.addHedges(t.hedger)
+	}
+}
+
+// lastEvent returns the ID of the last event that was forwarded, empty if none was.
+func (x *exchange) lastEvent() string {
+	if x.relay == nil {
+		return ""
+	}
+	return x.relay.sequence.Last()
+}
+
+// firstCall returns the call of an attempt that is no hedge. A resumed stream continues after the last event that was forwarded.
+func (x *exchange) firstCall(c *placement.Choice, remaining time.Duration) *channel.Call {
+	priority := upstreamPriority(x.requirements().Priority)
+	call := x.call(c, hub.Attempt{Remaining: remaining, Priority: priority, LastEvent: x.lastEvent()}, &x.trace)
+	call.NewConnection = x.needsNewConnection(c)
+	return call
+}
+
+// call returns the call that sends the request to the chosen upstream. It completes a by the upstream and the account, and records
+// in trace how it was sent.
+func (x *exchange) call(c *placement.Choice, a hub.Attempt, trace *channel.Trace) *channel.Call {
+	a.Instance = c.Upstream.Id
 	if x.account != nil {
 		a.Account = x.account.Name
 	}
-	if x.relay != nil {
-		a.LastEvent = x.relay.sequence.Last()
-	}
 	return &channel.Call{
 		Method:         x.r.Method,
 		Target:         x.target(),
 		Host:           x.r.Host,
 		Header:         x.handler.options.Format.UpstreamHeader(x.r.Header, a),
 		Body:           x.body,
-		Mismatched:     x.mismatched,
-		OnHeader:       func(status int, h http.Header) { x.observe(c, status, h) },
-		NewConnection:  x.needsNewConnection(c),
+		Mismatched:     func(status int, h http.Header) bool { return x.mismatched(status, h, trace) },
+		OnHeader:       func(status int, h http.Header) { x.observe(c, status, h, trace) },
 		Service:        x.service,
 		MaxConnections: x.maxConnections(),
-		Trace:          &x.trace,
+		Trace:          trace,
 	}
 }
 
-// upstreamPriority returns the priority of the request at the upstream.
-func (x *exchange) upstreamPriority() int {
-	p := x.requirements().Priority
+// upstreamPriority returns the priority at the upstream of a request with the given priority in the queue.
+func upstreamPriority(p int) int {
 	switch {
 	case p == resumedPriority:
 		return highestUpstreamPriority
@@ -115,7 +135,7 @@
 
 // observe records what the header of a response says about the upstream. It applies to responses that belong to other
 // requests too, since they come from the same run of the upstream.
-func (x *exchange) observe(c *placement.Choice, status int, h http.Header) {
+func (x *exchange) observe(c *placement.Choice, status int, h http.Header, trace *channel.Trace) {
 	info := x.handler.options.Format.ParseResponse(status, h)
 	if info.Leaving {
 		x.logLeaving(c)
@@ -125,27 +145,27 @@
 		x.logPause(c, info.Pause)
 		c.Load.Pause(info.Pause)
 	}
-	if x.tellsRateLimit(info) && c.Load.SetRateLimit(info.RateLimit, x.trace.SentAt) {
+	if x.tellsRateLimit(info, trace) && c.Load.SetRateLimit(info.RateLimit, trace.SentAt) {
 		x.logRateLimit(c, info.RateLimit)
 	}
 }
 
 // tellsRateLimit reports whether a response shows which rate limit the upstream names now. One of another instance does
 // not. One without a limit does only if it belongs to this request, because others may be older than the limit.
-func (x *exchange) tellsRateLimit(info hub.ResponseInfo) bool {
-	return !info.WrongInstance && (info.RateLimit.Named || !x.belongsToOther(info))
+func (x *exchange) tellsRateLimit(info hub.ResponseInfo, trace *channel.Trace) bool {
+	return !info.WrongInstance && (info.RateLimit.Named || !x.belongsToOther(info, trace))
 }
 
 // mismatched reports whether a response belongs to another request.
-func (x *exchange) mismatched(status int, h http.Header) bool {
-	return x.belongsToOther(x.handler.options.Format.ParseResponse(status, h))
+func (x *exchange) mismatched(status int, h http.Header, trace *channel.Trace) bool {
+	return x.belongsToOther(x.handler.options.Format.ParseResponse(status, h), trace)
 }
 
 // belongsToOther reports whether a response carries the ID of another request, or none on a connection on which other
 // requests have been sent.
-func (x *exchange) belongsToOther(info hub.ResponseInfo) bool {
+func (x *exchange) belongsToOther(info hub.ResponseInfo, trace *channel.Trace) bool {
 	if info.RequestId == "" {
-		return x.trace.Reused
+		return trace.Reused
 	}
 	return info.RequestId != x.caller.RequestId
 }
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -27,19 +27,29 @@
 	return 0
 }
 
-// notSent records an attempt of which no byte was sent. An upstream at the limit of its connections is treated like one
-// without a free slot: it is not chosen for a short time, and may be chosen again after it.
+// notSent records an attempt of which no byte was sent.
 func (x *exchange) notSent(c *placement.Choice, err error) {
+	x.countReset(err)
+	if x.r.Context().Err() == nil && notSent(c, err) {
+		x.tried = append(x.tried, c.Upstream.Key())
+	}
+}
+
+// notSent records in the load of the upstream that no byte of an attempt was sent. It returns whether the request must not be sent
+// there again. An upstream at the limit of its connections is treated like one without a free slot: it is not chosen for a
+// short time, and may be chosen again after it.
+func notSent(c *placement.Choice, err error) (exclude bool) {
 	switch {
 	case errors.Is(err, channel.ErrNoConnection):
 		c.Load.Refused()
 	case errors.Is(err, channel.ErrReset):
-		x.countReset(err)
 		c.Load.Refused()
 		c.Load.Failed()
 	default:
-		x.upstreamFailed(c)
+		c.Load.Failed()
+		return true
 	}
+	return false
 }
 
 // countReset counts an attempt that ended with a reset by the connection limit of an upstream.
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -18,17 +18,23 @@
 // upstream that cuts a response, or closes a connection that was idle, but accepts new ones is in service. It returns when
 // that is known, so that the request or a part of it is in quarantine before it is sent to another upstream.
 func (x *exchange) reportCrash(c *placement.Choice, err error) {
+	x.crashed = x.crashedUnder(c, err) || x.crashed
+}
+
+// crashedUnder is reportCrash for attempts in any goroutine. It returns whether the upstream has crashed.
+func (x *exchange) crashedUnder(c *placement.Choice, err error) bool {
 	o := &x.handler.options
 	if !connectionLost(err) || !o.Quarantine.Suspects(&x.keys) {
-		return
+		return false
 	}
 	// The caller may leave meanwhile, but the upstream has crashed all the same.
 	ctx := context.WithoutCancel(x.r.Context())
 	_ = hub.Sleep(ctx, crashProbeDelay)
-	if o.Pool.Probe(ctx, c.Upstream.Address) != nil {
-		x.crashed = true
-		o.Quarantine.Crashed(c.Upstream.Key(), &x.keys)
+	if o.Pool.Probe(ctx, c.Upstream.Address) == nil {
+		return false
 	}
+	o.Quarantine.Crashed(c.Upstream.Key(), &x.keys)
+	return true
 }
 
 // connectionLost reports whether err means that the upstream's end of the connection was closed or reset.
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -85,8 +85,8 @@
 	// sent is the number of attempts, runs the number of those that may have run at an upstream.
 	sent int
 	runs int
-	// reserved is the reservation for the next attempt, nil if there is none.
-	reserved *reservation
+	// hedge is the attempt that goes on in place of the last one, nil if there is none.
+	hedge *hedge
 	// failure is the reason why the last attempt failed, nil if none has.
 	failure error
 	// trace describes how the last attempt was sent.
@@ -137,19 +137,16 @@
 	defer interrupt(nil)
 	stop := x.whenInterrupted(func() { interrupt(errStopping) })
 	defer stop()
-	defer x.releaseReservation()
+	defer func() { x.hedge.release() }()
 	for {
 		choice, err := x.choose(ctx)
 		if err != nil {
 			x.giveUp(ctx, err)
 			return
 		}
-		err = x.attempt(ctx, &choice)
-		if err == nil {
+		if err = x.attemptAt(ctx, &choice); err == nil {
 			return
 		}
-		x.failure = err
-		x.logFailure(&choice, err)
 		if !x.mayRetry(ctx, err) {
 			x.giveUp(ctx, err)
 			return
@@ -158,12 +155,26 @@
 	}
 }
 
-// choose returns the upstream of the next attempt with a slot there: the one that is reserved, or one for which it waits.
-func (x *exchange) choose(ctx context.Context) (placement.Choice, error) {
-	if r := x.reserved; r != nil {
-		x.reserved, x.decision = nil, r.decision
-		return r.choice, nil
+// attemptAt makes an attempt at the chosen upstream, and goes on with hedges as long as these take its place. It returns nil if the
+// exchange is finished, else the reason why the last attempt failed.
+func (x *exchange) attemptAt(ctx context.Context, c *placement.Choice) error {
+	err := x.attempt(ctx, c)
+	for err != nil {
+		x.failure = err
+		x.logFailure(c, err, &x.trace, x.sent)
+		h := x.hedge
+		if h == nil || ctx.Err() != nil {
+			return err
+		}
+		x.hedge, x.timeProbe = nil, false
+		c = &h.choice
+		err = x.adopt(ctx, h)
 	}
+	return nil
+}
+
+// choose returns the upstream of the next attempt, for which the request may have waited, with a slot there.
+func (x *exchange) choose(ctx context.Context) (placement.Choice, error) {
 	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
 		return placement.Choice{}, errQuarantined
 	}
@@ -288,7 +299,7 @@
 }
 
 // mayRetry reports whether the request may be sent again after an attempt that failed with err. It takes the
-// retry from the service's retry budget, except after an attempt of which no byte was sent and if one is reserved.
+// retry from the service's retry budget, except after an attempt of which no byte was sent.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) || errors.Is(err, errGone) {
 		return false
@@ -301,10 +312,6 @@
 	if ran && !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
 		return false
 	}
-	if x.reserved != nil {
-		x.timeProbe = false
-		return true
-	}
 	if errors.Is(err, channel.ErrNotSent) {
 		return x.timeForAnother()
 	}
@@ -373,10 +380,11 @@
 	return err.Error()
 }
 
-func (x *exchange) logChoice(c *placement.Choice, remaining time.Duration) {
+// logChoice logs the upstream of the attempt with the given number.
+func (x *exchange) logChoice(c *placement.Choice, remaining time.Duration, sending int) {
 	line := x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Str("Address", c.Upstream.Address).
 		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Held", c.Held).Dur("ReportAge", c.ReportAge).
-		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", x.sent).Dur("Waited", time.Since(x.started)).Dur("Left", remaining)
+		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", sending).Dur("Waited", time.Since(x.started)).Dur("Left", remaining)
 	if limit := c.Load.RateLimit(); limit.Named {
 		x.handler.sentToLimited.Inc()
 		line = line.Float64("RateLimit", limit.PerSecond)
@@ -405,10 +413,11 @@
 	line.Float64("RateLimit", limit.PerSecond).Msg("upstream names a rate limit")
 }
 
-func (x *exchange) logFailure(c *placement.Choice, err error) {
-	line := x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", x.sent)
-	if !x.trace.SentAt.IsZero() {
-		line = line.Dur("SinceSent", time.Since(x.trace.SentAt)).Bool("Reused", x.trace.Reused)
+// logFailure logs why the attempt with the given number failed.
+func (x *exchange) logFailure(c *placement.Choice, err error, trace *channel.Trace, sending int) {
+	line := x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", sending)
+	if !trace.SentAt.IsZero() {
+		line = line.Dur("SinceSent", time.Since(trace.SentAt)).Bool("Reused", trace.Reused)
 	}
 	line.Err(err).Msg("attempt failed")
 }
--- a/internal/route/forward/panic.go
+++ b/internal/route/forward/panic.go
@@ -16,9 +16,7 @@
 	if v == http.ErrAbortHandler {
 		panic(v)
 	}
-	x.handler.panics.Inc()
-	x.handler.options.Log.Error().Str("RequestId", x.caller.RequestId).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).
-		Msg("request handler panicked")
+	x.logPanic(v, debug.Stack())
 	switch {
 	case x.ended:
 	case x.responding:
@@ -28,3 +26,10 @@
 		x.fail(http.StatusInternalServerError, "internal error")
 	}
 }
+
+// logPanic logs and counts a panic with the value v while the request is handled.
+func (x *exchange) logPanic(v any, stack []byte) {
+	x.handler.panics.Inc()
+	x.handler.options.Log.Error().Str("RequestId", x.caller.RequestId).Str("Panic", fmt.Sprint(v)).Bytes("Stack", stack).
+		Msg("request handler panicked")
+}
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -82,7 +82,10 @@
 			}
 			return err
 		}
-		timer.stop()
+		if !timer.stop() {
+			x.upstreamFailed(c)
+			return fmt.Errorf("%w: %w", channel.ErrBroken, errSlow)
+		}
 		c.ResponseStarted()
 		if !e.Comment {
 			c.ResponseArrived()
@@ -105,7 +108,7 @@
 			}
 		}
 		if limit, ok := x.stallTimeout(); ok {
-			timer.start(limit)
+			timer.start(limit, x.lastEvent())
 		}
 	}
 }
--- a/internal/route/forward/remaining.go
+++ b/internal/route/forward/remaining.go
@@ -109,15 +109,15 @@
 	return false
 }
 
-// mayMoveInTime reports whether enough time remains to end the attempt in progress and to send the request again. It may be
-// called from any goroutine.
-func (x *exchange) mayMoveInTime(service, route string, deadline time.Time) bool {
+// mayMoveInTime reports whether enough time remains to send the request to another upstream beside the attempt in progress. It may
+// be called from any goroutine.
+func (x *exchange) mayMoveInTime() bool {
 	if x.begun.Load() || x.caller.LastEvent != "" {
 		return true
 	}
-	least, known := x.handler.times.Least(service, route)
+	least, known := x.handler.times.Least(x.service, x.route.Name)
 	// The margin covers the time until the request is sent again.
-	return !known || time.Until(deadline) >= least+minRemaining
+	return !known || time.Until(x.deadline) >= least+minRemaining
 }
 
 // recordDuration records that a complete successful response took d since the request was sent. The rest of a response that was
--- a/internal/route/forward/retryafter_test.go
+++ b/internal/route/forward/retryafter_test.go
@@ -37,7 +37,7 @@
 	ahead := &exchange{route: &hub.Route{Timeout: 6 * time.Second}, sentAhead: true}
 	returned := &exchange{route: route, caller: hub.RequestInfo{Wait: time.Second}}
 	assert.Assert(t, ahead.requirements().Priority > returned.requirements().Priority)
-	assert.Equal(t, ahead.upstreamPriority(), lowestUpstreamPriority)
+	assert.Equal(t, upstreamPriority(ahead.requirements().Priority), lowestUpstreamPriority)
 	resumed := &exchange{route: route, relay: &relay{}, sentAhead: true}
 	assert.Equal(t, resumed.requirements().Priority, resumedPriority)
 }
@@ -53,7 +53,7 @@
 	lowest := &exchange{route: &hub.Route{Priority: 99, Timeout: 6 * time.Second}}
 	order := []*exchange{resumed, urgent, account, normal, lowest, returned}
 	for i := 1; i < len(order); i++ {
-		before, after := order[i-1].upstreamPriority(), order[i].upstreamPriority()
+		before, after := upstreamPriority(order[i-1].requirements().Priority), upstreamPriority(order[i].requirements().Priority)
 		assert.Assert(t, before < after, "place %d: %d, %d", i, before, after)
 		assert.Assert(t, before >= 0 && after <= 9)
 	}
--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -1,34 +1,49 @@
 package forward
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
-// moveCheckInterval is the interval at which another attempt is tried to be reserved while one is late.
-const moveCheckInterval = 100 * time.Millisecond
+// hedgeInterval is the interval at which a hedge is tried again while an attempt is late.
+const hedgeInterval = 100 * time.Millisecond
 
-// attemptTimer ends an attempt whose response is late. It does so only once all that another attempt needs is reserved: a
-// slow or silent upstream that is sound still answers, and a room that was only seen may be taken by another request. It is safe
-// for concurrent use.
+// attemptTimer makes a hedge while the response to an attempt is late, and ends the attempt once the hedge has been accepted: a
+// slow or silent upstream that is sound still answers, and another one may refuse the request whatever its room seems to be. It is
+// safe for concurrent use.
 type attemptTimer struct {
-	end     func()
-	reserve func() *reservation
+	ctx    context.Context
+	end    func()
+	hedger *hedger
 
-	mu sync.Mutex
-	// reserved is the reservation for which the attempt was ended.
-	reserved *reservation
-	timer    *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
 	// limitTimer ends the attempt whether or not another upstream can take the request, nil if there is no such limit or if it
 	// has been removed.
 	limitTimer *time.Timer
-	// round changes with each start and stop, so that a check in progress does not restart a stopped timer.
+	// round changes with each start and stop, so that a hedge of an earlier round is not used.
 	round int
+	// lastEvent is the event after which a hedge continues.
+	lastEvent string
+	// trial is the hedge that awaits its response, nil if there is none.
+	trial *trial
+	// accepted is the hedge for which the attempt was ended.
+	accepted *hedge
+	// finished is true once the attempt has ended.
+	finished bool
 }
 
-// newAttemptTimer returns a stopped timer that calls end.
-func newAttemptTimer(end func(), reserve func() *reservation) *attemptTimer {
-	return &attemptTimer{end: end, reserve: reserve}
+// trial is a hedge that awaits the header of its response.
+type trial struct {
+	cancel context.CancelCauseFunc
+	// done is closed at its end.
+	done chan struct{}
+}
+
+// newAttemptTimer returns a stopped timer that calls end to end the attempt. ctx is the context of the exchange.
+func newAttemptTimer(ctx context.Context, end func(), g *hedger) *attemptTimer {
+	return &attemptTimer{ctx: ctx, end: end, hedger: g}
 }
 
 // limit ends the attempt at the given time unless the timer is stopped before; a zero time has no effect.
@@ -50,57 +65,77 @@
 	}
 }
 
-// start makes the response late after d. It has no effect once the attempt has been ended for a reservation.
-func (t *attemptTimer) start(d time.Duration) {
+// start makes the response late after d. A hedge continues after lastEvent, or begins anew if that is empty.
+func (t *attemptTimer) start(d time.Duration, lastEvent string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.reserved != nil {
+	if t.accepted != nil {
 		return
 	}
 	t.round++
+	t.lastEvent = lastEvent
 	t.schedule(d, t.round)
 }
 
-// schedule checks the attempt after d.
+// schedule makes a hedge after d. The caller holds mu.
 func (t *attemptTimer) schedule(d time.Duration, round int) {
 	if t.timer != nil {
 		t.timer.Stop()
 	}
-	t.timer = time.AfterFunc(d, func() { t.check(round) })
+	t.timer = time.AfterFunc(d, func() { t.tryHedge(round) })
 }
 
-// check ends the attempt if another one can be reserved, and otherwise checks again later.
-func (t *attemptTimer) check(round int) {
-	r := t.reserve()
+// tryHedge makes a hedge and ends the attempt if it is accepted. Otherwise it tries again later.
+func (t *attemptTimer) tryHedge(round int) {
+	current, ctx, lastEvent := t.begin(round)
+	if current == nil {
+		return
+	}
+	defer close(current.done)
+	h := t.hedger.attempt(ctx, current.cancel, lastEvent)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.trial == current {
+		t.trial = nil
+	}
 	switch {
 	case round != t.round:
-		r.release()
-	case r != nil:
-		t.reserved = r
+		h.release()
+	case h != nil:
+		t.accepted = h
 		t.end()
-	default:
-		t.schedule(moveCheckInterval, round)
+	case !t.finished:
+		t.schedule(hedgeInterval, round)
 	}
 }
 
-// finish stops the timer and returns the reservation for which the attempt was ended, nil if there is none. The caller must use
-// or release it.
-func (t *attemptTimer) finish() *reservation {
-	t.stop()
+// begin returns a new trial with its context, and the event after which it continues; nil if the round is over.
+func (t *attemptTimer) begin(round int) (*trial, context.Context, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.reserved
-	t.reserved = nil
-	return r
+	if round != t.round || t.finished {
+		return nil, nil, ""
+	}
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	t.trial = &trial{cancel: cancel, done: make(chan struct{})}
+	return t.trial, ctx, t.lastEvent
 }
 
-// stop stops the timer and removes the limit.
-func (t *attemptTimer) stop() {
+// stop stops the timer, removes the limit and ends the hedge that awaits its response. It returns false if it is too late: the
+// attempt has been ended for a hedge.
+func (t *attemptTimer) stop() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stopTimers()
 	t.round++
+	if t.trial != nil {
+		t.trial.cancel(nil)
+	}
+	return t.accepted == nil
+}
+
+// stopTimers stops the timer and removes the limit. The caller holds mu.
+func (t *attemptTimer) stopTimers() {
 	if t.timer != nil {
 		t.timer.Stop()
 	}
@@ -109,3 +144,33 @@
 		t.limitTimer = nil
 	}
 }
+
+// finish ends the timer of an attempt that has ended. If it has failed, finish waits for the hedge that awaits its response, and
+// returns the one that was accepted, nil if there is none. The caller must release it.
+func (t *attemptTimer) finish(failed bool) *hedge {
+	if !failed {
+		t.stop()
+	}
+	awaited := t.close()
+	if failed && awaited != nil {
+		<-awaited.done
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.accepted
+	t.accepted = nil
+	if !failed {
+		h.release()
+		return nil
+	}
+	return h
+}
+
+// close makes no further hedges and returns the one that awaits its response, nil if there is none.
+func (t *attemptTimer) close() *trial {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.finished = true
+	t.stopTimers()
+	return t.trial
+}
