--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 type Request struct {
 	Id    string
 	Class string
+	// Route is the name of its route.
+	Route string
 	// Once is true for a request that must not run twice.
 	Once bool
 	// Process is the entry process to which it was sent, Run which of its runs.
@@ -80,6 +83,14 @@
 	// OutsideLimits is the time for which callers outside the limits have connections to the entry process Subject. It is kept
 	// among the changes because it excuses nothing.
 	OutsideLimits Kind = "callers outside the limits"
+	// Hanging is the time for which an upstream sends nothing, ChangingRoutes that in which the routes change again and again.
+	// They are kept among the changes because they excuse nothing.
+	Hanging        Kind = "upstream hangs"
+	ChangingRoutes Kind = "routes change"
+	// RouteMissing is the time for which the desired state lacks the route Subject, RouteTimeout that for which it gives it the
+	// timeout Limit.
+	RouteMissing Kind = "route missing"
+	RouteTimeout Kind = "timeout of a route"
 )
 
 // Change is a change that the store has acknowledged at a time. Until is the time at which it was taken back, 0 if it
@@ -90,8 +101,10 @@
 	Version uint64
 	// PerSecond is the rate limit that an upstream names.
 	PerSecond float64
-	At        time.Duration
-	Until     time.Duration
+	// Limit is the timeout of a route.
+	Limit time.Duration
+	At    time.Duration
+	Until time.Duration
 }
 
 // Memory is the largest resident memory of one run of a process that was seen so far.
@@ -113,10 +126,11 @@
 	changes      []Change
 	memory       []Memory
 	faults       []string
+	brokenOff    map[string]bool
 }
 
 // New returns an empty record that begins now.
-func New() *Record { return &Record{started: time.Now()} }
+func New() *Record { return &Record{started: time.Now(), brokenOff: map[string]bool{}} }
 
 // Now returns the time since the start.
 func (r *Record) Now() time.Duration { return time.Since(r.started) }
@@ -135,6 +149,13 @@
 	r.arrivals = append(r.arrivals, a)
 }
 
+// AddBrokenOff records that an upstream has broken off the response to a request.
+func (r *Record) AddBrokenOff(requestId string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brokenOff[requestId] = true
+}
+
 // AddMemory records the largest memory of a run of a process, once for each new maximum.
 func (r *Record) AddMemory(m Memory) {
 	r.mu.Lock()
@@ -198,6 +219,8 @@
 	Processes   []string
 	// Faults are things that are wrong by themselves.
 	Faults []string
+	// BrokenOff holds the IDs of the requests whose response an upstream has broken off.
+	BrokenOff map[string]bool
 }
 
 // Seen returns a copy of what was recorded so far.
@@ -208,5 +231,6 @@
 		Requests: append([]Request(nil), r.requests...), Arrivals: append([]Arrival(nil), r.arrivals...),
 		Disturbances: append([]Disturbance(nil), r.disturbances...), Changes: append([]Change(nil), r.changes...),
 		Memory: append([]Memory(nil), r.memory...), Faults: append([]string(nil), r.faults...),
+		BrokenOff: maps.Clone(r.brokenOff),
 	}
 }
