--- a/Makefile
+++ b/Makefile
@@ -33,9 +33,10 @@
 	spec/check.sh
 
 .PHONY: soak soak-regressions
-soak: build ## Runs the processes on this machine with one seed's faults, then again with faults of load added.
+soak: build ## Runs the processes on this machine with one seed's faults, then again with faults of load and with changes added.
 	out/oriolehub soak --seed 1 --time 45s
 	out/oriolehub soak --seed 1 --time 45s --load --folder out/soak/load
+	out/oriolehub soak --seed 1 --time 45s --changes --folder out/soak/changes
 
 soak-regressions: build ## Plays the plans of all seeds of the soak that have ever failed.
 	out/oriolehub soak --plan internal/soak/plan/_fixtures/regressions
--- a/internal/cli/experiments/soak.go
+++ b/internal/cli/experiments/soak.go
@@ -39,6 +39,7 @@
 	folder      string
 	shrink      bool
 	load        bool
+	changes     bool
 }
 
 // Soak returns the command that runs the processes on one machine while faults befall them.
@@ -61,6 +62,7 @@
 			{Name: "folder", Help: "folder for plans, logs and reports", Target: &o.folder},
 			{Name: "shrink", Help: "leave out faults of a failed plan as long as it fails", Target: &o.shrink},
 			{Name: "load", Help: "add callers outside the limits, upstreams that respond slowly, and a check on memory to the plans of seeds", Target: &o.load},
+			{Name: "changes", Help: "add changes of routes, and upstreams that are silent for about a second, to the plans of seeds", Target: &o.changes},
 		},
 		Run: o.run,
 	}
@@ -131,6 +133,9 @@
 		if o.load {
 			p.AddLoad()
 		}
+		if o.changes {
+			p.AddChanges()
+		}
 		out = append(out, p)
 	}
 	return out, nil
--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -51,9 +51,13 @@
 	Switch time.Duration
 	// Events is the number of events of each stream.
 	Events int
+	// Second is the number of upstreams of the second plain service, to which changes of routes move requests.
+	Second int
 	// Observe is called with each request at an upstream, OnExit with each process that ends by itself.
 	Observe func(standin.Arrival)
 	OnExit  func(error)
+	// BrokeOff is called with the ID of each request whose response an upstream breaks off.
+	BrokeOff func(requestId string)
 }
 
 // Cluster is a running deployment.
@@ -91,7 +95,7 @@
 }
 
 func (c *Cluster) start() error {
-	site, err := standin.NewSite(standin.SiteOptions{Faults: c.options.Faults, Observe: c.options.Observe, Front: c.front})
+	site, err := standin.NewSite(standin.SiteOptions{Faults: c.options.Faults, Observe: c.options.Observe, BrokeOff: c.options.BrokeOff, Front: c.front})
 	if err != nil {
 		return err
 	}
@@ -118,9 +122,23 @@
 			return err
 		}
 	}
+	for i := range c.options.Second {
+		if err := site.AddPlainUpstreamOf(standin.SecondPlainService, secondName(i), network.Loopback(), Domain(i)); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// Kinds of upstreams, with which their names begin.
+const (
+	kindPlain  = "plain"
+	kindSecond = "second"
+)
+
+// secondName returns the name of the upstream of the second plain service with an index.
+func secondName(i int) string { return fmt.Sprintf("%s-%d", kindSecond, i) }
+
 // Domain returns the failure domain of the entry process, engine or plain upstream with an index.
 func Domain(i int) string { return plan.Domains[i%len(plan.Domains)] }
 
@@ -128,10 +146,14 @@
 func Place(upstream string) (domain, service string) {
 	kind, number, _ := strings.Cut(upstream, "-")
 	i, _ := strconv.Atoi(number)
-	if kind == "plain" {
+	switch kind {
+	case kindPlain:
 		return Domain(i), standin.PlainService
+	case kindSecond:
+		return Domain(i), standin.SecondPlainService
+	default:
+		return Domain(i), standin.Service
 	}
-	return Domain(i), standin.Service
 }
 
 // front puts a proxy in front of a server. That of an upstream listens on frontPort of an address next to it.
--- a/internal/soak/plan/generate.go
+++ b/internal/soak/plan/generate.go
@@ -28,6 +28,13 @@
 	meanLoadGap = 2 * time.Second
 	// loadStream is the stream of random numbers of the faults of load, so that they do not change the other faults of a seed.
 	loadStream = 1 << 32
+	// meanChangeGap is the mean time between two of the faults that AddChanges draws, and changesStream their stream of random
+	// numbers.
+	meanChangeGap = time.Second
+	changesStream = 1 << 33
+	// minHang and maxHang limit the duration of a Hang. A sound upstream may be silent for so long.
+	minHang = time.Second
+	maxHang = 1300 * time.Millisecond
 	// loadMemory is the memory of each process in megabytes, of which fewer bodies than the callers outside the limits send
 	// fit into the part for bodies.
 	loadMemory = 96
@@ -73,6 +80,9 @@
 	target func(*generator) string
 	// instant is true for a fault without a duration.
 	instant bool
+	// min and max limit the duration, 0 for minBroken and maxBroken.
+	min time.Duration
+	max time.Duration
 }
 
 var choices = []choice{
@@ -111,6 +121,12 @@
 	{kind: UnreadResponses, weight: 2, target: (*generator).entry},
 }
 
+// changeChoices are the faults that AddChanges draws.
+var changeChoices = []choice{
+	{kind: Hang, weight: 3, target: (*generator).upstream, min: minHang, max: maxHang},
+	{kind: ChangeRoutes, weight: 1, target: (*generator).none},
+}
+
 // generator draws faults from choices.
 type generator struct {
 	rng     *rand.Rand
@@ -133,6 +149,11 @@
 	p.addFaults(&generator{rng: rand.New(rand.NewPCG(p.Seed, loadStream)), size: p.Size, choices: loadChoices, meanGap: meanLoadGap})
 }
 
+// AddChanges adds the faults of the plan's seed that disturb nothing.
+func (p *Plan) AddChanges() {
+	p.addFaults(&generator{rng: rand.New(rand.NewPCG(p.Seed, changesStream)), size: p.Size, choices: changeChoices, meanGap: meanChangeGap})
+}
+
 func (p *Plan) addFaults(g *generator) {
 	end := p.Time - FaultFree
 	for at := firstFault; at < end; at += g.gap() {
@@ -159,8 +180,7 @@
 		}
 		f := Fault{At: at, Kind: c.kind, Target: c.target(g)}
 		if !c.instant {
-			length := minBroken + time.Duration(g.rng.Int64N(int64(maxBroken-minBroken)))
-			f.For = min(length, end-at).Truncate(precision)
+			f.For = min(g.length(&c), end-at).Truncate(precision)
 		}
 		out = append(out, f)
 		at += seriesGap
@@ -168,6 +188,15 @@
 	return out
 }
 
+// length draws the duration of a fault.
+func (g *generator) length(c *choice) time.Duration {
+	from, to := minBroken, maxBroken
+	if c.max > 0 {
+		from, to = c.min, c.max
+	}
+	return from + time.Duration(g.rng.Int64N(int64(to-from)))
+}
+
 func (g *generator) choose() choice {
 	total := 0
 	for _, c := range g.choices {
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -69,6 +69,13 @@
 	TakeOutDomain Kind = "TakeOutDomain"
 )
 
+// Faults that disturb nothing: the promises hold beside them as without them. Hang makes an upstream send nothing until it
+// ends; ChangeRoutes changes the routes again and again until it ends.
+const (
+	Hang         Kind = "Hang"
+	ChangeRoutes Kind = "ChangeRoutes"
+)
+
 // Fault is one fault of a plan.
 type Fault struct {
 	// At is the time from the start of the callers, For the duration, 0 for a fault without one.
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -45,6 +45,34 @@
 	assert.Equal(t, p.String(), before.String())
 }
 
+// The faults that disturb nothing must be reproducible too, and must not change the other faults of the seed.
+func TestChangesLeaveTheOtherFaultsAsTheyAre(t *testing.T) {
+	before := Generate(7, 40*time.Second, testSize)
+	p := Generate(7, 40*time.Second, testSize)
+	p.AddChanges()
+	golden.Assert(t, p.String(), "../_fixtures/seed-7-changes.golden")
+	read, err := Parse(p.String())
+	assert.NilError(t, err)
+	assert.Equal(t, read.String(), p.String())
+	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool {
+		return slices.ContainsFunc(changeChoices, func(c choice) bool { return c.kind == f.Kind })
+	})
+	assert.Equal(t, p.String(), before.String())
+}
+
+// An upstream that hangs for longer would be in trouble, so that the promises would not hold beside it.
+func TestHangsLastAboutASecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &Plan{Seed: rapid.Uint64().Draw(t, "seed"), Time: 40 * time.Second, Size: testSize}
+		p.AddChanges()
+		for _, f := range p.Faults {
+			if f.Kind == Hang && f.For > maxHang {
+				t.Fatalf("a hang of %s", f.For)
+			}
+		}
+	})
+}
+
 func TestFaultsEndBeforeTheFaultFreeTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		length := 30 * time.Second
@@ -52,6 +80,9 @@
 		if rapid.Bool().Draw(t, "load") {
 			p.AddLoad()
 		}
+		if rapid.Bool().Draw(t, "changes") {
+			p.AddChanges()
+		}
 		if p.LastEnd() > length-FaultFree {
 			t.Fatalf("a fault ends at %s", p.LastEnd())
 		}
@@ -64,7 +95,8 @@
 func TestFaultyPlansAreRejected(t *testing.T) {
 	head := "Seed 1\nTime 20s\nSize 2 2 1\n"
 	for _, line := range []string{"Fault 1s 1s Kill entry-2", "Fault 1s 1s Kil entry-1", "Fault 1s Kill entry-1", "Fault -1s 1s Kill entry-1", "Fault 1s 1s Cut store:side", "Fault 1s 1s Kill engine-0", "Fault 1s 1s Stop -", "Fault 1s 1s Cut callers:side-0", "Fault 1s 1s StoreBusy entry-0", "Fault 1s 1s Leave entry-0", "Size 1 1 0", "Time x",
-		"Fault 1s 1s SlowDown entry-0", "Fault 1s 1s ShortBodies side-0", "Fault 1s 1s EndlessHeaders -", "Fault 1s 1s UnreadResponses entry-2", "Memory 63", "Memory x"} {
+		"Fault 1s 1s SlowDown entry-0", "Fault 1s 1s ShortBodies side-0", "Fault 1s 1s EndlessHeaders -", "Fault 1s 1s UnreadResponses entry-2", "Memory 63", "Memory x",
+		"Fault 1s 1s Hang entry-0", "Fault 1s 1s Hang -", "Fault 1s 1s ChangeRoutes engine-0"} {
 		_, err := Parse(head + line)
 		assert.Assert(t, errors.Is(err, ErrInvalid), "%q: %v", line, err)
 	}
--- a/internal/soak/plan/text.go
+++ b/internal/soak/plan/text.go
@@ -122,9 +122,8 @@
 		return Fault{}, err
 	}
 	kind := Kind(words[2])
-	isKind := func(c choice) bool { return c.kind == kind }
 	switch {
-	case !slices.ContainsFunc(choices, isKind) && !slices.ContainsFunc(loadChoices, isKind):
+	case !isKnown(kind):
 		return Fault{}, fmt.Errorf("unknown kind of fault %q", words[2])
 	case at < 0 || length < 0:
 		return Fault{}, errors.New("times must not be negative")
@@ -135,6 +134,11 @@
 	}
 }
 
+// isKnown reports whether a kind of fault can be drawn.
+func isKnown(kind Kind) bool {
+	return slices.ContainsFunc(slices.Concat(choices, loadChoices, changeChoices), func(c choice) bool { return c.kind == kind })
+}
+
 // suits reports whether a deployment of this size has the target of a fault, and whether the fault can befall it.
 func (s Size) suits(f Fault) bool {
 	switch f.Kind {
@@ -144,7 +148,7 @@
 		return slices.Contains([]string{AllEntries, AllSides, All}, f.Target)
 	case Delay, Drip, Cut, CutTo, CutFrom, Silence, ResetAll:
 		return s.hasLink(f.Target)
-	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit, SlowDown:
+	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit, SlowDown, Hang:
 		return s.hasUpstream(f.Target)
 	case ShortBodies, EndlessHeaders, UnreadResponses:
 		return isNumbered(f.Target, EntryName, s.Entries)
--- a/internal/soak/session/caller.go
+++ b/internal/soak/session/caller.go
@@ -38,6 +38,7 @@
 // class is a kind of request.
 type class struct {
 	name   string
+	route  string
 	method string
 	path   string
 	// events is the number of events of the response stream, 0 for a plain response.
@@ -93,7 +94,7 @@
 	c.sent++
 	s := c.session
 	q := record.Request{
-		Id: fmt.Sprintf("%s-%d", c.name, c.sent), Class: c.class.name, Once: c.class.once, Limit: c.class.limit, Process: c.process,
+		Id: fmt.Sprintf("%s-%d", c.name, c.sent), Class: c.class.name, Route: c.class.route, Once: c.class.once, Limit: c.class.limit, Process: c.process,
 		Run: s.cluster.Processes[c.process].Run(), Key: s.operator.pickKey(c.rng),
 	}
 	r, err := standin.Request(c.process, c.class.method, c.class.path, q.Id)
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,9 @@
 	rewriteTime = 100 * time.Millisecond
 	// goneTime is the time for which an upstream that has left is away.
 	goneTime = time.Second
+	// minChangePause and maxChangePause limit the time between two changes of routes.
+	minChangePause = 100 * time.Millisecond
+	maxChangePause = 300 * time.Millisecond
 	// slowTime is the time by which the responses of a slow upstream take longer, most of the time limit of short requests.
 	slowTime = 1500 * time.Millisecond
 )
@@ -79,6 +83,10 @@
 		return func() { s.restoreStore(ctx, f.For) }
 	case plan.SlowDown:
 		return func() { s.lifetime("delay of "+f.Target, func() { s.slowDown(ctx, f.Target, f.For) }) }
+	case plan.Hang:
+		return func() { s.hang(ctx, f.Target, f.For) }
+	case plan.ChangeRoutes:
+		return func() { s.lifetime("routes", func() { s.changeRoutes(ctx, f.For) }) }
 	case plan.ShortBodies, plan.EndlessHeaders, plan.UnreadResponses:
 		return func() { s.exceed(ctx, f) }
 	case plan.NameLimit:
@@ -209,6 +217,24 @@
 	s.cluster.Site.SetDelay(name, 0)
 }
 
+// hang makes an upstream send nothing for a time. It disturbs nothing: a sound upstream may be silent for so long.
+func (s *session) hang(ctx context.Context, name string, d time.Duration) {
+	defer s.record.Change(record.Change{Kind: record.Hanging, Subject: name})()
+	s.cluster.Site.Hang(name, d)
+	_ = hub.Sleep(ctx, d)
+}
+
+// changeRoutes changes the routes again and again for a time, and takes all of it back. It disturbs nothing.
+func (s *session) changeRoutes(ctx context.Context, d time.Duration) {
+	defer s.record.Change(record.Change{Kind: record.ChangingRoutes})()
+	defer s.operator.changeRoutes(&standin.Routing{})
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	for hub.Sleep(ctx, minChangePause+rand.N(maxChangePause-minChangePause)) == nil {
+		s.operator.changeRoutes(drawRouting())
+	}
+}
+
 // lifetime runs a fault that makes an upstream or the store another run. Of several of the same at the same time only the
 // first happens.
 func (s *session) lifetime(name string, fault func()) {
--- a/internal/soak/session/report.go
+++ b/internal/soak/session/report.go
@@ -78,11 +78,11 @@
 	b.WriteString("</svg>\n")
 }
 
-// faultBars returns the disturbances and the times with callers outside the limits.
+// faultBars returns the disturbances and the faults that disturb nothing.
 func faultBars(seen *record.Seen) []record.Disturbance {
 	out := slices.Clone(seen.Disturbances)
 	for _, c := range seen.Changes {
-		if c.Kind == record.OutsideLimits {
+		if slices.Contains([]record.Kind{record.OutsideLimits, record.Hanging, record.ChangingRoutes}, c.Kind) {
 			out = append(out, record.Disturbance{Kind: string(c.Kind), Target: c.Subject, From: c.At, To: c.Until})
 		}
 	}
--- a/internal/soak/session/session.go
+++ b/internal/soak/session/session.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,8 @@
 	startLimit = 30 * time.Second
 	// callersPerClass is the number of callers of each class, at least one at each entry process.
 	callersPerClass = 18
+	// secondUpstreams is the number of upstreams of the second plain service in plans that change routes.
+	secondUpstreams = 2
 	// switchBound is the time within which a named version replaces older ones.
 	switchBound = 8 * time.Second
 )
@@ -43,9 +46,9 @@
 
 // classes are the kinds of requests.
 var classes = []class{
-	{name: "stream", method: http.MethodPost, path: standin.Path + "note", events: eventsPerStream, limit: 6 * time.Second},
-	{name: "once", method: http.MethodPost, path: standin.AtMostOncePath + "new", once: true, limit: 2 * time.Second},
-	{name: "lookup", method: http.MethodGet, path: standin.LookupPath + "last", limit: 2 * time.Second},
+	{name: "stream", route: standin.StreamRoute, method: http.MethodPost, path: standin.Path + "note", events: eventsPerStream, limit: 6 * time.Second},
+	{name: "once", route: standin.AtMostOnceRoute, method: http.MethodPost, path: standin.AtMostOncePath + "new", once: true, limit: 2 * time.Second},
+	{name: "lookup", route: standin.LookupRoute, method: http.MethodGet, path: standin.LookupPath + "last", limit: 2 * time.Second},
 }
 
 // eventsPerStream is the number of events of each stream.
@@ -94,9 +97,13 @@
 		return nil, fmt.Errorf("write plan: %w", err)
 	}
 	s := &session{record: record.New(), domains: map[string]int{}}
+	second := 0
+	if slices.ContainsFunc(o.Plan.Faults, func(f plan.Fault) bool { return f.Kind == plan.ChangeRoutes }) {
+		second = secondUpstreams
+	}
 	c, err := cluster.Start(cluster.Options{
 		Faults: standin.NewFaults(o.Plan.Seed, faultRates), Size: o.Plan.Size, Memory: o.Plan.Memory, Program: o.Program, Folder: o.Folder, Switch: switchBound, Events: eventsPerStream,
-		Observe: s.observe, OnExit: func(err error) { s.record.AddFault(err.Error()) },
+		Second: second, Observe: s.observe, BrokeOff: s.record.AddBrokenOff, OnExit: func(err error) { s.record.AddFault(err.Error()) },
 	})
 	if err != nil {
 		return nil, err
