--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -37,7 +37,8 @@
 	maxHeldChunks = 4
 	// maxRepeatedBytes limits the responses that are kept to be repeated.
 	maxRepeatedBytes = 16 << 10
-	dialTimeout      = time.Second
+	// dialTimeout exceeds the time after which the kernel repeats a lost connection request, one second.
+	dialTimeout = 3 * time.Second
 )
 
 // Proxy forwards the connections that it accepts to one address. It is safe for concurrent use.
