route/forward: a failed attempt frees its slot before its hedge is awaited

Cause: the slot and an adopted response were released only after finish had waited for the header of the hedge's response, up to the deadline, so that the upstream seemed to have less room than it had. Now both are released first.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -37,7 +37,10 @@
 	x.trace = channel.Trace{}
 	x.logChoice(c, remaining, x.sent)
 	timer := x.startTimer(ctx, c, cancel, x.runs+1)
-	defer func() { x.endTimer(timer, err) }()
+	defer func() {
+		c.Release()
+		x.endTimer(timer, err)
+	}()
 	response, err := x.handler.options.Pool.Send(attemptCtx, c.Upstream.Address, x.firstCall(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
 		x.notSent(c, err)
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -245,6 +245,9 @@
 	defer h.release()
 	x.trace = h.trace
 	t := x.startTimer(ctx, &h.choice, h.cancel, x.runs)
-	defer func() { x.endTimer(t, err) }()
+	defer func() {
+		h.release()
+		x.endTimer(t, err)
+	}()
 	return x.handleResponse(h.ctx, &h.choice, h.response, t)
 }
--- /dev/null
+++ b/internal/route/forward/hedgeend_test.go
@@ -0,0 +1,29 @@
+package forward_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a slot that stays taken after its attempt has failed, while a hedge awaits its response.
+func TestFailedAttemptFreesItsSlotWhileAHedgeIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := withTestPipes(t)
+		failing, other := p.upstream(after(300*time.Millisecond, respond(500, "failed"))), p.upstream(after(time.Second, respond(200, "done")))
+		f := withPipedEntry(t, p)
+		f.publisher.PublishUpstreams(instanceOf(failing, "failing", 4))
+		f.refresh()
+		replies := make(chan reply, 1)
+		go func() { replies <- f.post(t, "/slow/x") }()
+		time.Sleep(50 * time.Millisecond)
+		f.publisher.PublishUpstreams(instanceOf(failing, "failing", 4), instanceOf(other, "other", 4))
+		f.refresh()
+		time.Sleep(550 * time.Millisecond)
+		assert.Equal(t, other.count(), 1)
+		assert.Equal(t, f.taken(), 1)
+		assert.Equal(t, (<-replies).status, 200)
+	})
+}
