route/forward: no hedge for a complete response that the caller reads slowly

Cause: the timer of an attempt ran until the response had been written to the caller, so that a request with a complete response ran once more at another upstream and took a retry from the shared budget. Now the timer ends once the response is complete.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -196,12 +196,12 @@
 	if success && x.route.Kind == hub.Stream && isEventStream(response.Header) {
 		return x.relayStream(ctx, c, response, timer)
 	}
-	return x.forwardBuffered(ctx, c, response, success)
+	return x.forwardBuffered(ctx, c, response, success, timer)
 }
 
 // forwardBuffered reads the complete response before it forwards any of it. For a 5xx response to a retryable request
 // it returns an error and stores the response in x.errorResponse.
-func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool) error {
+func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool, timer *attemptTimer) error {
 	body, err := x.readResponse(ctx, response)
 	if err != nil {
 		if !errors.Is(err, errNoResponseMemory) {
@@ -234,7 +234,8 @@
 			x.recordDuration(time.Since(x.trace.SentAt))
 		}
 	}
-	// The upstream has finished. A caller that reads slowly must not keep its slot and connection from others.
+	// The upstream has finished. A caller that reads slowly must not keep its slot and connection from others, nor cause hedges.
+	timer.finish(false)
 	response.Close()
 	c.Release()
 	x.writeResponse(buffered)
--- a/internal/route/forward/hedgeend_test.go
+++ b/internal/route/forward/hedgeend_test.go
@@ -1,13 +1,32 @@
 package forward_test
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/route/channel"
 )
 
+// Guards against hedges for a request whose response is complete while its caller is slow to read it.
+func TestNoHedgeWhileTheCallerReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := withTestPipes(t)
+		first, other := p.upstream(respond(200, "done")), p.upstream(respond(200, "done"))
+		var h http.Handler
+		withFixtureOptions(t, fixtureOptions{pool: channel.NewPool(p.dial), serve: keepHandler(&h)}, first, other)
+		w, hold := newRecorder(), make(chan struct{})
+		w.hold = hold
+		time.AfterFunc(time.Second, func() { close(hold) })
+		h.ServeHTTP(w, testRequest("/slow/x"))
+		assert.Equal(t, w.Code, 200)
+		assert.Equal(t, first.count()+other.count(), 1)
+	})
+}
+
 // Guards against a slot that stays taken after its attempt has failed, while a hedge awaits its response.
 func TestFailedAttemptFreesItsSlotWhileAHedgeIsAwaited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
