route/forward: hedges leave one attempt for a retry

Cause: three refused hedges, which take 300 ms, used up maxSent. A request whose first upstream was lost after that got 502, or its stream was cut, although another upstream had room by then. Now hedges stop one short of maxSent.

--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -110,7 +110,8 @@
 	return !o.Quarantine.Check(&x.keys).Blocked() && o.RetryBudget.Take(x.service)
 }
 
-// requirements returns the requirements on the next upstream, or false if the request may not be sent again.
+// requirements returns the requirements on the next upstream, or false if the request may not be sent again. Hedges leave one
+// attempt for a retry: upstreams that refuse them now may have room once the attempt in progress fails.
 func (g *hedger) requirements(resumed bool) (*placement.Requirements, bool) {
 	r := g.first
 	if resumed {
@@ -119,7 +120,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.Tried = slices.Concat(r.Tried, g.counts.tried)
-	return &r, g.sent+g.counts.sent < maxSent && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
+	return &r, g.sent+g.counts.sent < maxSent-1 && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
 }
 
 // send sends the request to the chosen upstream and waits for the header of the response. It returns false if the upstream does
--- a/internal/route/forward/hedgeend_test.go
+++ b/internal/route/forward/hedgeend_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,17 @@
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 )
 
+// refuseFor returns a script that refuses requests for d from now and then handles them by s.
+func refuseFor(d time.Duration, s script) script {
+	end := time.Now().Add(d)
+	return func(r *http.Request, c net.Conn) bool {
+		if time.Now().Before(end) {
+			return refuse(r, c)
+		}
+		return s(r, c)
+	}
+}
+
 // Guards against hedges for a request whose response is complete while its caller is slow to read it.
 func TestNoHedgeWhileTheCallerReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -27,6 +39,25 @@
 	})
 }
 
+// Guards against 502 for a request whose upstream is lost after another one has refused hedges and before it has room.
+func TestLateRequestIsRetriedAfterRefusedHedges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := withTestPipes(t)
+		lost, busy := p.upstream(after(800*time.Millisecond, drop)), p.upstream(refuseFor(700*time.Millisecond, respond(200, "done")))
+		f := withPipedEntry(t, p)
+		f.publisher.PublishUpstreams(instanceOf(lost, "lost", 4))
+		f.refresh()
+		replies := make(chan reply, 1)
+		go func() { replies <- f.post(t, "/slow/x") }()
+		time.Sleep(50 * time.Millisecond)
+		f.publisher.PublishUpstreams(instanceOf(lost, "lost", 4), instanceOf(busy, "busy", 4))
+		f.refresh()
+		got := <-replies
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, 200)
+	})
+}
+
 // Guards against a slot that stays taken after its attempt has failed, while a hedge awaits its response.
 func TestFailedAttemptFreesItsSlotWhileAHedgeIsAwaited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
