route/forward: no hedge while it is not known whether an upstream has crashed

Cause: the timer of a failed attempt went on during the crash probe, up to 320 ms, so that a hedge took a request to the next upstream before the quarantine knew of the crash under it, and took a retry for a caller who had left meanwhile. Now the timer makes no hedge once the probe begins.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -53,7 +53,7 @@
 		x.upstreamFailed(c)
 		x.countReset(err)
 		err = x.brokenError(attemptCtx, err)
-		x.reportCrash(c, err)
+		x.reportCrash(c, timer, err)
 		return err
 	}
 	defer response.Close()
@@ -208,7 +208,7 @@
 			x.upstreamFailed(c)
 		}
 		err = x.brokenError(ctx, err)
-		x.reportCrash(c, err)
+		x.reportCrash(c, timer, err)
 		return err
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -16,8 +16,9 @@
 
 // reportCrash reports an attempt to the quarantine if its connection was lost because the upstream has crashed. An
 // upstream that cuts a response, or closes a connection that was idle, but accepts new ones is in service. It returns when
-// that is known, so that the request or a part of it is in quarantine before it is sent to another upstream.
-func (x *exchange) reportCrash(c *placement.Choice, err error) {
+// that is known, so that the request or a part of it is in quarantine before it is sent to another upstream, also by a hedge.
+func (x *exchange) reportCrash(c *placement.Choice, timer *attemptTimer, err error) {
+	timer.close()
 	x.crashed = x.crashedUnder(c, err) || x.crashed
 }
 
--- a/internal/route/forward/hedgeend_test.go
+++ b/internal/route/forward/hedgeend_test.go
@@ -1,8 +1,10 @@
 package forward_test
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,3 +79,35 @@
 		assert.Equal(t, (<-replies).status, 200)
 	})
 }
+
+// Guards against hedges that are sent before it is known whether the upstream of the failed attempt has crashed.
+func TestNoHedgeBeforeACrashIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dialTimeout = 300 * time.Millisecond
+		p := withTestPipes(t)
+		began := time.Now()
+		var hedgedAt time.Duration
+		lost := p.upstream(after(140*time.Millisecond, drop))
+		other := p.upstream(func(r *http.Request, c net.Conn) bool {
+			hedgedAt = time.Since(began)
+			return respond(200, "done")(r, c)
+		})
+		dial := func(ctx context.Context, address string) (net.Conn, error) {
+			if address == lost.address && time.Since(began) > 120*time.Millisecond {
+				time.Sleep(dialTimeout)
+				return nil, syscall.ECONNREFUSED
+			}
+			return p.dial(ctx, address)
+		}
+		var h http.Handler
+		f := withFixtureOptions(t, fixtureOptions{pool: channel.NewPool(dial), serve: keepHandler(&h)}, lost)
+		w, done := newRecorder(), make(chan struct{})
+		go func() { h.ServeHTTP(w, testRequest("/slow/x")); close(done) }()
+		time.Sleep(50 * time.Millisecond)
+		f.publisher.PublishUpstreams(instanceOf(lost, "i0", 4), instanceOf(other, "other", 4))
+		f.refresh()
+		<-done
+		assert.Equal(t, w.Code, 200)
+		assert.Assert(t, hedgedAt >= 140*time.Millisecond+dialTimeout, "%v", hedgedAt)
+	})
+}
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -78,7 +78,7 @@
 			err = x.brokenError(ctx, err)
 			x.upstreamFailed(c)
 			if forwarded <= maxEventsBeforeCrash {
-				x.reportCrash(c, err)
+				x.reportCrash(c, timer, err)
 			}
 			return err
 		}
