route/forward: log lines tell hedges apart from the attempt beside them

Cause: a failed attempt was logged after its hedges had been counted and awaited, with the number of the last hedge in Sending and the wait in SinceSent; Sent and MayHaveRun of a request that its first attempt answered left its hedges out. Now a failure is logged when it occurs, and hedges are counted before the end of the request is logged. TestFailureIsLoggedWithTheNumberOfItsAttempt (Sending 2, SinceSent 1350 of an attempt that failed after 420 ms) and TestHedgesOfASuccessfulAttemptAreLogged (Sent 1) failed on.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -29,6 +29,7 @@
 	defer c.Release()
 	remaining := time.Until(x.deadline)
 	if remaining < minRemaining {
+		x.failed(c, errTimedOut)
 		return errTimedOut
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -39,7 +40,7 @@
 	timer := x.startTimer(ctx, c, cancel, x.runs+1)
 	defer func() {
 		c.Release()
-		x.endTimer(timer, err)
+		x.endTimer(c, timer, err)
 	}()
 	response, err := x.handler.options.Pool.Send(attemptCtx, c.Upstream.Address, x.firstCall(c, remaining))
 	if errors.Is(err, channel.ErrNotSent) {
@@ -72,12 +73,14 @@
 	return t
 }
 
-// endTimer ends the timer of an attempt that has ended with err, and takes over the hedge that goes on in its place.
-func (x *exchange) endTimer(t *attemptTimer, err error) {
-	x.hedge = t.finish(err != nil)
+// endTimer ends the timer of an attempt at c that has ended with err, and takes over the hedge that goes on in its place. After an
+// attempt without an error, further calls have no effect.
+func (x *exchange) endTimer(c *placement.Choice, t *attemptTimer, err error) {
 	if err != nil {
-		x.addHedges(t.hedger)
+		x.failed(c, err)
 	}
+	x.hedge = t.finish(err != nil)
+	x.addHedges(t.hedger)
 }
 
 // lastEvent returns the ID of the last event that was forwarded, empty if none was.
@@ -235,7 +238,7 @@
 		}
 	}
 	// The upstream has finished. A caller that reads slowly must not keep its slot and connection from others, nor cause hedges.
-	timer.finish(false)
+	x.endTimer(c, timer, nil)
 	response.Close()
 	c.Release()
 	x.writeResponse(buffered)
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -160,14 +160,11 @@
 func (x *exchange) attemptAt(ctx context.Context, c *placement.Choice) error {
 	err := x.attempt(ctx, c)
 	for err != nil {
-		x.failure = err
-		x.logFailure(c, err, &x.trace, x.sent)
 		h := x.hedge
 		if h == nil || ctx.Err() != nil {
 			return err
 		}
 		x.hedge, x.timeProbe = nil, false
-		c = &h.choice
 		err = x.adopt(ctx, h)
 	}
 	return nil
@@ -413,6 +410,12 @@
 	line.Float64("RateLimit", limit.PerSecond).Msg("upstream names a rate limit")
 }
 
+// failed records and logs why the latest attempt failed. Hedges made during it must not have been added yet.
+func (x *exchange) failed(c *placement.Choice, err error) {
+	x.failure = err
+	x.logFailure(c, err, &x.trace, x.sent)
+}
+
 // logFailure logs why the attempt with the given number failed.
 func (x *exchange) logFailure(c *placement.Choice, err error, trace *channel.Trace, sending int) {
 	line := x.handler.options.Log.Warn().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Int("Sending", sending)
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -259,7 +259,7 @@
 	t := x.startTimer(ctx, &h.choice, h.cancel, x.runs)
 	defer func() {
 		h.release()
-		x.endTimer(t, err)
+		x.endTimer(&h.choice, t, err)
 	}()
 	return x.handleResponse(h.ctx, &h.choice, h.response, t)
 }
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -70,6 +70,7 @@
 			if !response.CloseDelimited {
 				x.recordDuration(took)
 			}
+			x.endTimer(c, timer, nil)
 			x.finish("answered", http.StatusOK, "")
 			return nil
 		}
