route/forward: a hedge that the quarantine blocks is not tried again

Cause: the quarantine is asked once there is a slot, so that a late request in quarantine, also a late probe, took a permit of an upstream's rate limit, or of a cold one, each 100 ms without being sent. Now an attempt makes no hedge after one has been blocked.

--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -72,6 +72,8 @@
 
 	mu     sync.Mutex
 	counts hedgeCounts
+	// quarantined is true once the quarantine has blocked a hedge. It lasts longer than the attempt.
+	quarantined bool
 }
 
 // newHedger returns a hedger for the attempt in progress at c. runs is the number of attempts that may have run, including this one.
@@ -116,7 +118,17 @@
 		return false
 	}
 	h.choice = choice
-	return !o.Quarantine.Check(&x.keys).Blocked() && o.RetryBudget.Take(x.service)
+	return !g.blocked() && o.RetryBudget.Take(x.service)
+}
+
+// blocked reports whether the quarantine blocks a hedge. It is asked only once there is a slot, because it may let a single request
+// through.
+func (g *hedger) blocked() bool {
+	blocked := g.exchange.handler.options.Quarantine.Check(&g.exchange.keys).Blocked()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantined = blocked
+	return blocked
 }
 
 // requirements returns the requirements on the next upstream, or false if the request may not be sent again. Hedges leave one
@@ -129,7 +141,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.Tried = slices.Concat(r.Tried, g.counts.tried)
-	return &r, g.sent+g.counts.sent < maxSent-1 && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
+	return &r, !g.quarantined && g.sent+g.counts.sent < maxSent-1 && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
 }
 
 // send sends the request to the chosen upstream and waits for the header of the response. It returns false if the upstream does
