--- a/internal/route/forward/hedge_test.go
+++ b/internal/route/forward/hedge_test.go
@@ -60,8 +60,12 @@
 // Guards against a stream with missing or repeated events if its silent upstream goes on at the moment at which another one
 // accepts it.
 func TestStreamIsWholeIfBothUpstreamsGoOn(t *testing.T) {
-	const moveAfter = 900 * time.Millisecond
-	for range 100 {
+	const (
+		moveAfter = 900 * time.Millisecond
+		// rounds suffice to meet both orders of the two.
+		rounds = 1000
+	)
+	for range rounds {
 		synctest.Test(t, func(t *testing.T) {
 			p := withTestPipes(t)
 			silent, other := p.upstream(pausing(silence)), p.upstream(after(silence-moveAfter, events(streamEvents, true)))
