route/forward: a hedge that continues a stream is accepted with its first event

Cause: another upstream was taken for the better one with the header of its response; it had no event left to send, and an empty continuation does not count as complete. Now the attempt in progress goes on until a continuation has an event. TestCompleteStreamOutlivesAnEmptyContinuation failed before.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -87,6 +87,8 @@
 	runs int
 	// hedge is the attempt that goes on in place of the last one, nil if there is none.
 	hedge *hedge
+	// events are the events of the hedge that the exchange goes on with, nil once they are read.
+	events *eventReader
 	// failure is the reason why the last attempt failed, nil if none has.
 	failure error
 	// trace describes how the last attempt was sent.
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -16,11 +16,13 @@
 )
 
 // hedge is an attempt at another upstream that was made while the attempt before it was late, and that the upstream has
-// accepted: the header of its response has been received.
+// accepted: the header of its response has been received, and an event if it continues a stream.
 type hedge struct {
 	choice   placement.Choice
 	response *channel.Response
-	trace    channel.Trace
+	// events are the events of the continuation of a stream, nil for other responses.
+	events *eventReader
+	trace  channel.Trace
 	// ctx is the context of the attempt, which cancel ends.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -183,13 +185,19 @@
 		return fmt.Errorf("%w: status %d", errRefused, response.Status)
 	}
 	success := response.Status >= 200 && response.Status < 300
+	var err error
 	switch {
 	case success && !info.Signed, response.Status >= 500, resumed && !(success && isEventStream(response.Header)):
+		err = fmt.Errorf("%w: status %d", errFailed, response.Status)
+	case resumed:
+		h.events = newEventReader(response)
+		err = h.events.await()
+	}
+	if err != nil && h.ctx.Err() == nil {
 		c.Load.Failed()
 		g.exclude(c)
-		return fmt.Errorf("%w: status %d", errFailed, response.Status)
 	}
-	return nil
+	return err
 }
 
 // failed records a hedge without a response.
@@ -267,7 +275,7 @@
 // adopt goes on with a hedge in place of the attempt before it, which has been ended. Its result is that of attempt.
 func (x *exchange) adopt(ctx context.Context, h *hedge) (err error) {
 	defer h.release()
-	x.trace = h.trace
+	x.trace, x.events = h.trace, h.events
 	t := x.startTimer(ctx, &h.choice, h.cancel, x.runs)
 	defer func() {
 		h.release()
--- a/internal/route/forward/hedge_test.go
+++ b/internal/route/forward/hedge_test.go
@@ -1,6 +1,9 @@
 package forward_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -117,3 +120,32 @@
 		assert.Equal(t, f.taken(), 0)
 	})
 }
+
+// Guards against cutting a stream whose events have all been forwarded, because another upstream continues it without an event.
+func TestCompleteStreamOutlivesAnEmptyContinuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lingering := func(r *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, head(r, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+			e := completeStream(streamEvents)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+			time.Sleep(silence)
+			_, err := io.WriteString(c, "0\r\n\r\n")
+			return err == nil
+		}
+		p := withTestPipes(t)
+		silent, other := p.upstream(lingering), p.upstream(events(streamEvents, true))
+		f := withPipedEntry(t, p)
+		f.configureStreams()
+		f.publisher.PublishUpstreams(instanceOf(silent, "silent", 4))
+		f.refresh()
+		replies := make(chan reply, 1)
+		go func() { replies <- f.post(t, "/stream/x") }()
+		time.Sleep(50 * time.Millisecond)
+		f.publisher.PublishUpstreams(instanceOf(silent, "silent", 4), instanceOf(other, "other", 4))
+		f.refresh()
+		got := <-replies
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, completeStream(streamEvents))
+		assert.Equal(t, other.count(), 1)
+	})
+}
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -49,7 +49,7 @@
 // relayStream forwards the events of an upstream's response. It sends the header to the caller with the first event
 // of the stream; when the stream is resumed, it continues the same response.
 func (x *exchange) relayStream(ctx context.Context, c *placement.Choice, response *channel.Response, timer *attemptTimer) error {
-	events := stream.NewReader(response)
+	events := x.eventsOf(response)
 	forwarded := 0
 	var intervals intervalMeter
 	// took leaves out the time in which the caller reads.
@@ -114,6 +114,44 @@
 	}
 }
 
+// eventReader reads the events of a response, of which the first may have been awaited before.
+type eventReader struct {
+	*stream.Reader
+	awaited *stream.Event
+}
+
+func newEventReader(response *channel.Response) *eventReader {
+	return &eventReader{Reader: stream.NewReader(response)}
+}
+
+// await waits until Next can return an event, or returns the error that Next would return.
+func (r *eventReader) await() error {
+	e, err := r.Reader.Next()
+	if err != nil {
+		return fmt.Errorf("%w: no event: %w", channel.ErrBroken, err)
+	}
+	r.awaited = &e
+	return nil
+}
+
+// Next returns the next event as stream.Reader does.
+func (r *eventReader) Next() (stream.Event, error) {
+	if e := r.awaited; e != nil {
+		r.awaited = nil
+		return *e, nil
+	}
+	return r.Reader.Next()
+}
+
+// eventsOf returns the events of a response, which are those of a hedge if it goes on with one.
+func (x *exchange) eventsOf(response *channel.Response) *eventReader {
+	if r := x.events; r != nil {
+		x.events = nil
+		return r
+	}
+	return newEventReader(response)
+}
+
 // isEventStream reports whether the media type in the header h of a response is that of a stream of events.
 func isEventStream(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
