route/quarantine: processes learn of probes after any number of quarantines

Each probe raises the number of quarantines of a key, by which other processes recognize that theirs is extended too. From the eighth quarantine on, after some 70 minutes, no process learned of another one's probes and each let requests through on its own (BUDGET).

--- a/internal/route/quarantine/notice.go
+++ b/internal/route/quarantine/notice.go
@@ -13,8 +13,9 @@
 const (
 	// maxAge limits the times in received notices.
 	maxAge = time.Hour
-	// maxCount limits the number of quarantines in received notices.
-	maxCount = 8
+	// maxCount limits the number of quarantines in received notices. It exceeds what a key reaches, so that each probe raises
+	// the number and other processes learn of it.
+	maxCount = 1 << 20
 	// probeSpread divides the time left of a quarantine that another process has begun to give the maximum by which it ends
 	// later here, so that processes let probes through at different times.
 	probeSpread = 4
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -28,6 +28,8 @@
 	// maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = 10 * time.Minute
+	// maxDoublings is the number of doublings after which the duration exceeds maxQuarantine.
+	maxDoublings = 4
 
 	// maxRecords, maxSound and maxQuarantined limit the state, which callers determine. maxSound applies to parts and to
 	// requests separately.
@@ -197,7 +199,7 @@
 // extend starts the next quarantine. Its duration is random, so that processes let probes through at different times and
 // the crash of one extends the quarantine at the others.
 func (p *period) extend(now time.Time) {
-	d := min(maxQuarantine, firstQuarantine<<min(p.count, maxCount))
+	d := min(maxQuarantine, firstQuarantine<<min(p.count, maxDoublings))
 	p.count++
 	p.until = now.Add(d + rand.N(d/2))
 }
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -447,6 +447,29 @@
 	})
 }
 
+// Guards against probes that other processes do not learn of once a quarantine has been extended many times.
+func TestProbesAreSharedAfterManyQuarantines(t *testing.T) {
+	const (
+		// quarantines is more than the number after which their duration no longer grows.
+		quarantines = 20
+		// maxLeft exceeds the longest quarantine, minLeft is less than the shortest.
+		maxLeft = time.Hour
+		minLeft = 50 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newQuarantine(), newQuarantine()
+		crash(a, 3, "deadly")
+		tell(a, b)
+		for i := range quarantines {
+			time.Sleep(a.Check(newRequest("deadly")).Left)
+			assert.Assert(t, a.Check(newRequest("deadly")).Probe())
+			tell(a, b)
+			left := b.Check(newRequest("deadly")).Left
+			assert.Assert(t, left > minLeft && left < maxLeft, "%v after %d probes", left, i+1)
+		}
+	})
+}
+
 // Guards against other processes learning late that a request has been let through.
 func TestProbesAreNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
