route/forward: a reserved attempt is not made once its request is in quarantine

What happened: an attempt that is late ends for a reserved one, whose check against the quarantine was made with the reservation. It is checked again when the reservation is used.

Evidence: TestReservedAttemptsOfQuarantinedRequestsAreNotMade failed before in 5 of 5 runs (the request reached 2 upstreams instead of 1) and passes in 5 of 5.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -162,6 +162,10 @@
 func (x *exchange) choose(ctx context.Context) (placement.Choice, error) {
 	if r := x.reserved; r != nil {
 		x.reserved, x.decision = nil, r.decision
+		if x.decision = x.checkQuarantine(); x.decision.Blocked() {
+			r.release()
+			return placement.Choice{}, errQuarantined
+		}
 		return r.choice, nil
 	}
 	if x.decision = x.checkQuarantine(); x.decision.Blocked() {
--- a/internal/route/forward/quarantine_test.go
+++ b/internal/route/forward/quarantine_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,8 +12,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/standin/desired"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
 // quarantineSettleTime exceeds the time for which a started process quarantines nothing.
@@ -190,6 +194,35 @@
 	}
 }
 
+// Guards against requests that are sent on to a reserved upstream although they were put in quarantine after the reservation.
+func TestReservedAttemptsOfQuarantinedRequestsAreNotMade(t *testing.T) {
+	// slowFailure exceeds the time after which an attempt at the route slow is late.
+	const slowFailure = time.Second
+	var upstreams []*upstream
+	for range 2 {
+		var u *upstream
+		ready := make(chan struct{})
+		u = withTestUpstream(t, crashUnderPrompt("deadly", func() { <-ready; _ = u.listener.Close() }))
+		close(ready)
+		upstreams = append(upstreams, u)
+	}
+	dial := socket.Dialer(testTimeout)
+	f := withTestPool(t, channel.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			time.Sleep(slowFailure)
+		}
+		return c, err
+	}), upstreams...)
+	deadly := quarantine.KeysOf("s", &quarantine.Content{Account: "acme", Method: http.MethodPost, Host: "h.test", Target: "/slow/x", Body: []byte("body"), Prompt: "deadly"})
+	for _, id := range []string{"first", "second"} {
+		f.quarantine.Crashed(directory.Key{Id: id}, &deadly)
+	}
+	f.call(t.Context(), t, http.MethodPost, "/slow/x", http.Header{desired.HeaderPrompt: {"deadly"}})
+	assert.Assert(t, f.quarantine.Check(&deadly).Blocked())
+	assert.Equal(t, countWithPrompt(upstreams, "deadly"), 1)
+}
+
 // Guards against parts that no process knows as sound because upstreams end their responses with the connection, so that they
 // are refused with those that crash upstreams. A stream that ends after its first event may have been cut by a crash.
 func TestStreamsThatEndWithTheConnectionShowThatPartsAreSound(t *testing.T) {
