route/quarantine: a deadly request is let through twice at most while copies of it come

What upstreams saw: one crash after each quarantine for as long as the callers repeat the request, the fourth after some 20 minutes and one every 10 to 15 minutes from then on. Cause: the quarantine of a request was taken over from that of parts of prompts, whose requests are not alike.

All copies of a request are alike, so after two probes that crashed it stays refused until none has come for maxQuarantine. Parts are probed as before.

Evidence: TestDeadlyRequestIsLetThroughThreeTimesAtMost (six quarantines, a copy a second for six hours) failed before with 31 sent, and passes. TestRequestThatCameNoMoreIsLetThrough guards against refusing it for good.

--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -30,6 +30,8 @@
 	maxQuarantine   = 10 * time.Minute
 	// maxDoublings is the number of doublings after which the duration exceeds maxQuarantine.
 	maxDoublings = 4
+	// maxRequestProbes is the number of probes of one request. All its copies are alike, so further ones would show the same.
+	maxRequestProbes = 2
 
 	// maxRecords, maxSound and maxQuarantined limit the state, which callers determine. maxSound applies to parts and to
 	// requests separately.
@@ -141,7 +143,8 @@
 func (d Decision) Probe() bool { return d.Key != "" && d.Left == 0 }
 
 // Check returns the decision on a request. Once the quarantine of a key has ended, one request is let through as a probe,
-// and the quarantine starts anew for twice the time unless the probe gets a complete response.
+// and the quarantine starts anew for twice the time unless the probe gets a complete response. After maxRequestProbes, a
+// request stays in quarantine until no copy of it has come for maxQuarantine.
 func (q *Quarantine) Check(k *Keys) Decision {
 	now := time.Now()
 	if !q.settled.Load() && now.Sub(q.started) >= settleTime {
@@ -175,7 +178,8 @@
 	q.quarantineSuspects(now)
 }
 
-// startProbe lets a request through and starts the next quarantine of its key, unless another request has just done so.
+// startProbe starts the next quarantine of a key and lets a request through, unless another one has just been let through or
+// the probes of the key are used up.
 func (q *Quarantine) startProbe(key string, now time.Time) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -186,8 +190,13 @@
 	if now.Before(current.until) {
 		return Decision{Key: key, Left: current.until.Sub(now)}
 	}
+	exhausted := isRequestKey(key) && current.count > maxRequestProbes
 	current.extend(now)
 	q.publish()
+	if exhausted {
+		q.options.Log.Info().Str("Key", key).Time("Until", current.until).Msg("quarantine extended without a probe, because earlier ones were not answered")
+		return Decision{Key: key, Left: current.until.Sub(now)}
+	}
 	q.notify()
 	q.options.Log.Info().Str("Key", key).Int("Quarantines", current.count).Msg("quarantine ended, letting one request through")
 	return Decision{Key: key}
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -470,6 +470,60 @@
 	})
 }
 
+// Guards against a deadly request that is let through again and again for as long as copies of it come.
+func TestDeadlyRequestIsLetThroughThreeTimesAtMost(t *testing.T) {
+	const (
+		processes = 6
+		// allowed is the number of times that a request may be sent after the news of its third crash has spread.
+		allowed = 3
+		hours   = 6 * time.Hour
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var all []*quarantine.Quarantine
+		for range processes {
+			all = append(all, newQuarantine())
+		}
+		deadly := newRequest()
+		crashAll(all[0], 3, deadly)
+		share := func() {
+			for _, from := range all {
+				for _, to := range all {
+					tell(from, to)
+				}
+			}
+		}
+		share()
+		sent := 0
+		for i := range int(hours / time.Second) {
+			time.Sleep(time.Second)
+			q := all[i%processes]
+			if !q.Check(deadly).Blocked() {
+				sent++
+				q.Crashed(upstream(3+sent), deadly)
+				share()
+			}
+		}
+		assert.Assert(t, sent > 0 && sent <= allowed, "sent %d times", sent)
+	})
+}
+
+// Guards against a request that is refused for good because it has crashed upstreams long ago.
+func TestRequestThatCameNoMoreIsLetThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		deadly := newRequest()
+		crashAll(q, 3, deadly)
+		for range 100 {
+			time.Sleep(time.Minute)
+			q.Check(deadly)
+		}
+		assert.Assert(t, q.Check(deadly).Blocked())
+		time.Sleep(time.Hour)
+		q.Notices()
+		assert.Equal(t, q.Check(deadly), quarantine.Decision{})
+	})
+}
+
 // Guards against other processes learning late that a request has been let through.
 func TestProbesAreNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
