route/placement: entry processes take turns at a cold upstream

Each process had a bucket for its share of the limit that was full at the beginning, so that the first second brought as many requests as there are processes, whatever the limit. With 6 or 15 processes that is within the limit.

The processes now take turns at even intervals, in the order that they all know, aligned to the end of the cold time. A turn expires after 250 ms, so that they do not all send at once after a pause either.

--- a/internal/route/placement/choice.go
+++ b/internal/route/placement/choice.go
@@ -69,7 +69,7 @@
 		return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft}, false
 	}
 	u, l := search.best, search.bestLoad
-	if search.isCold(u) && !l.cold.take(search.coldRefill(), search.now) {
+	if search.isCold(u) && !l.cold.take(search.coldTurns(u), search.now) {
 		return Choice{Candidates: search.candidates}, false
 	}
 	if !p.takeRateLimit(u.Id, l, search.now) {
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -33,7 +33,7 @@
 	others        atomic.Int64
 	othersWaiting atomic.Int64
 	report        atomic.Pointer[timedReport]
-	cold          tokenBucket
+	cold          coldLimit
 	limited       tokenBucket
 	share         rateShare
 	// limiter is the limit of the requests in flight at the upstream.
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -20,9 +20,8 @@
 type search struct {
 	now     time.Time
 	service *directory.Service
-	// coldRate is the rate at which this process may send requests to a cold upstream, in requests per second; 0 means
-	// no limit.
-	coldRate float64
+	// entries is the number of entry processes that share the limits of upstreams.
+	entries int
 	// turn is the place of this process in the order of all entry processes.
 	turn Turn
 
@@ -48,7 +47,7 @@
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
 func (p *Placement) search(snapshot *directory.Snapshot, service *directory.Service, r *Requirements) *search {
 	entries := p.options.Entries()
-	f := &search{now: time.Now(), service: service, coldRate: service.ColdPerSecond / float64(max(1, entries)), turn: p.turn()}
+	f := &search{now: time.Now(), service: service, entries: entries, turn: p.turn()}
 	sampled := maxSampled
 	if entries > fewEntries {
 		sampled = crowdSampled
@@ -118,13 +117,15 @@
 
 // isCold reports whether the rate of the requests to u is limited because it is cold.
 func (f *search) isCold(u *directory.Upstream) bool {
-	return f.now.Before(u.ColdUntil) && f.coldRate > 0
+	return f.now.Before(u.ColdUntil) && f.service.ColdPerSecond > 0
 }
 
-// coldLimited reports whether u is cold and has reached its rate limit.
+// coldLimited reports whether u is cold and this process must not send it a request now.
 func (f *search) coldLimited(u *directory.Upstream, l *Load) bool {
-	return f.isCold(u) && l.cold.wait(f.coldRefill(), f.now) > 0
+	return f.isCold(u) && l.cold.reached(f.coldTurns(u), f.now)
 }
 
-// coldRefill returns the refill of the bucket for the requests to a cold upstream.
-func (f *search) coldRefill() refill { return refill{rate: f.coldRate, capacity: 1} }
+// coldTurns returns the turns of this process at a cold upstream.
+func (f *search) coldTurns(u *directory.Upstream) coldTurns {
+	return newColdTurns(u, f.turn, f.entries, f.service.ColdPerSecond)
+}
