route/forward: crashes after the caller has left are counted

Cause: an attempt ends with its caller. A request that crashes its worker some 20 to 100 ms after it begins, when the caller and with it the connection is gone, left no trace: of the crashes at 6.9, 8.8, 9.0, 14.6, 18.2 and 20.5 s the entry processes counted those at 8.8, 9.0 and 20.5.

An attempt of a suspected request, under a copy of which an upstream has been seen to crash, goes on for 300 ms after its caller has left, if no event has come: less than the half second in which workers must be left in peace. A lost connection counts also if the caller is gone.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -31,7 +31,7 @@
 	if remaining < minRemaining {
 		return errTimedOut
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := x.outlive(ctx)
 	defer cancel(nil)
 	x.sent++
 	x.trace = channel.Trace{}
@@ -49,9 +49,9 @@
 	if err != nil {
 		x.upstreamFailed(c)
 		x.countReset(err)
-		err = x.brokenError(ctx, err)
-		x.reportCrash(c, err)
-		return err
+		broken := x.brokenError(ctx, err)
+		x.reportCrash(ctx, c, err)
+		return broken
 	}
 	defer response.Close()
 	return x.handleResponse(ctx, c, response, timer)
@@ -184,9 +184,9 @@
 		if !errors.Is(err, errNoResponseMemory) {
 			x.upstreamFailed(c)
 		}
-		err = x.brokenError(ctx, err)
-		x.reportCrash(c, err)
-		return err
+		broken := x.brokenError(ctx, err)
+		x.reportCrash(ctx, c, err)
+		return broken
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if x.relay != nil {
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -11,19 +11,40 @@
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 )
 
-// crashProbeDelay is the time after a lost connection at which a new one is tried.
-const crashProbeDelay = 20 * time.Millisecond
+const (
+	// crashProbeDelay is the time after a lost connection at which a new one is tried.
+	crashProbeDelay = 20 * time.Millisecond
+	// suspectPatience is the time for which an attempt of a suspected request goes on after its caller has left.
+	suspectPatience = 300 * time.Millisecond
+)
+
+// outlive returns a context for an attempt that ends with ctx. If the caller leaves before the response to a request that is
+// suspected of crashing upstreams, it ends suspectPatience later, so that the attempt shows whether the upstream crashes.
+func (x *exchange) outlive(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	out, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		left := errors.Is(context.Cause(ctx), context.Canceled)
+		if left && !x.begun.Load() && x.handler.options.Quarantine.Suspected(&x.keys) {
+			_ = hub.Sleep(out, suspectPatience)
+		}
+		cancel(context.Cause(ctx))
+	})
+	return out, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
 
-// reportCrash reports an attempt to the quarantine if its connection was lost because the upstream has crashed. An
-// upstream that cuts a response, or closes a connection that was idle, but accepts new ones is in service. It returns when
+// reportCrash reports an attempt in ctx that ended with err to the quarantine if its connection was lost because the upstream
+// has crashed. An upstream that cuts a response, or closes a connection that was idle, but accepts new ones is in service. It returns when
 // that is known, so that the request or a part of it is in quarantine before it is sent to another upstream.
-func (x *exchange) reportCrash(c *placement.Choice, err error) {
+func (x *exchange) reportCrash(ctx context.Context, c *placement.Choice, err error) {
 	o := &x.handler.options
-	if !connectionLost(err) || !o.Quarantine.Suspects(&x.keys) {
+	if context.Cause(ctx) != nil || !connectionLost(err) || !o.Quarantine.Suspects(&x.keys) {
 		return
 	}
 	// The caller may leave meanwhile, but the upstream has crashed all the same.
-	ctx := context.WithoutCancel(x.r.Context())
+	ctx = context.WithoutCancel(ctx)
 	_ = hub.Sleep(ctx, crashProbeDelay)
 	if o.Pool.Probe(ctx, c.Upstream.Address) != nil {
 		x.crashed = true
--- a/internal/route/forward/pipe_test.go
+++ b/internal/route/forward/pipe_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,14 +60,25 @@
 }
 
 func (p *pipes) dial(_ context.Context, address string) (net.Conn, error) {
-	near, far := net.Pipe()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	u := p.upstreams[address]
+	if u == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	near, far := net.Pipe()
 	p.conns = append(p.conns, near, far)
-	go p.upstreams[address].serve(far, p.scripts[address])
+	go u.serve(far, p.scripts[address])
 	return near, nil
 }
 
+// stop makes the upstream with an address accept no more connections.
+func (p *pipes) stop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.upstreams, address)
+}
+
 // serve starts a server for the connections of callers.
 func (p *pipes) serve(h http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(h)
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -75,12 +75,12 @@
 		}
 		if err != nil {
 			_ = x.flush()
-			err = x.brokenError(ctx, err)
+			broken := x.brokenError(ctx, err)
 			x.upstreamFailed(c)
 			if forwarded <= maxEventsBeforeCrash {
-				x.reportCrash(c, err)
+				x.reportCrash(ctx, c, err)
 			}
-			return err
+			return broken
 		}
 		timer.stop()
 		c.ResponseStarted()
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -221,6 +221,13 @@
 	return slices.ContainsFunc(k.list(), func(key string) bool { return !q.isSound(key, now) })
 }
 
+// Suspected reports whether an upstream has crashed under a copy of a request that no upstream has answered.
+func (q *Quarantine) Suspected(k *Keys) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return k.Request != "" && q.suspected[k.Request]
+}
+
 // Crashed records that an upstream crashed before it had answered a request. Other processes are told at once, but if only
 // the request is suspected and none of its parts, at its second crash or when Unanswered is called: most requests whose
 // upstream crashes are answered by another one.
