route/quarantine: a crash is put down to requests whose callers had just left

The request that crashes its worker after its caller and the connection are gone is seen by nobody, so that it never becomes suspected.

Each entry process remembers for a second, and for 256 attempts, which requests ended at which upstream because their callers left. If that upstream refuses connections, or is found crashed under another request, they are suspected of it; parts of their prompts are not. Requests that were answered within the last minute are left out, and three upstreams are needed as always.

--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -39,6 +40,9 @@
 		c.Load.Failed()
 	default:
 		x.upstreamFailed(c)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.handler.options.Quarantine.Lost(c.Upstream.Key())
+		}
 	}
 }
 
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -40,6 +40,9 @@
 // that is known, so that the request or a part of it is in quarantine before it is sent to another upstream.
 func (x *exchange) reportCrash(ctx context.Context, c *placement.Choice, err error) {
 	o := &x.handler.options
+	if context.Cause(ctx) != nil && x.r.Context().Err() != nil {
+		o.Quarantine.Abandoned(c.Upstream.Key(), &x.keys)
+	}
 	if context.Cause(ctx) != nil || !connectionLost(err) || !o.Quarantine.Suspects(&x.keys) {
 		return
 	}
@@ -49,6 +52,7 @@
 	if o.Pool.Probe(ctx, c.Upstream.Address) != nil {
 		x.crashed = true
 		o.Quarantine.Crashed(c.Upstream.Key(), &x.keys)
+		o.Quarantine.Lost(c.Upstream.Key())
 	}
 }
 
--- a/internal/route/forward/crash_test.go
+++ b/internal/route/forward/crash_test.go
@@ -80,3 +80,22 @@
 		})
 	}
 }
+
+// Guards against a first crash that is not seen because the caller had left.
+func TestUpstreamLostAfterTheCallerHasLeftIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := withTestPipes(t)
+		var u *upstream
+		u = p.upstream(func(*http.Request, net.Conn) bool {
+			time.Sleep(3 * leavesAfter)
+			p.stop(u.address)
+			return false
+		})
+		f := withPipedEntry(t, p, u)
+		f.callAndLeave(t, "/many/x")
+		time.Sleep(5 * leavesAfter)
+		f.post(t, "/many/other")
+		deadly := quarantine.KeysOf("s", &quarantine.Content{Account: "acme", Method: http.MethodPost, Host: "h.test", Target: "/many/x", Body: []byte("body")})
+		assert.Assert(t, f.quarantine.Suspected(&deadly))
+	})
+}
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -71,6 +71,8 @@
 	mu sync.Mutex
 	// records is sorted by time, the oldest first.
 	records []record
+	// abandoned is sorted by time, the oldest first.
+	abandoned []abandoned
 	// suspected is the set of keys in records.
 	suspected map[string]bool
 	// soundParts and soundRequests map keys to the time of the last complete response.
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -470,6 +470,36 @@
 	})
 }
 
+// Guards against a request that crashes one upstream after the other because its callers have left before each crash.
+func TestCrashesUnderAbandonedRequestsAreCounted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pause   time.Duration
+		sound   bool
+		blocked bool
+	}{
+		"crash soon after":         {pause: 500 * time.Millisecond, blocked: true},
+		"crash long after":         {pause: 5 * time.Second},
+		"answered by others often": {sound: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newQuarantine()
+				k := newRequest("shared")
+				for i := range 3 {
+					if tc.sound {
+						q.Completed(k)
+					}
+					q.Abandoned(upstream(i), k)
+					time.Sleep(tc.pause)
+					q.Lost(upstream(i))
+				}
+				assert.Equal(t, q.Check(k).Blocked(), tc.blocked)
+				assert.Assert(t, !q.Check(newRequest("shared")).Blocked())
+			})
+		})
+	}
+}
+
 // Guards against a deadly request that is let through again and again for as long as copies of it come.
 func TestDeadlyRequestIsLetThroughThreeTimesAtMost(t *testing.T) {
 	const (
