--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -32,7 +32,7 @@
 		x.failed(c, errTimedOut)
 		return errTimedOut
 	}
-	attemptCtx, cancel := context.WithCancelCause(ctx)
+	attemptCtx, cancel := x.outlive(ctx)
 	defer cancel(nil)
 	x.sent++
 	x.trace = channel.Trace{}
@@ -53,9 +53,9 @@
 	if err != nil {
 		x.upstreamFailed(c)
 		x.countReset(err)
-		err = x.brokenError(attemptCtx, err)
-		x.reportCrash(c, timer, err)
-		return err
+		broken := x.brokenError(attemptCtx, err)
+		x.reportCrash(attemptCtx, c, timer, err)
+		return broken
 	}
 	defer response.Close()
 	return x.handleResponse(attemptCtx, c, response, timer)
@@ -210,9 +210,9 @@
 		if !errors.Is(err, errNoResponseMemory) {
 			x.upstreamFailed(c)
 		}
-		err = x.brokenError(ctx, err)
-		x.reportCrash(c, timer, err)
-		return err
+		broken := x.brokenError(ctx, err)
+		x.reportCrash(ctx, c, timer, err)
+		return broken
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if x.relay != nil {
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -30,15 +31,15 @@
 // notSent records an attempt of which no byte was sent.
 func (x *exchange) notSent(c *placement.Choice, err error) {
 	x.countReset(err)
-	if x.r.Context().Err() == nil && notSent(c, err) {
+	if x.r.Context().Err() == nil && x.countNotSent(c, err) {
 		x.tried = append(x.tried, c.Upstream.Key())
 	}
 }
 
-// notSent records in the load of the upstream that no byte of an attempt was sent. It returns whether the request must not be sent
+// countNotSent records in the load of the upstream that no byte of an attempt was sent. It may be called from any goroutine. It returns whether the request must not be sent
 // there again. An upstream at the limit of its connections is treated like one without a free slot: it is not chosen for a
 // short time, and may be chosen again after it.
-func notSent(c *placement.Choice, err error) (exclude bool) {
+func (x *exchange) countNotSent(c *placement.Choice, err error) (exclude bool) {
 	switch {
 	case errors.Is(err, channel.ErrNoConnection):
 		c.Load.Refused()
@@ -47,6 +48,9 @@
 		c.Load.Failed()
 	default:
 		c.Load.Failed()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.handler.options.Quarantine.Lost(c.Upstream.Key())
+		}
 		return true
 	}
 	return false
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -210,13 +210,13 @@
 	case h.ctx.Err() != nil:
 		// The upstream is not at fault.
 	case errors.Is(err, channel.ErrNotSent):
-		if notSent(c, err) {
+		if g.exchange.countNotSent(c, err) {
 			g.exclude(c)
 		}
 	default:
 		c.Load.Failed()
 		g.exclude(c)
-		if g.exchange.crashedUnder(c, err) {
+		if g.exchange.crashedUnder(h.ctx, c, err) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.counts.crashed = true
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -76,12 +76,12 @@
 		}
 		if err != nil {
 			_ = x.flush()
-			err = x.brokenError(ctx, err)
+			broken := x.brokenError(ctx, err)
 			x.upstreamFailed(c)
 			if forwarded <= maxEventsBeforeCrash {
-				x.reportCrash(c, timer, err)
+				x.reportCrash(ctx, c, timer, err)
 			}
-			return err
+			return broken
 		}
 		if !timer.stop() {
 			x.upstreamFailed(c)
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -447,6 +447,113 @@
 	})
 }
 
+// Guards against probes that other processes do not learn of once a quarantine has been extended many times.
+func TestProbesAreSharedAfterManyQuarantines(t *testing.T) {
+	const (
+		// quarantines is more than the number after which their duration no longer grows.
+		quarantines = 20
+		// maxLeft exceeds the longest quarantine, minLeft is less than the shortest.
+		maxLeft = time.Hour
+		minLeft = 50 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newQuarantine(), newQuarantine()
+		crash(a, 3, "deadly")
+		tell(a, b)
+		for i := range quarantines {
+			time.Sleep(a.Check(newRequest("deadly")).Left)
+			assert.Assert(t, a.Check(newRequest("deadly")).Probe())
+			tell(a, b)
+			left := b.Check(newRequest("deadly")).Left
+			assert.Assert(t, left > minLeft && left < maxLeft, "%v after %d probes", left, i+1)
+		}
+	})
+}
+
+// Guards against a request that crashes one upstream after the other because its callers have left before each crash.
+func TestCrashesUnderAbandonedRequestsAreCounted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pause   time.Duration
+		sound   bool
+		blocked bool
+	}{
+		"crash soon after":         {pause: 500 * time.Millisecond, blocked: true},
+		"crash long after":         {pause: 5 * time.Second},
+		"answered by others often": {sound: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newQuarantine()
+				k := newRequest("shared")
+				for i := range 3 {
+					if tc.sound {
+						q.Completed(k)
+					}
+					q.Abandoned(upstream(i), k)
+					time.Sleep(tc.pause)
+					q.Lost(upstream(i))
+				}
+				assert.Equal(t, q.Check(k).Blocked(), tc.blocked)
+				assert.Assert(t, !q.Check(newRequest("shared")).Blocked())
+			})
+		})
+	}
+}
+
+// Guards against a deadly request that is let through again and again for as long as copies of it come.
+func TestDeadlyRequestIsLetThroughThreeTimesAtMost(t *testing.T) {
+	const (
+		processes = 6
+		// allowed is the number of times that a request may be sent after the news of its third crash has spread.
+		allowed = 3
+		hours   = 6 * time.Hour
+	)
+	synctest.Test(t, func(t *testing.T) {
+		var all []*quarantine.Quarantine
+		for range processes {
+			all = append(all, newQuarantine())
+		}
+		deadly := newRequest()
+		crashAll(all[0], 3, deadly)
+		share := func() {
+			for _, from := range all {
+				for _, to := range all {
+					tell(from, to)
+				}
+			}
+		}
+		share()
+		sent := 0
+		for i := range int(hours / time.Second) {
+			time.Sleep(time.Second)
+			q := all[i%processes]
+			if !q.Check(deadly).Blocked() {
+				sent++
+				q.Crashed(upstream(3+sent), deadly)
+				share()
+			}
+		}
+		assert.Assert(t, sent > 0 && sent <= allowed, "sent %d times", sent)
+	})
+}
+
+// Guards against a request that is refused for good because it has crashed upstreams long ago.
+func TestRequestThatCameNoMoreIsLetThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		deadly := newRequest()
+		crashAll(q, 3, deadly)
+		for range 100 {
+			time.Sleep(time.Minute)
+			q.Check(deadly)
+		}
+		assert.Assert(t, q.Check(deadly).Blocked())
+		time.Sleep(time.Hour)
+		q.Notices()
+		assert.Equal(t, q.Check(deadly), quarantine.Decision{})
+	})
+}
+
 // Guards against other processes learning late that a request has been let through.
 func TestProbesAreNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
