--- a/internal/route/placement/placement.go
+++ b/internal/route/placement/placement.go
@@ -62,7 +62,7 @@
 	listed map[string]time.Time
 
 	mu     sync.Mutex
-	queues map[queueKey]*queue.Queue
+	queues map[queueKey]*regionalQueue
 	// room holds, by service, the channel that is closed when an upstream may have room.
 	room map[string]chan struct{}
 	// pressures holds the pressure of each service.
@@ -84,10 +84,16 @@
 	regions string
 }
 
+// regionalQueue is a queue with the allowed regions of its requests.
+type regionalQueue struct {
+	*queue.Queue
+	regions [][]string
+}
+
 // New returns a Placement without upstreams.
 func New(o Options) *Placement {
 	p := &Placement{
-		options: o, queues: map[queueKey]*queue.Queue{}, room: map[string]chan struct{}{},
+		options: o, queues: map[queueKey]*regionalQueue{}, room: map[string]chan struct{}{},
 		peers: map[peersKey]*concurrency.Peers{}, listed: map[string]time.Time{},
 	}
 	if o.Metrics != nil {
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/route/queue"
@@ -150,24 +151,36 @@
 	key := queueKey{service: r.Service, priority: r.Priority, regions: fmt.Sprint(r.Regions)}
 	q := p.queues[key]
 	if q == nil {
-		q = queue.New(maxWaiting)
+		q = &regionalQueue{Queue: queue.New(maxWaiting), regions: r.Regions}
 		p.queues[key] = q
 	}
-	return q
+	return q.Queue
 }
 
-// higherPriorityWaits reports whether a request of a higher priority waits for the same service.
+// higherPriorityWaits reports whether a request of a higher priority waits for the same service, and may run in a region in
+// which r may.
 func (p *Placement) higherPriorityWaits(r *Requirements) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, q := range p.queues {
-		if key.service == r.Service && key.priority < r.Priority && !q.Empty() {
+		if key.service == r.Service && key.priority < r.Priority && !q.Empty() && regionsOverlap(q.regions, r.Regions) {
 			return true
 		}
 	}
 	return false
 }
 
+// regionsOverlap reports whether there is a region in all of the lists of a and b; an empty list allows all regions.
+func regionsOverlap(a, b [][]string) bool {
+	lists := slices.DeleteFunc(slices.Concat(a, b), func(l []string) bool { return len(l) == 0 })
+	if len(lists) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(lists[0], func(region string) bool {
+		return !slices.ContainsFunc(lists, func(l []string) bool { return !slices.Contains(l, region) })
+	})
+}
+
 // roomNotification returns a channel that is closed when an upstream of a service may have room.
 func (p *Placement) roomNotification(service string) <-chan struct{} {
 	p.mu.Lock()
