route/forward: a silent stream waits for its hedge before new requests

At a full service each slot that became free went to a waiting new request, and the hedge of a stream, which looked every 100 ms, got none. It now waits in the queue with the priority of streams that have begun.

--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -115,7 +115,7 @@
 	if !ok || time.Until(x.deadline) < minRemaining || !x.mayMoveInTime() || !o.RetryBudget.Allows(x.service) {
 		return false
 	}
-	choice, ok := o.Placement.TryAcquire(r)
+	choice, ok := g.acquire(h.ctx, r, resumed)
 	if !ok {
 		return false
 	}
@@ -133,6 +133,17 @@
 	return blocked
 }
 
+// acquire chooses an upstream and reserves a slot there. A stream that has begun waits for one, before new requests, because at a
+// full service each slot that becomes free would go to one of these.
+func (g *hedger) acquire(ctx context.Context, r *placement.Requirements, resumed bool) (placement.Choice, bool) {
+	p := g.exchange.handler.options.Placement
+	if !resumed {
+		return p.TryAcquire(r)
+	}
+	choice, err := p.Acquire(ctx, r, hedgeInterval)
+	return choice, err == nil
+}
+
 // requirements returns the requirements on the next upstream, or false if the request may not be sent again. Hedges leave one
 // attempt for a retry: upstreams that refuse them now may have room once the attempt in progress fails.
 func (g *hedger) requirements(resumed bool) (*placement.Requirements, bool) {
