--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -205,6 +205,11 @@
 // forwardBuffered reads the complete response before it forwards any of it. For a 5xx response to a retryable request
 // it returns an error and stores the response in x.errorResponse.
 func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool, timer *attemptTimer) error {
+	// An upstream that has begun to respond is not left for another one.
+	if !timer.stop() {
+		x.upstreamFailed(c)
+		return fmt.Errorf("%w: %w", channel.ErrBroken, errSlow)
+	}
 	body, err := x.readResponse(ctx, response)
 	if err != nil {
 		if !errors.Is(err, errNoResponseMemory) {
@@ -257,10 +262,10 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	x.writeHeader(b.status)
 	if _, err := x.w.Write(b.body); err != nil {
-		x.finish("answered", b.status, "caller has left: "+err.Error())
+		x.finish(outcomeAnswered, b.status, "caller has left: "+err.Error())
 		return
 	}
-	x.finish("answered", b.status, "")
+	x.finish(outcomeAnswered, b.status, "")
 }
 
 // upstreamFailed records a failure of the upstream and excludes it from further attempts, unless the attempt ended
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -50,6 +50,12 @@
 	minRemaining = 20 * time.Millisecond
 )
 
+// The outcomes of requests in the log whose response is complete: one of an upstream and one of this process.
+const (
+	outcomeAnswered = "answered"
+	outcomeOwn      = "own"
+)
+
 var (
 	errRefused = errors.New("upstream refused")
 	// errOtherVersion means that the upstream does not hold the weights that it is listed with, or that another instance has
@@ -103,9 +109,9 @@
 	relay *relay
 	// begun is true once relay is set. Unlike relay it may be read in any goroutine.
 	begun atomic.Bool
-	// responding is true once the header of a response has been sent to the caller, ended once the exchange has ended.
+	// responding is true once the header of a response has been sent to the caller, complete once all of it has been written.
 	responding bool
-	ended      bool
+	complete   bool
 	// timeProbe is true if the request is sent although too little time may remain.
 	timeProbe bool
 	// keys are the keys under which the quarantine knows the request.
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -251,7 +251,7 @@
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	x.writeHeader(status)
 	_, _ = io.WriteString(x.w, reason+"\n")
-	x.finish("own", status, reason)
+	x.finish(outcomeOwn, status, reason)
 }
 
 // writeHeader sends the header of the response to the caller.
@@ -262,7 +262,7 @@
 
 // finish logs the outcome of the request and counts it in the metrics.
 func (x *exchange) finish(outcome string, status int, reason string) {
-	x.ended = true
+	x.complete = outcome == outcomeAnswered || outcome == outcomeOwn
 	o := &x.handler.options
 	took := time.Since(x.started)
 	x.handler.latency.Update(took.Seconds())
@@ -280,10 +280,10 @@
 	if reason != "" {
 		line = line.Str("Reason", reason)
 	}
-	if x.failure != nil && outcome != "answered" {
+	if x.failure != nil && outcome != outcomeAnswered {
 		line = line.Str("LastFailure", x.failure.Error())
 	}
-	if status == http.StatusServiceUnavailable && outcome == "own" {
+	if status == http.StatusServiceUnavailable && outcome == outcomeOwn {
 		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
 	}
 	line.Int("Sent", x.sent).Int("MayHaveRun", x.runs).Msg("request ended")
--- a/internal/route/forward/panic.go
+++ b/internal/route/forward/panic.go
@@ -18,11 +18,13 @@
 	}
 	x.logPanic(v, debug.Stack())
 	switch {
-	case x.ended:
+	case x.complete:
 	case x.responding:
 		x.finish("cut", http.StatusOK, "request handler panicked")
 		panic(http.ErrAbortHandler)
 	default:
+		// Header fields of an upstream must not stand in a response of this process.
+		clear(x.w.Header())
 		x.fail(http.StatusInternalServerError, "internal error")
 	}
 }
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -71,7 +71,7 @@
 				x.recordDuration(took)
 			}
 			x.endTimer(c, timer, nil)
-			x.finish("answered", http.StatusOK, "")
+			x.finish(outcomeAnswered, http.StatusOK, "")
 			return nil
 		}
 		if err != nil {
