--- a/internal/process/node/node_test.go
+++ b/internal/process/node/node_test.go
@@ -228,16 +228,19 @@
 		defer resp.Body.Close()
 		return resp.StatusCode == http.StatusServiceUnavailable
 	})
+	served := 0
 	for _, c := range open {
 		resp := sendOn(t, c, f.callers[0], "during")
 		took := time.Since(began)
 		assert.Assert(t, resp.Close, "the answer does not announce that the connection is closed")
 		if resp.StatusCode != http.StatusServiceUnavailable || took < node.DrainDelay {
 			assert.Equal(t, resp.StatusCode, http.StatusOK, "%v after the begin of the stop", took)
+			served++
 			continue
 		}
 		assert.Assert(t, resp.Header.Get("Retry-After") != "", "a refusal without Retry-After")
 	}
+	assert.Assert(t, served > 0, "no request was served after the begin of the stop")
 	<-stopped
 }
 
