route/quarantine: crashes that were dropped or are known with other parts are no news

A process that knows 128 crashes dropped the oldest for one that came late, which another process still knew and told it again, and so on without end; a crash was told once more for each set of its parts that was left. TestForgottenAndKnownCrashesAreNoNews failed before.

--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -585,3 +585,29 @@
 		})
 	}
 }
+
+// Guards against processes that tell each other without end of crashes that they have dropped for later ones, or know with fewer parts.
+func TestForgottenAndKnownCrashesAreNoNews(t *testing.T) {
+	const records = 128
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine()
+		tell := func(id int, age time.Duration, parts ...string) bool {
+			changed := q.Changed()
+			q.Merge(hub.QuarantineNotice{Crashes: []hub.UpstreamCrash{{
+				Upstream: fmt.Sprint("u-", id), Born: 1, Request: fmt.Sprint("request-", id), Parts: parts, AgeMilliseconds: age.Milliseconds(),
+			}}})
+			select {
+			case <-changed:
+				return true
+			default:
+				return false
+			}
+		}
+		for i := range records {
+			assert.Assert(t, tell(i, time.Second, "s/a", "s/b"), i)
+		}
+		assert.Assert(t, !tell(records, 2*time.Second, "s/a"), "one that is older than all others")
+		assert.Assert(t, !tell(records-1, time.Second, "s/b"), "one that is known with more parts")
+		assert.Assert(t, tell(records+1, 0, "s/a"), "a later one")
+	})
+}
--- a/internal/route/quarantine/record.go
+++ b/internal/route/quarantine/record.go
@@ -90,13 +90,18 @@
 // empty reports whether nothing is suspected of the crash.
 func (r *record) empty() bool { return len(r.parts) == 0 && r.request == "" }
 
-// add adds a record unless it is empty or known. It returns whether it was added.
+// add adds a record unless it is empty or known. Of more than maxRecords, the oldest is dropped; one that is older than all others
+// is not added, because processes that send each other what they have dropped would tell all others of it each time. It returns
+// whether it was added.
 func (q *Quarantine) add(r record, now time.Time) bool {
 	q.expire(now)
 	if r.empty() || slices.ContainsFunc(q.records, r.same) {
 		return false
 	}
 	if len(q.records) >= maxRecords {
+		if !r.at.After(q.records[0].at) {
+			return false
+		}
 		q.records = slices.Delete(q.records, 0, 1)
 	}
 	at, _ := slices.BinarySearchFunc(q.records, r.at, func(r record, at time.Time) int { return r.at.Compare(at) })
@@ -105,6 +110,12 @@
 	return true
 }
 
+// same reports whether both records are of one crash under one request. One of them may lack parts that have been cleared.
 func (r *record) same(other record) bool {
-	return r.upstream == other.upstream && r.request == other.request && slices.Equal(r.parts, other.parts)
+	return r.upstream == other.upstream && r.request == other.request && (includes(r.parts, other.parts) || includes(other.parts, r.parts))
+}
+
+// includes reports whether all of parts are in all.
+func includes(all, parts []string) bool {
+	return !slices.ContainsFunc(parts, func(p string) bool { return !slices.Contains(all, p) })
 }
