route/forward: an upstream that has begun to respond is not left for a hedge

The hedge now goes on and is used if the attempt fails; what it may not do any more is end the attempt.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -205,11 +205,7 @@
 // forwardBuffered reads the complete response before it forwards any of it. For a 5xx response to a retryable request
 // it returns an error and stores the response in x.errorResponse.
 func (x *exchange) forwardBuffered(ctx context.Context, c *placement.Choice, response *channel.Response, success bool, timer *attemptTimer) error {
-	// An upstream that has begun to respond is not left for another one.
-	if !timer.stop() {
-		x.upstreamFailed(c)
-		return fmt.Errorf("%w: %w", channel.ErrBroken, errSlow)
-	}
+	timer.hold()
 	body, err := x.readResponse(ctx, response)
 	if err != nil {
 		if !errors.Is(err, errNoResponseMemory) {
--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -28,8 +28,10 @@
 	lastEvent string
 	// trial is the hedge that awaits its response, nil if there is none.
 	trial *trial
-	// accepted is the hedge for which the attempt was ended.
+	// accepted is the hedge for which the attempt was ended, or that goes on if it fails.
 	accepted *hedge
+	// held is true once the upstream has begun to respond: the attempt is not ended for a hedge any more.
+	held bool
 	// finished is true once the attempt has ended.
 	finished bool
 }
@@ -103,7 +105,9 @@
 		h.release()
 	case h != nil:
 		t.accepted = h
-		t.end()
+		if !t.held {
+			t.end()
+		}
 	case !t.finished:
 		t.schedule(hedgeInterval, round)
 	}
@@ -121,6 +125,14 @@
 	return t.trial, ctx, t.lastEvent
 }
 
+// hold makes the attempt go on beside an accepted hedge, which is used only if the attempt fails: its upstream has begun to respond,
+// and the hedge's may still be silent.
+func (t *attemptTimer) hold() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.held = true
+}
+
 // stop stops the timer, removes the limit and ends the hedge that awaits its response. It returns false if it is too late: the
 // attempt has been ended for a hedge.
 func (t *attemptTimer) stop() bool {
