--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -25,8 +25,10 @@
 const (
 	// defaultTimeout is the timeout of requests whose route sets none.
 	defaultTimeout = 30 * time.Second
-	// defaultMaxBodyBytes limits request bodies if the desired state sets no limit.
-	defaultMaxBodyBytes = 4 << 20
+	// defaultMaxBodyBytes limits request bodies if the desired state sets no positive limit, largestMaxBodyBytes replaces higher
+	// limits.
+	defaultMaxBodyBytes int64 = 4 << 20
+	largestMaxBodyBytes int64 = 1 << 40
 	// notReadyRetryAfter is the Retry-After time while this process has not received the desired state yet.
 	notReadyRetryAfter = 300 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After time while this process stops; others serve meanwhile.
@@ -109,7 +111,6 @@
 // admit finds the route and the account of the request in the current desired state. If the request is not allowed, it
 // responds with an error and returns false.
 func (x *exchange) admit() bool {
-	s := x.handler.options.Directory.Current()
 	if x.refuseIfStopping() {
 		return false
 	}
@@ -117,7 +118,7 @@
 		x.refuse("desired state or upstreams not known yet", notReadyRetryAfter)
 		return false
 	}
-	return x.authorize(s)
+	return x.authorize(x.handler.options.Directory.Current())
 }
 
 // refuseIfStopping refuses the request if the process stops and sends no more requests. It returns whether it did. A body may
@@ -181,10 +182,7 @@
 	if x.r.ContentLength == 0 {
 		return true
 	}
-	limit := x.snapshot.Configuration.Limits.MaxBodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := bodyLimit(x.snapshot.Configuration.Limits)
 	c := http.NewResponseController(x.w)
 	stop := x.whenInterrupted(func() { _ = c.SetReadDeadline(time.Now()) })
 	body, err := x.readAll(limit, &bodyReader{exchange: x, control: c, body: http.MaxBytesReader(x.w, x.r.Body, limit)})
@@ -217,6 +215,14 @@
 	return true
 }
 
+// bodyLimit returns the maximum length of the body of a request.
+func bodyLimit(l hub.RequestLimits) int64 {
+	if l.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return min(l.MaxBodyBytes, largestMaxBodyBytes)
+}
+
 // whenInterrupted calls f in its own goroutine once the process ends the requests in progress. Calling stop prevents that, and
 // returns false if it is too late.
 func (x *exchange) whenInterrupted(f func()) (stop func() bool) {
@@ -245,7 +251,7 @@
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	x.writeHeader(status)
 	_, _ = io.WriteString(x.w, reason+"\n")
-	x.finish("own", status, reason)
+	x.finish(outcomeOwn, status, reason)
 }
 
 // writeHeader sends the header of the response to the caller.
@@ -256,7 +262,7 @@
 
 // finish logs the outcome of the request and counts it in the metrics.
 func (x *exchange) finish(outcome string, status int, reason string) {
-	x.ended = true
+	x.complete = outcome == outcomeAnswered || outcome == outcomeOwn
 	o := &x.handler.options
 	took := time.Since(x.started)
 	x.handler.latency.Update(took.Seconds())
@@ -274,10 +280,10 @@
 	if reason != "" {
 		line = line.Str("Reason", reason)
 	}
-	if x.failure != nil && outcome != "answered" {
+	if x.failure != nil && outcome != outcomeAnswered {
 		line = line.Str("LastFailure", x.failure.Error())
 	}
-	if status == http.StatusServiceUnavailable && outcome == "own" {
+	if status == http.StatusServiceUnavailable && outcome == outcomeOwn {
 		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
 	}
 	line.Int("Sent", x.sent).Int("MayHaveRun", x.runs).Msg("request ended")
--- a/internal/route/quarantine/quarantine.go
+++ b/internal/route/quarantine/quarantine.go
@@ -28,6 +28,10 @@
 	// maxQuarantine.
 	firstQuarantine = time.Minute
 	maxQuarantine   = 10 * time.Minute
+	// maxDoublings is the number of doublings after which the duration exceeds maxQuarantine.
+	maxDoublings = 4
+	// maxRequestProbes is the number of probes of one request. All its copies are alike, so further ones would show the same.
+	maxRequestProbes = 2
 
 	// maxRecords, maxSound and maxQuarantined limit the state, which callers determine. maxSound applies to parts and to
 	// requests separately.
@@ -67,6 +71,8 @@
 	mu sync.Mutex
 	// records is sorted by time, the oldest first.
 	records []record
+	// abandoned is sorted by time, the oldest first.
+	abandoned []abandoned
 	// suspected is the set of keys in records.
 	suspected map[string]bool
 	// soundParts and soundRequests map keys to the time of the last complete response.
@@ -139,7 +145,8 @@
 func (d Decision) Probe() bool { return d.Key != "" && d.Left == 0 }
 
 // Check returns the decision on a request. Once the quarantine of a key has ended, one request is let through as a probe,
-// and the quarantine starts anew for twice the time unless the probe gets a complete response.
+// and the quarantine starts anew for twice the time unless the probe gets a complete response. After maxRequestProbes, a
+// request stays in quarantine until no copy of it has come for maxQuarantine.
 func (q *Quarantine) Check(k *Keys) Decision {
 	now := time.Now()
 	if !q.settled.Load() && now.Sub(q.started) >= settleTime {
@@ -173,7 +180,8 @@
 	q.quarantineSuspects(now)
 }
 
-// startProbe lets a request through and starts the next quarantine of its key, unless another request has just done so.
+// startProbe starts the next quarantine of a key and lets a request through, unless another one has just been let through or
+// the probes of the key are used up.
 func (q *Quarantine) startProbe(key string, now time.Time) Decision {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -184,8 +192,13 @@
 	if now.Before(current.until) {
 		return Decision{Key: key, Left: current.until.Sub(now)}
 	}
+	exhausted := isRequestKey(key) && current.count > maxRequestProbes
 	current.extend(now)
 	q.publish()
+	if exhausted {
+		q.options.Log.Info().Str("Key", key).Time("Until", current.until).Msg("quarantine extended without a probe, because earlier ones were not answered")
+		return Decision{Key: key, Left: current.until.Sub(now)}
+	}
 	q.notify()
 	q.options.Log.Info().Str("Key", key).Int("Quarantines", current.count).Msg("quarantine ended, letting one request through")
 	return Decision{Key: key}
@@ -197,7 +210,7 @@
 // extend starts the next quarantine. Its duration is random, so that processes let probes through at different times and
 // the crash of one extends the quarantine at the others.
 func (p *period) extend(now time.Time) {
-	d := min(maxQuarantine, firstQuarantine<<min(p.count, maxCount))
+	d := min(maxQuarantine, firstQuarantine<<min(p.count, maxDoublings))
 	p.count++
 	p.until = now.Add(d + rand.N(d/2))
 }
@@ -210,6 +223,13 @@
 	return slices.ContainsFunc(k.list(), func(key string) bool { return !q.isSound(key, now) })
 }
 
+// Suspected reports whether an upstream has crashed under a copy of a request that no upstream has answered.
+func (q *Quarantine) Suspected(k *Keys) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return k.Request != "" && q.suspected[k.Request]
+}
+
 // Crashed records that an upstream crashed before it had answered a request. Other processes are told at once, but if only
 // the request is suspected and none of its parts, at its second crash or when Unanswered is called: most requests whose
 // upstream crashes are answered by another one.
