route/forward, route/channel, process/node: names and comments after a read of the whole diff

keepsWaiting, attemptContext and roundTrip say what waitsOn, outlive and exchange did; comments tell of hedges where they told of moved requests. No statement changed but names (go test ./internal/route/forward ./internal/route/channel ./internal/route/placement ./internal/process/... ./internal/bench/...: ok; lint clean).

--- a/internal/process/node/notices.go
+++ b/internal/process/node/notices.go
@@ -17,7 +17,7 @@
 	// noticeDelay is the time for which news is collected before it is sent.
 	noticeDelay = 20 * time.Millisecond
 	// newsInterval is the minimum time between two rounds of news, and maxNotices the maximum number of datagrams to each receiver
-	// in a round. Crashes come in crowds, and what all processes pass on must leave room on the links between regions.
+	// in a round. Many upstreams may crash at once, and what all processes pass on must leave room on the links between regions.
 	newsInterval = 200 * time.Millisecond
 	maxNotices   = 4
 	// newsReceivers is the maximum number of entry processes to which an entry process sends news, repeatReceivers the
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -105,16 +105,16 @@
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
 	r.stop = context.AfterFunc(ctx, c.abort)
-	if err := r.exchange(call); err != nil {
+	if err := r.roundTrip(call); err != nil {
 		r.Close()
 		return nil, p.sendError(ctx, c, call, reused, err)
 	}
 	return r, nil
 }
 
-// exchange sends the call and reads the header of the response. An upstream that has closed the connection before the whole call
+// roundTrip sends the call and reads the header of the response. An upstream that has closed the connection before the whole call
 // was sent may have responded before that.
-func (r *Response) exchange(call *Call) error {
+func (r *Response) roundTrip(call *Call) error {
 	err := r.send(call)
 	if _, sent := err.(*sentError); err != nil && !(sent && connectionLost(err)) {
 		return err
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -24,7 +24,7 @@
 
 // attempt sends the request to the chosen upstream and forwards the response to the caller. It returns nil if the
 // exchange is finished, else the reason why the attempt failed. It frees the slot at the upstream in any case, and sets x.hedge
-// if another attempt goes on in its place.
+// if a hedge takes its place.
 func (x *exchange) attempt(ctx context.Context, c *placement.Choice) (err error) {
 	defer c.Release()
 	remaining := time.Until(x.deadline)
@@ -32,7 +32,7 @@
 		x.failed(c, errTimedOut)
 		return errTimedOut
 	}
-	attemptCtx, cancel := x.outlive(ctx)
+	attemptCtx, cancel := x.attemptContext(ctx)
 	defer cancel(nil)
 	x.sent++
 	x.trace = channel.Trace{}
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -36,9 +36,9 @@
 	}
 }
 
-// countNotSent records in the load of the upstream that no byte of an attempt was sent. It may be called from any goroutine. It returns whether the request must not be sent
-// there again. An upstream at the limit of its connections is treated like one without a free slot: it is not chosen for a
-// short time, and may be chosen again after it.
+// countNotSent records in the load of the upstream that no byte of an attempt was sent, and returns whether the request must not
+// be sent there again. An upstream at the limit of its connections is treated like one without a free slot: it is not chosen for
+// a short time, and may be chosen again after it. It may be called from any goroutine.
 func (x *exchange) countNotSent(c *placement.Choice, err error) (exclude bool) {
 	switch {
 	case errors.Is(err, channel.ErrNoConnection):
--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -18,9 +18,9 @@
 	suspectPatience = 300 * time.Millisecond
 )
 
-// outlive returns a context for an attempt that ends with ctx. If the caller leaves before the response to a request that is
+// attemptContext returns a context for an attempt that ends with ctx. If the caller leaves before the response to a request that is
 // suspected of crashing upstreams, it ends suspectPatience later, so that the attempt shows whether the upstream crashes.
-func (x *exchange) outlive(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+func (x *exchange) attemptContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	out, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() {
 		left := errors.Is(context.Cause(ctx), context.Canceled)
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -40,8 +40,8 @@
 	// connection began. Otherwise a caller that sends thousands of requests and reads nothing has one in the queue at any time,
 	// and callers that wait for their responses rarely get a slot.
 	sentAheadPriority = 1000
-	// attemptTimeoutFactor times the objective is the time after which a retryable request is sent to another
-	// upstream.
+	// attemptTimeoutFactor times the objective is the time without a response after which a hedge of a retryable request is
+	// made.
 	attemptTimeoutFactor = 3
 	// pauseSpread is the fraction of the pause that upstreams have asked for over which the return of the refused
 	// callers is spread.
@@ -184,7 +184,7 @@
 		return placement.Choice{}, errQuarantined
 	}
 	choice, err := x.acquireInTime(ctx)
-	for err != nil && x.waitsOn(ctx, err) {
+	for err != nil && x.keepsWaiting(ctx, err) {
 		choice, err = x.acquireInTime(ctx)
 	}
 	return choice, err
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -17,7 +17,7 @@
 
 const (
 	// stallTimeoutFactor times the route's MaxPause, but at least minStallTimeout, is the time without an event after
-	// which a stream is resumed at another upstream if one has room.
+	// which a hedge of a stream is made.
 	stallTimeoutFactor = 3
 	minStallTimeout    = 700 * time.Millisecond
 	// callerPatience is the time since the last event for which a stream that has lost its upstream waits for another one
@@ -191,8 +191,8 @@
 	return nil
 }
 
-// stallTimeout returns the time for which a stream that has begun may pause before it is continued at another upstream,
-// or false if it can't be continued.
+// stallTimeout returns the time for which a stream that has begun may pause before a hedge is made, or false if it can't be
+// continued at another upstream.
 func (x *exchange) stallTimeout() (time.Duration, bool) {
 	if !x.route.Retryable() || x.runs >= x.route.MaxAttempts || x.relay.sequence.Last() == "" {
 		return 0, false
@@ -200,9 +200,9 @@
 	return max(minStallTimeout, stallTimeoutFactor*x.route.MaxPause), true
 }
 
-// waitsOn reports, after a pause, whether a request that has got no upstream because of err waits on for one: a new request is
-// refused instead, but the caller of a stream that has begun would lose what it has received.
-func (x *exchange) waitsOn(ctx context.Context, err error) bool {
+// keepsWaiting reports, after a pause, whether a request that has got no upstream because of err waits for one again. A new
+// request is refused instead; the caller of a stream that has begun would lose what it has received.
+func (x *exchange) keepsWaiting(ctx context.Context, err error) bool {
 	if x.relay == nil {
 		return false
 	}
--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -28,7 +28,7 @@
 	lastEvent string
 	// trial is the hedge that awaits its response, nil if there is none.
 	trial *trial
-	// accepted is the hedge for which the attempt was ended, or that goes on if it fails.
+	// accepted is the hedge for which the attempt was ended, or that takes its place if it fails.
 	accepted *hedge
 	// held is true once the upstream has begun to respond: the attempt is not ended for a hedge any more.
 	held bool
@@ -36,7 +36,7 @@
 	finished bool
 }
 
-// trial is a hedge that awaits the header of its response.
+// trial is a hedge that awaits the beginning of its response.
 type trial struct {
 	cancel context.CancelCauseFunc
 	// done is closed at its end.
