--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/phuslu/log"
 )
@@ -41,8 +42,10 @@
 
 // Journal holds the loggers of all subsystems.
 type Journal struct {
+	options Options
 	loggers map[string]*log.Logger
 	queue   *queue
+	closing sync.Once
 }
 
 // New returns a journal, or an error if the format or the level is unknown.
@@ -51,36 +54,35 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &Journal{loggers: map[string]*log.Logger{}}
-	writer, err := j.writer(o)
+	j := &Journal{options: o, loggers: map[string]*log.Logger{}}
+	out := o.Writer
+	if o.Async {
+		j.queue = newQueue(out)
+		out = j.queue
+	}
+	writer, err := formatted(out, o.Format)
 	if err != nil {
 		return nil, err
 	}
 	for _, name := range Subsystems() {
-		j.loggers[name] = &log.Logger{
-			Level:     level,
-			TimeField: "Time",
-			Writer:    writer,
-			Context:   log.NewContext(nil).Str("Subsystem", name).Value(),
-		}
+		j.loggers[name] = newLogger(name, level, writer)
 	}
 	return j, nil
 }
 
-// writer returns the writer of the loggers. If Options.Async is set, it also sets j.queue.
-func (j *Journal) writer(o Options) (log.Writer, error) {
-	out := o.Writer
-	if o.Async {
-		j.queue = newQueue(out)
-		out = j.queue
-	}
-	switch o.Format {
+func newLogger(subsystem string, level log.Level, w log.Writer) *log.Logger {
+	return &log.Logger{Level: level, TimeField: "Time", Writer: w, Context: log.NewContext(nil).Str("Subsystem", subsystem).Value()}
+}
+
+// formatted returns a writer of lines in a format to out.
+func formatted(out io.Writer, format string) (log.Writer, error) {
+	switch format {
 	case FormatJson, "":
 		return &log.IOWriter{Writer: out}, nil
 	case FormatConsole:
 		return &log.ConsoleWriter{Writer: out}, nil
 	default:
-		return nil, fmt.Errorf("unknown log format %q: must be %s or %s", o.Format, FormatJson, FormatConsole)
+		return nil, fmt.Errorf("unknown log format %q: must be %s or %s", format, FormatJson, FormatConsole)
 	}
 }
 
@@ -133,12 +135,25 @@
 	return j.queue.dropped.Load()
 }
 
-// Close writes the queued lines if Options.Async is set; lines logged afterwards are lost.
+// Close writes the queued lines if Options.Async is set, and how many were dropped if any were; lines logged afterwards are lost.
 func (j *Journal) Close() error {
 	if j.queue == nil {
 		return nil
 	}
-	return j.queue.Close()
+	err := j.queue.Close()
+	j.closing.Do(j.logDropped)
+	return err
+}
+
+// logDropped logs how many lines were dropped, past the queue, which is closed.
+func (j *Journal) logDropped() {
+	dropped := j.Dropped()
+	if dropped == 0 {
+		return
+	}
+	if w, err := formatted(j.options.Writer, j.options.Format); err == nil {
+		newLogger(Process, log.WarnLevel, w).Warn().Uint64("Lines", dropped).Msg("log lines were dropped because the log was not read fast enough")
+	}
 }
 
 func parseLevel(level string) (log.Level, error) {
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -65,7 +65,7 @@
 // the upstream's version is due to be replaced before the first event of a stream or the end of another response. ctx is the context
 // of the exchange, runs the number of attempts that may have run, including this one.
 func (x *exchange) startTimer(ctx context.Context, c *placement.Choice, cancel context.CancelCauseFunc, runs int) *attemptTimer {
-	t := newAttemptTimer(ctx, func() { cancel(errSlow) }, x.newHedger(c, runs))
+	t := newAttemptTimer(ctx, cancel, x.newHedger(c, runs))
 	t.limit(c.StartBy)
 	if x.route.Retryable() && runs < x.route.MaxAttempts {
 		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective), x.lastEvent())
--- /dev/null
+++ b/internal/route/forward/ended.go
@@ -0,0 +1,50 @@
+package forward
+
+import (
+	"errors"
+	"os"
+	"syscall"
+
+	"github.com/oriolehub/oriolehub/internal/route/channel"
+)
+
+// What ends an attempt that fails, as named in log lines.
+const (
+	endedByUpstream  = "upstream"
+	endedByNetwork   = "network"
+	endedByTimeLimit = "time limit"
+	endedByStop      = "stop"
+	endedByCaller    = "caller"
+	endedByHedge     = "hedge"
+	endedByVersion   = "version"
+	endedByMemory    = "memory"
+	endedByConnLimit = "connection limit"
+)
+
+// endings maps the reasons for which this process ends an attempt, and those for which none begins, to what ends it.
+var endings = []struct {
+	reason error
+	by     string
+}{
+	{errStopping, endedByStop},
+	{errTimedOut, endedByTimeLimit},
+	{errGone, endedByCaller},
+	{errSlow, endedByHedge},
+	{errReplaced, endedByVersion},
+	{errNoResponseMemory, endedByMemory},
+	{channel.ErrNoConnection, endedByConnLimit},
+	{os.ErrDeadlineExceeded, endedByNetwork},
+	{syscall.ETIMEDOUT, endedByNetwork},
+	{syscall.EHOSTUNREACH, endedByNetwork},
+	{syscall.ENETUNREACH, endedByNetwork},
+}
+
+// endedBy returns what has ended an attempt that failed with err: the upstream, unless err tells otherwise.
+func endedBy(err error) string {
+	for _, e := range endings {
+		if errors.Is(err, e.reason) {
+			return e.by
+		}
+	}
+	return endedByUpstream
+}
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -63,9 +63,11 @@
 	errOtherVersion = fmt.Errorf("%w: other instance or version", errRefused)
 	errFailed       = errors.New("upstream answered with a failure")
 	errSlow         = errors.New("upstream does not answer")
-	errTimedOut     = errors.New("time is up")
-	errStopping     = errors.New("process is stopping")
-	errGone         = errors.New("caller has left")
+	// errReplaced means that the version of an upstream is due to be replaced and that it has not begun to respond.
+	errReplaced = errors.New("version of the upstream is due to be replaced")
+	errTimedOut = errors.New("time is up")
+	errStopping = errors.New("process is stopping")
+	errGone     = errors.New("caller has left")
 	// errQuarantined means that upstreams crash under the request or under others that share a part with it.
 	errQuarantined = errors.New("request or part of its prompt is in quarantine")
 )
@@ -430,5 +432,5 @@
 	if !trace.SentAt.IsZero() {
 		line = line.Dur("SinceSent", time.Since(trace.SentAt)).Bool("Reused", trace.Reused)
 	}
-	line.Err(err).Msg("attempt failed")
+	line.Str("EndedBy", endedBy(err)).Err(err).Msg("attempt failed")
 }
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -269,7 +269,7 @@
 	o.Metrics.GetOrCreateCounter(`oriolehub_requests_total{outcome="` + outcome + `",status="` + strconv.Itoa(status) + `"}`).Inc()
 	line := o.Log.Info().Str("RequestId", x.caller.RequestId).Str("Outcome", outcome).Int("Status", status).Dur("Took", took)
 	if x.route != nil {
-		line = line.Str("Route", x.route.Name).Uint64("Configuration", x.snapshot.Configuration.Version)
+		line = x.addState(line)
 	}
 	if x.account != nil {
 		line = line.Str("Account", x.account.Name)
@@ -286,5 +286,15 @@
 	if status == http.StatusServiceUnavailable && outcome == outcomeOwn {
 		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
 	}
-	line.Int("Sent", x.sent).Int("MayHaveRun", x.runs).Msg("request ended")
+	line.Int64("BodyLength", x.r.ContentLength).Int("Sent", x.sent).Int("MayHaveRun", x.runs).Msg("request ended")
+}
+
+// addState adds the state by which the request was admitted to a log line, and what is in force now.
+func (x *exchange) addState(line *log.Entry) *log.Entry {
+	now := x.handler.options.Directory.Current()
+	line = line.Str("Route", x.route.Name).Uint64("Configuration", x.snapshot.Configuration.Version).Uint64("Upstreams", now.UpstreamsRevision)
+	if now.Configuration != nil && now.Configuration.Version != x.snapshot.Configuration.Version {
+		line = line.Uint64("ConfigurationAtEnd", now.Configuration.Version)
+	}
+	return line
 }
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -46,7 +46,7 @@
 	if at.IsZero() {
 		return func() bool { return true }
 	}
-	return time.AfterFunc(time.Until(at), func() { h.cancel(errSlow) }).Stop
+	return time.AfterFunc(time.Until(at), func() { h.cancel(errReplaced) }).Stop
 }
 
 // hedgeCounts are the hedges of an attempt and what they have shown.
--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -14,7 +14,7 @@
 // safe for concurrent use.
 type attemptTimer struct {
 	ctx    context.Context
-	end    func()
+	end    context.CancelCauseFunc
 	hedger *hedger
 
 	mu    sync.Mutex
@@ -43,8 +43,8 @@
 	done chan struct{}
 }
 
-// newAttemptTimer returns a stopped timer that calls end to end the attempt. ctx is the context of the exchange.
-func newAttemptTimer(ctx context.Context, end func(), g *hedger) *attemptTimer {
+// newAttemptTimer returns a stopped timer that calls end with the reason to end the attempt. ctx is the context of the exchange.
+func newAttemptTimer(ctx context.Context, end context.CancelCauseFunc, g *hedger) *attemptTimer {
 	return &attemptTimer{ctx: ctx, end: end, hedger: g}
 }
 
@@ -63,7 +63,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.limitTimer != nil {
-		t.end()
+		t.end(errReplaced)
 	}
 }
 
@@ -106,7 +106,7 @@
 	case h != nil:
 		t.accepted = h
 		if !t.held {
-			t.end()
+			t.end(errSlow)
 		}
 	case !t.finished:
 		t.schedule(hedgeInterval, round)
--- a/internal/route/forward/timer_test.go
+++ b/internal/route/forward/timer_test.go
@@ -13,7 +13,7 @@
 	for range attempts {
 		synctest.Test(t, func(t *testing.T) {
 			var stopped, late atomic.Bool
-			timer := newAttemptTimer(t.Context(), func() { late.Store(stopped.Load()) }, nil)
+			timer := newAttemptTimer(t.Context(), func(error) { late.Store(stopped.Load()) }, nil)
 			timer.limit(time.Now().Add(time.Second))
 			time.Sleep(time.Second)
 			timer.stop()
