--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -77,7 +77,11 @@
 			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
 			watchCtx, stopWatch := context.WithCancel(ctx)
 			go p.watchSettings(watchCtx, file, d, l)
-			stopOnSignal(ctx, p.stopTimeout(&s), d.Stop)
+			limit := p.stopTimeout(&s)
+			stopOnSignal(ctx, limit, func(ctx context.Context) {
+				l.Info().Dur("Within", limit).Msg("stopping")
+				d.Stop(ctx)
+			})
 			stopWatch()
 			l.Info().Msg("stopped")
 			return nil
