route/forward, process/node: a stream that has begun goes on until the stop cuts it

Callers saw a stream end with a closed connection at a planned stop. The interruption 0.7 s before the end of the stop was meant for requests that can still be answered; streams that had begun were cut at the same moment, though their connections stay open for 0.3 s more, so that a stream whose last events were on their way was lost without need. Streams are now cut when the connections are closed, and http.Server.Shutdown, which drops requests on open connections without an answer, is called only once no request is in progress: until then they are refused. Stop holds what requests need to know of the planned stop.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -59,20 +59,14 @@
 	ready     *http.Server
 	// listener accepts the connections of callers.
 	listener net.Listener
-	// refusing is true once a stopping process accepts no more requests; inProgress is the number of those that it has
-	// accepted and not finished.
-	refusing   atomic.Bool
+	// stop is the planned stop, inProgress the number of requests that have begun and not ended.
+	stop       *forward.Stop
 	inProgress atomic.Int64
-	// interrupted is done once the requests in progress are interrupted by interrupt, because the time for a planned stop is
-	// up.
-	interrupted context.Context
-	interrupt   context.CancelFunc
 }
 
 // StartEntry starts an entry process, which runs until Stop.
 func StartEntry(s settings.Node, j *journal.Journal, p Platform) (*Entry, error) {
-	e := &Entry{started: time.Now(), collector: beacon.NewCollector()}
-	e.interrupted, e.interrupt = context.WithCancel(context.Background())
+	e := &Entry{started: time.Now(), collector: beacon.NewCollector(), stop: forward.NewStop()}
 	e.node = newNode(s, hub.RoleEntry, j, p, func() hub.Member { return e.record() })
 	e.order = newEntryOrder(s.Id, e.aliveEntries)
 	e.pool = channel.New(channel.Options{
@@ -220,8 +214,7 @@
 	handler := forward.New(forward.Options{
 		Directory:   e.directory,
 		Ready:       e.stateKnown,
-		Stopping:    e.refusing.Load,
-		Interrupted: e.interrupted,
+		Stop:        e.stop,
 		Memory:      l.bodies(),
 		BodyTimeout: s.Callers.BodyTimeout.Std(),
 		Placement:   e.placement,
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -14,24 +14,27 @@
 	drainDelay = 2500 * time.Millisecond
 	// inProgressInterval is the interval at which a stopping process checks whether requests are in progress.
 	inProgressInterval = 10 * time.Millisecond
-	// stopMargin is the part of the time for a planned stop that is reserved for the steps after the requests in
-	// progress have ended, answerTime the part of it in which those that were interrupted are answered.
-	stopMargin = 700 * time.Millisecond
-	answerTime = 300 * time.Millisecond
+	// interruptMargin is the time before the deadline of a planned stop at which requests without a response are answered,
+	// cutMargin that at which streams in progress are cut. What remains is for the other steps of the stop.
+	interruptMargin = 700 * time.Millisecond
+	cutMargin       = 400 * time.Millisecond
+	// endTime is the time in which requests that were cut must end.
+	endTime = 100 * time.Millisecond
 )
 
 // Stop announces that the process is leaving, waits until the requests in progress have finished and ends the process.
 // Requests that have not finished shortly before the deadline of ctx are interrupted: those of which no part of a response has
-// been sent are answered, streams are cut.
+// been sent are answered, streams are cut a little later.
 //
 // For drainDelay from the call it serves requests as before, on new and on open connections, however long the announcement
-// takes. Then it accepts no more connections and refuses the requests that still come on open ones, or whose bodies have not been received: they could not be completed in
-// the time that is left.
+// takes. Then it accepts no more connections and refuses the requests that still come on open ones, or whose bodies have not
+// been received: they could not be completed in the time that is left.
 func (e *Entry) Stop(ctx context.Context) {
 	began := time.Now()
+	e.stop.Begin(before(ctx, cutMargin))
 	e.running.Go(func() { e.announceLeaving(ctx) })
 	_ = hub.Sleep(ctx, drainDelay)
-	e.refusing.Store(true)
+	e.stop.Refuse()
 	e.journal.Logger(journal.Process).Info().Dur("SinceSignal", time.Since(began)).Int64("InProgress", e.inProgress.Load()).Msg("requests are no longer accepted")
 	_ = e.listener.Close()
 	e.finishRequests(ctx)
@@ -39,28 +42,64 @@
 	e.shutdown(ctx)
 }
 
-// finishRequests waits until the requests in progress have finished, interrupts them shortly before the deadline of ctx, and
-// closes the connections of callers.
+// before returns the time d before the deadline of ctx, zero if that has none.
+func before(ctx context.Context, d time.Duration) time.Time {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Time{}
+	}
+	return deadline.Add(-d)
+}
+
+// finishRequests waits until the requests in progress have finished, ends them shortly before the deadline of ctx, and closes the
+// connections of callers.
 func (e *Entry) finishRequests(ctx context.Context) {
-	defer e.interrupt()
+	defer e.stop.Cut()
 	defer e.callers.Close()
-	waiting := ctx
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		waiting, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
-		defer cancel()
+	if e.finishUndisturbed(ctx) {
+		return
 	}
-	for e.inProgress.Load() > 0 && hub.Sleep(waiting, inProgressInterval) == nil {
-		continue
+	l := e.journal.Logger(journal.Process)
+	l.Warn().Int64("InProgress", e.inProgress.Load()).Msg("time to stop is up; interrupting the requests in progress")
+	e.stop.Interrupt()
+	rest := context.WithoutCancel(ctx)
+	if !e.requestsEndWithin(rest, interruptMargin-cutMargin) {
+		l.Warn().Int64("InProgress", e.inProgress.Load()).Msg("cutting the streams in progress")
+		e.stop.Cut()
+		e.requestsEndWithin(rest, endTime)
 	}
-	if e.callers.Shutdown(waiting) == nil {
-		return
+	closing, cancel := context.WithTimeout(rest, endTime)
+	defer cancel()
+	if err := e.callers.Shutdown(closing); err != nil {
+		l.Warn().Int64("InProgress", e.inProgress.Load()).Err(err).Msg("interrupted requests have not ended; closing their connections")
 	}
-	e.journal.Logger(journal.Process).Warn().Int64("InProgress", e.inProgress.Load()).Msg("time to stop is up; interrupting the requests in progress")
-	e.interrupt()
-	answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+}
+
+// finishUndisturbed waits until the requests in progress have finished and their connections are closed, or returns false at
+// interruptMargin before the deadline of ctx.
+func (e *Entry) finishUndisturbed(ctx context.Context) bool {
+	if at := before(ctx, interruptMargin); !at.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, at)
+		defer cancel()
+	}
+	return e.requestsEnd(ctx) && e.callers.Shutdown(ctx) == nil
+}
+
+// requestsEndWithin is requestsEnd with a time limit.
+func (e *Entry) requestsEndWithin(ctx context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if err := e.callers.Shutdown(answering); err != nil {
-		e.journal.Logger(journal.Process).Warn().Int64("InProgress", e.inProgress.Load()).Err(err).Msg("interrupted requests have not ended; closing their connections")
+	return e.requestsEnd(ctx)
+}
+
+// requestsEnd waits until no request is in progress, or returns false once ctx is done. Until then http.Server.Shutdown must not be
+// called, because it drops requests on open connections, which are refused instead.
+func (e *Entry) requestsEnd(ctx context.Context) bool {
+	for e.inProgress.Load() > 0 {
+		if hub.Sleep(ctx, inProgressInterval) != nil {
+			return false
+		}
 	}
+	return true
 }
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -145,8 +145,10 @@
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
-	stop := x.whenInterrupted(func() { interrupt(errStopping) })
+	stop := x.whenInterrupted(func() { x.interruptUnlessBegun(interrupt) })
 	defer stop()
+	stopCut := x.whenCut(func() { interrupt(errStopping) })
+	defer stopCut()
 	defer func() { x.hedge.release() }()
 	for {
 		choice, err := x.choose(ctx)
@@ -367,6 +369,9 @@
 	if errors.Is(err, errQuarantined) {
 		return x.decision.Left
 	}
+	if errors.Is(err, errStopping) {
+		return stoppingRetryAfter
+	}
 	if errors.Is(err, placement.ErrPaused) {
 		return x.pauseLeft + rand.N(max(busyRetryAfter, fraction(x.pauseLeft, pauseSpread)))
 	}
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -45,12 +44,10 @@
 	Directory *directory.Directory
 	// Ready reports whether requests can be served by the current state of the directory.
 	Ready func() bool
-	// Stopping reports whether new requests are refused because the process stops; nil means never.
-	Stopping func() bool
-	// Interrupted, if not nil, is done once the process ends the requests in progress because its time to stop is up.
-	Interrupted context.Context
-	Placement   *placement.Placement
-	Pool        *channel.Pool
+	// Stop is the planned stop of the process; nil means that it never stops.
+	Stop      *Stop
+	Placement *placement.Placement
+	Pool      *channel.Pool
 	// Memory is the memory for bodies, BodyTimeout the time within which a further part of a body must be received, 0 for
 	// a default.
 	Memory      Memory
@@ -121,17 +118,6 @@
 	return x.authorize(x.handler.options.Directory.Current())
 }
 
-// refuseIfStopping refuses the request if the process stops and sends no more requests. It returns whether it did. A body may
-// take long, so this is checked before and after it is read.
-func (x *exchange) refuseIfStopping() bool {
-	stopping := x.handler.options.Stopping
-	if stopping == nil || !stopping() {
-		return false
-	}
-	x.refuse(errStopping.Error(), stoppingRetryAfter)
-	return true
-}
-
 // authorize sets the route, account and deadline of the request from the snapshot s. If s has no matching route or
 // requires an API key that the request lacks, it responds with an error and returns false. A request that had a route keeps
 // one in any case, because what has begun for it is ended under the name of its route.
@@ -223,21 +209,6 @@
 	return min(l.MaxBodyBytes, largestMaxBodyBytes)
 }
 
-// whenInterrupted calls f in its own goroutine once the process ends the requests in progress. Calling stop prevents that, and
-// returns false if it is too late.
-func (x *exchange) whenInterrupted(f func()) (stop func() bool) {
-	if ctx := x.handler.options.Interrupted; ctx != nil {
-		return context.AfterFunc(ctx, f)
-	}
-	return func() bool { return true }
-}
-
-// interrupted reports whether the process has ended the requests in progress.
-func (x *exchange) interrupted() bool {
-	ctx := x.handler.options.Interrupted
-	return ctx != nil && ctx.Err() != nil
-}
-
 // refuse responds with status 503 and a Retry-After header. It must only be used if the request has not run and will
 // not run later, since callers may repeat any request after it.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
@@ -286,6 +257,9 @@
 	if status == http.StatusServiceUnavailable && outcome == outcomeOwn {
 		line = line.Dur("RetryAfter", x.toldRetryAfter).Float64("Pressure", o.Placement.Pressure(x.service))
 	}
+	if d, ok := o.Stop.SinceBegun(); ok {
+		line = line.Dur("SinceStop", d)
+	}
 	line.Int64("BodyLength", x.r.ContentLength).Int("Sent", x.sent).Int("MayHaveRun", x.runs).Msg("request ended")
 }
 
--- a/internal/route/forward/interrupted_test.go
+++ b/internal/route/forward/interrupted_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -19,11 +18,11 @@
 // and returns its response. It fails the test if the response comes later than the interruption.
 func interruptedWaits(t *testing.T, memory forward.Memory, pool *channel.Pool, upstreams []*upstream, first, second func(h http.Handler, w *recorder)) *recorder {
 	t.Helper()
-	interrupted, interrupt := context.WithCancel(t.Context())
-	defer interrupt()
+	stop := forward.NewStop()
+	defer stop.Cut()
 	var h http.Handler
 	f := withFixtureOptions(t, fixtureOptions{pool: pool, serve: keepHandler(&h), limit: func(o *forward.Options) {
-		o.Memory, o.Interrupted = memory, interrupted
+		o.Memory, o.Stop = memory, stop
 	}}, upstreams...)
 	f.limitBodies(1 << 20)
 	go first(h, newRecorder())
@@ -38,7 +37,7 @@
 	default:
 	}
 	began := time.Now()
-	interrupt()
+	stop.Interrupt()
 	<-done
 	assert.Equal(t, time.Since(began), time.Duration(0), "the wait for memory went on after the requests had been interrupted")
 	return w
--- a/internal/route/forward/pipe_test.go
+++ b/internal/route/forward/pipe_test.go
@@ -45,10 +45,15 @@
 func withPipedServer(t *testing.T, p *pipes, serve func(http.Handler) *httptest.Server, upstreams ...*upstream) *fixture {
 	t.Helper()
 	f := withFixtureOptions(t, fixtureOptions{pool: channel.NewPool(p.dial), serve: serve}, upstreams...)
+	f.client = p.client(t)
+	return f
+}
+
+// client returns a client that connects to the server of p.
+func (p *pipes) client(t *testing.T) *http.Client {
 	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return p.connect() }}
 	t.Cleanup(transport.CloseIdleConnections)
-	f.client = &http.Client{Transport: transport}
-	return f
+	return &http.Client{Transport: transport}
 }
 
 // upstream returns an upstream that handles requests by s.
