route/forward: a stopping process refuses at once what it is likely to cut

Callers saw: a request accepted by a stopping process was cut when its time was up. Cause: nothing compared the time that responses take with what is left of the stop, at admission, after the queue, at a further attempt or a hedge. Class: a deadline of the process that the deadlines of its requests do not know.

TestRequestThatAStopIsLikelyToCutIsRefusedAtOnce and TestRequestIsNotSentAgainIfAStopIsLikelyToCutIt fail without the check.

--- a/internal/route/duration/estimate.go
+++ b/internal/route/duration/estimate.go
@@ -31,6 +31,7 @@
 	maxWeight = 1 << 30
 
 	leastPercentile = 25
+	mostPercentile  = 95
 )
 
 // estimate is the estimate of one service and route.
@@ -70,6 +71,16 @@
 	return d, true
 }
 
+// most returns the time that few responses exceed, or false if it is unknown or has expired.
+func (e *estimate) most(now time.Duration) (time.Duration, bool) {
+	if _, known := e.current(now); !known {
+		return 0, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(e.percentile(mostPercentile)), true
+}
+
 // add counts a response that took d and ended at now.
 func (e *estimate) add(d, now time.Duration) {
 	e.mu.Lock()
--- a/internal/route/duration/estimates.go
+++ b/internal/route/duration/estimates.go
@@ -51,6 +51,15 @@
 	return known.current(e.now())
 }
 
+// Most returns the time that one response in twenty exceeds, or false as Least does. It takes a lock, unlike Least.
+func (e *Estimates) Most(service, route string) (time.Duration, bool) {
+	known := (*e.routes.Load())[key{service, route}]
+	if known == nil {
+		return 0, false
+	}
+	return known.most(e.now())
+}
+
 // now returns the time since e was created.
 func (e *Estimates) now() time.Duration { return time.Since(e.created) }
 
--- a/internal/route/forward/remaining.go
+++ b/internal/route/forward/remaining.go
@@ -36,23 +36,36 @@
 }
 
 // acquireInTime is acquire for requests with enough time for a response, before and after the wait for an upstream. It
-// returns errTooShort for others.
+// returns errTooShort or errStopping for others.
 func (x *exchange) acquireInTime(ctx context.Context) (placement.Choice, error) {
-	if !x.timeSuffices() {
-		return placement.Choice{}, x.shortOfTime()
+	if err := x.checkTime(); err != nil {
+		return placement.Choice{}, err
 	}
 	choice, err := x.acquire(ctx)
 	if err != nil {
 		x.returnProbe()
 		return choice, err
 	}
-	if !x.timeSuffices() {
+	if err := x.checkTime(); err != nil {
 		choice.Release()
-		return choice, x.shortOfTime()
+		return choice, err
 	}
 	return choice, nil
 }
 
+// checkTime returns errTooShort or errStopping if a response is not likely to be complete in the time that the request or the process
+// has left.
+func (x *exchange) checkTime() error {
+	if err := x.checkCutoff(); err != nil {
+		x.returnProbe()
+		return err
+	}
+	if !x.timeSuffices() {
+		return x.shortOfTime()
+	}
+	return nil
+}
+
 // returnProbe lets another request be sent in place of this one, which is not sent, if that was a probe.
 func (x *exchange) returnProbe() {
 	if x.timeProbe {
@@ -100,12 +113,16 @@
 
 // timeForAnother reports whether the request may be sent again in its remaining time, and logs if not.
 func (x *exchange) timeForAnother() bool {
-	if x.timeSuffices() {
+	err := x.checkCutoff()
+	if err == nil && x.timeSuffices() {
 		return true
 	}
+	if err == nil {
+		err = errTooShort
+	}
 	x.handler.times.notRepeated.Inc()
 	x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Route", x.route.Name).Dur("Left", time.Until(x.deadline)).
-		Msg("not sent again: " + errTooShort.Error())
+		Err(err).Msg("not sent again")
 	return false
 }
 
@@ -115,6 +132,9 @@
 	if x.begun.Load() || x.caller.LastEvent != "" {
 		return true
 	}
+	if x.checkCutoff() != nil {
+		return false
+	}
 	least, known := x.handler.times.Least(x.service, x.route.Name)
 	// The margin covers the time until the request is sent again.
 	return !known || time.Until(x.deadline) >= least+minRemaining
