--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -10,8 +10,9 @@
 
 const (
 	// drainDelay is the time for which a stopping process still accepts connections. The load balancer checks readiness
-	// once a second and stops sending connections after two failed checks.
-	drainDelay = 2500 * time.Millisecond
+	// once a second and stops sending connections after two failed checks. A busy VM may learn of the signal late, so that
+	// little is added to that.
+	drainDelay = 2200 * time.Millisecond
 	// inProgressInterval is the interval at which a stopping process checks whether requests are in progress.
 	inProgressInterval = 10 * time.Millisecond
 	// interruptMargin is the time before the deadline of a planned stop at which requests without a response are answered,
