route/channel, wire/socket: an upstream may read a long body late

Cause: connections to upstreams have TCP_USER_TIMEOUT of 2 s. The kernel applies it to probes of a closed receive window too, although the peer acknowledges each of them: an upstream that lives and does not read for 2 s while more of a body is due than its receive buffer holds loses the connection, also one that has responded already and reads on later. The request ends with "connection broke: send: ... connection timed out", 502, or a cut stream where a hedge or a continuation sends the body again. EndedBy says network.

Ruled out: closing by the peer, which had the connection open for 4 s.

Change: calls with bodies over 32 KiB have 10 s instead, the next call on the connection 2 s again. A peer of such a call that is cut off is noticed later; the time limit of the request and hedges hold meanwhile.

--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -72,6 +72,8 @@
 	// openedAt is the time at which the connection was established, dialTime the time which that took.
 	openedAt time.Time
 	dialTime time.Duration
+	// lateRead is true if the upstream may read the body of the last call some seconds late.
+	lateRead bool
 	// shared is true while a call is in progress that may reuse connections.
 	shared bool
 }
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -7,8 +7,13 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
+// longBodyBytes is the length from which on a body may exceed what an upstream's receive buffer holds.
+const longBodyBytes = 32 << 10
+
 // sentError is the failure of an operation after bytes of a call have been sent.
 type sentError struct {
 	op  string
@@ -27,6 +32,9 @@
 			return err
 		}
 	}
+	if err := r.conn.allowLateRead(len(call.Body) > longBodyBytes); err != nil {
+		return err
+	}
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: r.Reused}
 	}
@@ -43,6 +51,15 @@
 	return err
 }
 
+// allowLateRead sets whether the upstream may read what is sent to it some seconds late.
+func (c *conn) allowLateRead(late bool) error {
+	if c.lateRead == late {
+		return nil
+	}
+	c.lateRead = late
+	return socket.LetPeerReadLate(c.Conn, late)
+}
+
 // checkNew returns an error if the upstream has already sent bytes on the new connection, closed or reset it. A reset by the
 // connection limit arrives about one round trip after the connection was established. Only if the upstream has reset others
 // recently, checkNew waits that long for it.
