route/forward: a stream is ended for a continuation only once that has its next event

Cause: a hedge that continues a silent stream counted as accepted with any first event of its response: a comment, an event that the caller has, or a later one. The first upstream, which may be sound and only pause, was ended then.

Evidence: TestStreamOutlivesAContinuationWithoutItsNextEvent (comment, later event, same event): first case failed with "unexpected EOF" before the change and ended the run, all three pass after it: go test -count=1 -run TestStreamOutlives ./internal/route/forward.

--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -176,7 +176,7 @@
 	response, err := x.handler.options.Pool.Send(h.ctx, c.Upstream.Address, call)
 	h.response = response
 	if err == nil {
-		err = g.check(h, lastEvent != "")
+		err = g.check(h, lastEvent)
 	} else {
 		g.failed(h, err)
 	}
@@ -186,8 +186,9 @@
 	return err == nil
 }
 
-// check returns an error unless the response of h shows that the upstream runs the request and has not failed it.
-func (g *hedger) check(h *hedge, resumed bool) error {
+// check returns an error unless the response of h shows that the upstream runs the request and has not failed it. If it continues
+// a stream, it must have the event after lastEvent.
+func (g *hedger) check(h *hedge, lastEvent string) error {
 	response, c := h.response, &h.choice
 	info := g.exchange.handler.options.Format.ParseResponse(response.Status, response.Header)
 	if info.NotRun {
@@ -195,6 +196,7 @@
 		g.refused(c, info.WrongInstance)
 		return fmt.Errorf("%w: status %d", errRefused, response.Status)
 	}
+	resumed := lastEvent != ""
 	success := response.Status >= 200 && response.Status < 300
 	var err error
 	switch {
@@ -202,7 +204,7 @@
 		err = fmt.Errorf("%w: status %d", errFailed, response.Status)
 	case resumed:
 		h.events = newEventReader(response)
-		err = h.events.await()
+		err = h.events.await(lastEvent)
 	}
 	if err != nil && h.ctx.Err() == nil {
 		c.Load.Failed()
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -124,9 +124,15 @@
 	return &eventReader{Reader: stream.NewReader(response)}
 }
 
-// await waits until Next can return an event, or returns the error that Next would return.
-func (r *eventReader) await() error {
+// await waits until Next can return the event that follows the one with the ID lastEvent, or returns the reason why it can't.
+func (r *eventReader) await(lastEvent string) error {
 	e, err := r.Reader.Next()
+	for err == nil && e.Comment {
+		e, err = r.Reader.Next()
+	}
+	if err == nil {
+		err = stream.NewSequence(lastEvent).Add(e)
+	}
 	if err != nil {
 		return fmt.Errorf("%w: no event: %w", channel.ErrBroken, err)
 	}
