route/forward: a stream that a stop has cut while its caller read slowly isn't logged as left by its caller

Cause: a handler that waits in a write isn't reached by the interruption; it ends once http.Server.Close closes the connection at the end of the stop, with an error of the write, which counted as the caller having left: Outcome gone, EndedBy caller. The log then tells nothing of a request that the stop has cut.

Evidence: TestStreamCutByAStopIsNotLoggedAsLeftByItsCaller, failed before (Outcome gone, "caller has left: use of closed network connection"), passes now; go test -count=1 ./internal/route/forward passes. The error wraps errGone too, so that nothing else changes (no further attempt, no failure of the upstream).

--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -105,7 +105,7 @@
 		}
 		if !events.Buffered() {
 			if err := x.flush(); err != nil {
-				return fmt.Errorf("%w: %w", errGone, err)
+				return fmt.Errorf("%w: %w", x.callerLost(), err)
 			}
 		}
 		if limit, ok := x.stallTimeout(); ok {
@@ -186,7 +186,7 @@
 		return fmt.Errorf("%w: %w", channel.ErrBroken, err)
 	}
 	if _, err := x.w.Write(e.Data); err != nil {
-		return fmt.Errorf("%w: %w", errGone, err)
+		return fmt.Errorf("%w: %w", x.callerLost(), err)
 	}
 	now := time.Now()
 	if !x.relay.lastAt.IsZero() {
@@ -226,19 +226,28 @@
 func (r *relay) abort(err error) {
 	x := r.exchange
 	outcome := "cut"
-	if x.r.Context().Err() != nil || errors.Is(err, errGone) {
+	if !x.interrupted() && (x.r.Context().Err() != nil || errors.Is(err, errGone)) {
 		outcome = "gone"
 	}
 	x.finish(outcome, http.StatusOK, fmt.Sprintf("%v, after %d events, resumed %d times", err, r.events, r.resumed))
 	panic(http.ErrAbortHandler)
 }
 
-// brokenError wraps channel.ErrBroken around the reason for which a response was not received completely: errGone if
+// callerLost returns an error that wraps errGone for a connection to the caller that is lost. It wraps errStopping too if this process
+// may have closed the connection at the end of a planned stop.
+func (x *exchange) callerLost() error {
+	if x.interrupted() {
+		return fmt.Errorf("%w: %w", errStopping, errGone)
+	}
+	return errGone
+}
+
+// brokenError wraps channel.ErrBroken around the reason for which a response was not received completely: that of callerLost if
 // the caller disconnected, else the cause of ctx if it is done, else err.
 func (x *exchange) brokenError(ctx context.Context, err error) error {
 	switch cause := context.Cause(ctx); {
 	case x.r.Context().Err() != nil:
-		err = errGone
+		err = x.callerLost()
 	case cause != nil:
 		err = cause
 	}
