cli/commands: signals that come while a process starts don't end it

Cause: SIGHUP, SIGTERM and SIGINT were caught only after the process had started and its listeners were open. A signal before that ended it at once, without a stop and without a line; requests that it had taken were cut. The time for it is short, longer on a starved VM.

--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -69,6 +69,11 @@
 				return err
 			}
 			defer j.Close()
+			// A signal that comes while the process starts must not end it.
+			hangup, stopHangup := notify(syscall.SIGHUP)
+			defer stopHangup()
+			ending, stopEnding := notify(os.Interrupt, syscall.SIGTERM)
+			defer stopEnding()
 			d, at, err := p.start(s, j)
 			if err != nil {
 				return err
@@ -76,8 +81,8 @@
 			l := j.Logger(journal.Process)
 			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
 			watchCtx, stopWatch := context.WithCancel(ctx)
-			go p.watchSettings(watchCtx, file, d, l)
-			stopOnSignal(ctx, p.stopTimeout(&s), d.Stop)
+			go p.watchSettings(watchCtx, hangup, file, d, l)
+			stopOnSignal(ctx, ending, p.stopTimeout(&s), d.Stop)
 			stopWatch()
 			l.Info().Msg("stopped")
 			return nil
@@ -88,12 +93,16 @@
 // settingsPollInterval is the interval at which the settings file is checked for changes.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when the content of the file has changed, until ctx is done. Invalid
-// settings are not applied.
-func (p processKind[S]) watchSettings(ctx context.Context, file string, d daemon, l *log.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// notify returns a channel that receives the given signals, which do not end the process any more, until stop is called.
+func notify(s ...os.Signal) (received <-chan os.Signal, stop func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, s...)
+	return c, func() { signal.Stop(c) }
+}
+
+// watchSettings reloads the settings on each signal from hangup and when the content of the file has changed, until ctx is done.
+// Invalid settings are not applied.
+func (p processKind[S]) watchSettings(ctx context.Context, hangup <-chan os.Signal, file string, d daemon, l *log.Logger) {
 	lastText, _ := os.ReadFile(file)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -178,12 +187,10 @@
 	return &table.ExitError{Code: table.ExitInvalid, Err: err}
 }
 
-// stopOnSignal waits for SIGTERM, SIGINT or the end of ctx, then calls stop with a context that expires after limit. Further
-// signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the context expire.
-func stopOnSignal(ctx context.Context, limit time.Duration, stop func(context.Context)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
+// stopOnSignal waits for one of the signals, SIGTERM and SIGINT, or the end of ctx, then calls stop with a context that expires
+// after limit. Further signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the
+// context expire.
+func stopOnSignal(ctx context.Context, signals <-chan os.Signal, limit time.Duration, stop func(context.Context)) {
 	select {
 	case <-ctx.Done():
 	case <-signals:
--- a/internal/cli/commands/processes_test.go
+++ b/internal/cli/commands/processes_test.go
@@ -23,8 +23,10 @@
 	t.Helper()
 	begin, cancel := context.WithCancel(context.Background())
 	cancel()
+	signals, stop := notify(os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	var sent, state error
-	stopOnSignal(begin, stopLimit, func(ctx context.Context) {
+	stopOnSignal(begin, signals, stopLimit, func(ctx context.Context) {
 		sent = syscall.Kill(os.Getpid(), s)
 		time.Sleep(signalTime)
 		state = ctx.Err()
--- a/internal/cli/commands/standins.go
+++ b/internal/cli/commands/standins.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/cli/table"
@@ -184,7 +185,9 @@
 	fmt.Fprintf(env.Out, "standin %s: on %s\n", name, l.Addr())
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinTimeout}
 	go func() { _ = server.Serve(l) }()
-	stopOnSignal(ctx, standinTimeout, func(ctx context.Context) {
+	signals, stop := notify(os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	stopOnSignal(ctx, signals, standinTimeout, func(ctx context.Context) {
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
 		}
