route/forward: the log of a cut stream follows the stop in two steps

A stream that has begun is cut later than other requests are interrupted; only from then on a lost connection to its caller is told as the stop's.

--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -226,7 +226,7 @@
 func (r *relay) abort(err error) {
 	x := r.exchange
 	outcome := "cut"
-	if !x.interrupted() && (x.r.Context().Err() != nil || errors.Is(err, errGone)) {
+	if !x.isCut() && (x.r.Context().Err() != nil || errors.Is(err, errGone)) {
 		outcome = "gone"
 	}
 	x.finish(outcome, http.StatusOK, fmt.Sprintf("%v, after %d events, resumed %d times", err, r.events, r.resumed))
@@ -236,7 +236,7 @@
 // callerLost returns an error that wraps errGone for a connection to the caller that is lost. It wraps errStopping too if this process
 // may have closed the connection at the end of a planned stop.
 func (x *exchange) callerLost() error {
-	if x.interrupted() {
+	if x.isCut() {
 		return fmt.Errorf("%w: %w", errStopping, errGone)
 	}
 	return errGone
--- a/internal/route/forward/stop.go
+++ b/internal/route/forward/stop.go
@@ -92,6 +92,12 @@
 	return s != nil && s.interrupted.Err() != nil
 }
 
+// isCut reports whether the process has cut the streams in progress.
+func (x *exchange) isCut() bool {
+	s := x.handler.options.Stop
+	return s != nil && s.cut.Err() != nil
+}
+
 // refuseIfStopping refuses the request if the process stops and sends no more requests. It returns whether it did. A body may
 // take long, so this is checked before and after it is read.
 func (x *exchange) refuseIfStopping() bool {
