process/node: a stopping process refuses the first request on an unused connection instead of dropping it

Callers saw: a request on a connection that was opened before the stop ended without an answer. Cause: http.Server.Shutdown closes a connection right after it has read the header of a request, and goes on for up to 5 s while an unused connection is open. The process now closes idle connections, and waits for up to 1 s for requests on unused ones, before it calls Shutdown.

TestRequestOnAnUnusedConnectionLateInAPlannedStopIsRefused: failed 2 of 2 before ('unexpected EOF'), passes; all tests of planned stops in ./internal/process/node pass.

--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -58,7 +58,7 @@
 	callers   *http.Server
 	ready     *http.Server
 	// listener accepts the connections of callers.
-	listener net.Listener
+	listener *listener.Listener
 	// stop is the planned stop, inProgress the number of requests that have begun and not ended.
 	stop       *forward.Stop
 	inProgress atomic.Int64
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -19,6 +19,8 @@
 	// cutMargin that at which streams in progress are cut. What remains is for the other steps of the stop.
 	interruptMargin = 700 * time.Millisecond
 	cutMargin       = 400 * time.Millisecond
+	// unusedTime is the time for which a stopping process waits for the first requests of open connections, to refuse them.
+	unusedTime = time.Second
 	// endTime is the time in which requests that were cut must end.
 	endTime = 100 * time.Millisecond
 )
@@ -84,7 +86,21 @@
 		ctx, cancel = context.WithDeadline(ctx, at)
 		defer cancel()
 	}
-	return e.requestsEnd(ctx) && e.callers.Shutdown(ctx) == nil
+	if !e.requestsEnd(ctx) {
+		return false
+	}
+	e.awaitUnused(ctx)
+	return e.callers.Shutdown(ctx) == nil
+}
+
+// awaitUnused closes the idle connections of callers and waits for up to unusedTime for requests on those that have not been used yet.
+func (e *Entry) awaitUnused(ctx context.Context) {
+	e.callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(ctx, unusedTime)
+	defer cancel()
+	for e.listener.Open() > 0 && hub.Sleep(ctx, inProgressInterval) == nil {
+		continue
+	}
 }
 
 // requestsEndWithin is requestsEnd with a time limit.
