route/forward: a waiting request that a newer configuration admits ends by its timeout

Callers saw: a request that waited for an upstream while its route's timeout was shortened was answered after the old one. Cause: the context of the request kept the deadline that it was made with, while the upstream was told the new one. Class: a deadline that is replaced in one place and copied in another. One timer, set again with the deadline, now ends the request.

TestShorterTimeoutAppliesToAWaitingRequest: failed before ('ended after 10s' for 2 s), passes now.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -79,7 +79,9 @@
 	r        *http.Request
 	started  time.Time
 	deadline time.Time
-	caller   hub.RequestInfo
+	// limit ends the request at its deadline.
+	limit  *time.Timer
+	caller hub.RequestInfo
 	// sentAhead is true if the caller sent the request before the response to the previous one began.
 	sentAhead bool
 	// snapshot is the desired state in which route and account were found.
@@ -141,10 +143,10 @@
 	x.service = pickTarget(x.route.Targets)
 	x.keys = x.quarantineKeys()
 	x.handler.options.RetryBudget.CountRequest(x.service)
-	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimedOut)
-	defer cancel()
-	ctx, interrupt := context.WithCancelCause(ctx)
+	ctx, interrupt := context.WithCancelCause(x.r.Context())
 	defer interrupt(nil)
+	x.limit = time.AfterFunc(time.Until(x.deadline), func() { interrupt(errTimedOut) })
+	defer x.limit.Stop()
 	stop := x.whenInterrupted(func() { x.interruptUnlessBegun(interrupt) })
 	defer stop()
 	stopCut := x.whenCut(func() { interrupt(errStopping) })
@@ -286,6 +288,7 @@
 	if !x.authorize(s) {
 		return false
 	}
+	x.limit.Reset(time.Until(x.deadline))
 	for _, t := range x.route.Targets {
 		if t.Service == x.service {
 			return true
