wire/listener: a connection that has got the memory that it waited for is not closed for another one

Callers saw: a request whose header had been received completely ended without an answer, at the limit of the memory for headers. Cause: a connection that has waited for memory counts as without progress for as long, and between its getting memory and the begin of its request another one that still waits may close it in its favour. It counts as progress now.

--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -135,6 +135,10 @@
 	if b == nil {
 		return true
 	}
+	if b.TryAcquire(n) {
+		c.charged.Add(n)
+		return true
+	}
 	c.waiting.Store(true)
 	reclaim := func() bool {
 		c.listener.reclaim(func(other *Conn) bool {
@@ -147,6 +151,8 @@
 		// It stays marked as waiting until it has been refused.
 		return false
 	}
+	// It might be closed for another one that still waits, before its request has begun.
+	c.progress()
 	c.waiting.Store(false)
 	c.charged.Add(n)
 	return true
