cli/commands: a planned stop takes the time of the settings that were reloaded last

Cause: the time for a stop (Bounds.Stop) was read from the settings at the start, although a reload tells that the bounds are in force. After a change to a shorter time the process would have been killed while it waits for requests in progress.

--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,10 +82,12 @@
 			l := j.Logger(journal.Process)
 			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
 			watchCtx, stopWatch := context.WithCancel(ctx)
-			go p.watchSettings(watchCtx, hangup, file, d, l)
-			limit := p.stopTimeout(&s)
+			inForce := &atomic.Pointer[S]{}
+			inForce.Store(&s)
+			go p.watchSettings(watchCtx, hangup, file, d, inForce, l)
+			limit := func() time.Duration { return p.stopTimeout(inForce.Load()) }
 			stopOnSignal(ctx, ending, limit, func(ctx context.Context) {
-				l.Info().Dur("Within", limit).Msg("stopping")
+				l.Info().Dur("Within", limit()).Msg("stopping")
 				d.Stop(ctx)
 			})
 			stopWatch()
@@ -105,8 +108,8 @@
 }
 
 // watchSettings reloads the settings on each signal from hangup and when the content of the file has changed, until ctx is done.
-// Invalid settings are not applied.
-func (p processKind[S]) watchSettings(ctx context.Context, hangup <-chan os.Signal, file string, d daemon, l *log.Logger) {
+// Invalid settings are not applied. inForce is replaced by settings that are applied.
+func (p processKind[S]) watchSettings(ctx context.Context, hangup <-chan os.Signal, file string, d daemon, inForce *atomic.Pointer[S], l *log.Logger) {
 	lastText, _ := os.ReadFile(file)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -128,12 +131,12 @@
 			continue
 		}
 		lastText = text
-		p.reloadSettings(file, d, l)
+		p.reloadSettings(file, d, inForce, l)
 	}
 }
 
 // reloadSettings loads the settings file and applies it to d if the process supports that.
-func (p processKind[S]) reloadSettings(file string, d daemon, l *log.Logger) {
+func (p processKind[S]) reloadSettings(file string, d daemon, inForce *atomic.Pointer[S], l *log.Logger) {
 	s, err := p.loadSettings(file)
 	switch {
 	case err != nil:
@@ -141,6 +144,7 @@
 	case p.reload == nil:
 		l.Info().Str("Settings", file).Msg("settings file is valid; changes take effect after a restart")
 	default:
+		inForce.Store(&s)
 		l.Info().Str("Settings", file).Strs("AtNextStart", p.reload(d, s)).Msg("settings reloaded")
 	}
 }
@@ -192,14 +196,14 @@
 }
 
 // stopOnSignal waits for one of the signals, SIGTERM and SIGINT, or the end of ctx, then calls stop with a context that expires
-// after limit. Further signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the
-// context expire.
-func stopOnSignal(ctx context.Context, signals <-chan os.Signal, limit time.Duration, stop func(context.Context)) {
+// after what limit returns then. Further signals do not end the process during the stop; SIGINT, which operators send from a
+// terminal, makes the context expire.
+func stopOnSignal(ctx context.Context, signals <-chan os.Signal, limit func() time.Duration, stop func(context.Context)) {
 	select {
 	case <-ctx.Done():
 	case <-signals:
 	}
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit())
 	defer cancel()
 	go func() {
 		for {
--- a/internal/cli/commands/processes_test.go
+++ b/internal/cli/commands/processes_test.go
@@ -26,7 +26,7 @@
 	signals, stop := notify(os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var sent, state error
-	stopOnSignal(begin, signals, stopLimit, func(ctx context.Context) {
+	stopOnSignal(begin, signals, func() time.Duration { return stopLimit }, func(ctx context.Context) {
 		sent = syscall.Kill(os.Getpid(), s)
 		time.Sleep(signalTime)
 		state = ctx.Err()
--- a/internal/cli/commands/standins.go
+++ b/internal/cli/commands/standins.go
@@ -187,7 +187,7 @@
 	go func() { _ = server.Serve(l) }()
 	signals, stop := notify(os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	stopOnSignal(ctx, signals, standinTimeout, func(ctx context.Context) {
+	stopOnSignal(ctx, signals, func() time.Duration { return standinTimeout }, func(ctx context.Context) {
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
 		}
