process/admin: a stop doesn't wait for unused connections and profiles

Cause: the last step of a stop waited for http.Server.Shutdown of the admin listener until the deadline, which is the moment at which the platform kills the process: up to 5 s for a connection on which nothing was sent, up to a minute for a profile. A process that is killed loses the queue of its log, with the lines of the requests that the stop has cut.

Close now waits for 100 ms and closes what is left.

--- a/internal/process/admin/server.go
+++ b/internal/process/admin/server.go
@@ -31,6 +31,8 @@
 	sendTimeout = 10 * time.Second
 	// socketBuffer is the size of the buffers that the kernel holds for a connection.
 	socketBuffer = 64 << 10
+	// closeTimeout is the time for which Close waits for requests in progress.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // Server is the admin server of a process.
@@ -136,7 +138,12 @@
 // Address returns the address of the listener.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close stops the listener and waits for requests in progress until ctx is done.
+// Close stops the listener, waits for requests in progress for a short time and closes all connections. It waits no longer than
+// until ctx is done.
 func (s *Server) Close(ctx context.Context) {
-	_ = s.http.Shutdown(ctx)
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
 }
