platform/standin, soak/cluster: report when an upstream ceases to work on a request and when a process has ended

LOST excuses the end of a request on which its upstream was still at work late in a planned stop, so that a test of such stops needs the time of the end beside that of the arrival.

--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -58,6 +58,8 @@
 	OnExit  func(error)
 	// BrokeOff is called with the ID of each request whose response an upstream breaks off.
 	BrokeOff func(requestId string)
+	// Ended is called with the ID of each request on which an upstream has ceased to work.
+	Ended func(requestId string)
 }
 
 // Cluster is a running deployment.
@@ -95,7 +97,7 @@
 }
 
 func (c *Cluster) start() error {
-	site, err := standin.NewSite(standin.SiteOptions{Faults: c.options.Faults, Observe: c.options.Observe, BrokeOff: c.options.BrokeOff, Front: c.front})
+	site, err := standin.NewSite(standin.SiteOptions{Faults: c.options.Faults, Observe: c.options.Observe, BrokeOff: c.options.BrokeOff, Ended: c.options.Ended, Front: c.front})
 	if err != nil {
 		return err
 	}
--- a/internal/soak/cluster/process.go
+++ b/internal/soak/cluster/process.go
@@ -85,11 +85,16 @@
 	return p.current
 }
 
+// Stopped tells when a process was sent a signal that ends it and when it had ended.
+type Stopped struct{ Signalled, Ended time.Time }
+
 // end sends a signal that ends the process, and kills it if it still runs after stopTimeout.
-func (p *Process) end(s syscall.Signal) {
+func (p *Process) end(s syscall.Signal) Stopped {
+	out := Stopped{Signalled: time.Now()}
 	r := p.running()
 	if r == nil {
-		return
+		out.Ended = out.Signalled
+		return out
 	}
 	r.expected.Store(true)
 	_ = r.cmd.Process.Signal(s)
@@ -99,16 +104,24 @@
 		_ = r.cmd.Process.Kill()
 		<-r.ended
 	}
+	out.Ended = time.Now()
+	return out
 }
 
 // Restart ends the process with a signal, waits for a time and starts it again. It does nothing while the process is being
 // restarted already.
 func (p *Process) Restart(s syscall.Signal, wait time.Duration) error {
+	_, err := p.RestartTimed(s, wait)
+	return err
+}
+
+// RestartTimed is Restart, and returns when the process has ended, the zero value if it did nothing.
+func (p *Process) RestartTimed(s syscall.Signal, wait time.Duration) (Stopped, error) {
 	if !p.turn.TryLock() {
-		return nil
+		return Stopped{}, nil
 	}
 	defer p.turn.Unlock()
-	p.end(s)
+	out := p.end(s)
 	time.Sleep(wait)
-	return p.start()
+	return out, p.start()
 }
