--- /dev/null
+++ b/cmd/oriolehub/stops_body_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// minPartPause and maxPartPause limit the time between two parts of a body that is sent slowly, maxBodyTime that for all of it.
+	minPartPause = 50 * time.Millisecond
+	maxPartPause = 2 * time.Second
+	maxBodyTime  = 4 * time.Second
+	// shortBody and longBody are the lengths of bodies that are sent at once.
+	shortBody = 2 << 10
+	longBody  = 40 << 10
+	// lastChunk ends a body in chunks.
+	lastChunk = "0\r\n\r\n"
+)
+
+// part is a part of a request that is sent after a pause.
+type part struct {
+	pause time.Duration
+	bytes string
+}
+
+// bodyKind is a way to send a body.
+type bodyKind struct {
+	name string
+	// header is the header line of the body, parts are the parts after the header. The first part without a pause is sent
+	// together with the header.
+	draw func(*rand.Rand) (header string, parts []part)
+}
+
+// bodyKinds are the ways to send bodies, the slow ones in chunks more often.
+var bodyKinds = []bodyKind{
+	{"none", func(*rand.Rand) (string, []part) { return "Content-Length: 0", nil }},
+	{"length", drawLength},
+	{"length-slow", drawSlowLength},
+	{"chunks", drawChunks},
+	{"chunks-slow", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, shortBody) }},
+	{"chunks-slow", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, shortBody) }},
+	{"chunks-bytes", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, 1) }},
+	{"chunks-end", drawSeparateEnd},
+	{"chunks-end", drawSeparateEnd},
+	{"chunks-split-end", drawSplitEnd},
+}
+
+const chunkedHeader = "Transfer-Encoding: chunked"
+
+// chunk returns one chunk of a body.
+func chunk(length int) string {
+	return fmt.Sprintf("%x\r\n%s\r\n", length, strings.Repeat("x", length))
+}
+
+func lengthHeader(n int) string { return "Content-Length: " + strconv.Itoa(n) }
+
+func drawLength(rng *rand.Rand) (string, []part) {
+	n := []int{shortBody, longBody}[rng.IntN(2)]
+	return lengthHeader(n), []part{{bytes: strings.Repeat("x", n)}}
+}
+
+func drawSlowLength(rng *rand.Rand) (string, []part) {
+	pauses := drawPauses(rng)
+	var parts []part
+	for _, pause := range pauses {
+		parts = append(parts, part{pause, strings.Repeat("x", shortBody)})
+	}
+	return lengthHeader(len(pauses) * shortBody), parts
+}
+
+func drawChunks(*rand.Rand) (string, []part) {
+	return chunkedHeader, []part{{bytes: chunk(longBody) + lastChunk}}
+}
+
+// drawSlowChunks draws a body whose last chunk comes together with the end.
+func drawSlowChunks(rng *rand.Rand, length int) (string, []part) {
+	var parts []part
+	for _, pause := range drawPauses(rng) {
+		parts = append(parts, part{pause, chunk(length)})
+	}
+	parts[len(parts)-1].bytes += lastChunk
+	return chunkedHeader, parts
+}
+
+// drawSeparateEnd draws a body whose end comes separately.
+func drawSeparateEnd(rng *rand.Rand) (string, []part) {
+	pauses := drawPauses(rng)
+	var parts []part
+	for _, pause := range pauses[:len(pauses)-1] {
+		parts = append(parts, part{pause, chunk(shortBody)})
+	}
+	return chunkedHeader, append(parts, part{pauses[len(pauses)-1], lastChunk})
+}
+
+// drawSplitEnd draws a body whose end comes in two parts.
+func drawSplitEnd(rng *rand.Rand) (string, []part) {
+	pauses := drawPauses(rng)
+	parts := []part{{bytes: chunk(shortBody)}}
+	for i, pause := range pauses {
+		at := len(lastChunk) * i / len(pauses)
+		until := len(lastChunk) * (i + 1) / len(pauses)
+		parts = append(parts, part{pause, lastChunk[at:until]})
+	}
+	return chunkedHeader, parts
+}
+
+// drawPauses returns at least one pause, and pauses of maxBodyTime at most together.
+func drawPauses(rng *rand.Rand) []time.Duration {
+	left := time.Duration(rng.Int64N(int64(maxBodyTime)))
+	var out []time.Duration
+	for left > 0 || len(out) == 0 {
+		pause := min(max(left, minPartPause), drawTime(rng, minPartPause, maxPartPause))
+		out = append(out, pause)
+		left -= pause
+	}
+	return out
+}
+
+// drawTime returns a time of at least least and less than most.
+func drawTime(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
