--- a/cmd/oriolehub/stops_body_test.go
+++ b/cmd/oriolehub/stops_body_test.go
@@ -1,11 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -29,8 +35,7 @@
 // bodyKind is a way to send a body.
 type bodyKind struct {
 	name string
-	// header is the header line of the body, parts are the parts after the header. The first part without a pause is sent
-	// together with the header.
+	// draw returns the header line of the body and its parts. A first part without a pause is sent together with the head.
 	draw func(*rand.Rand) (header string, parts []part)
 }
 
@@ -123,3 +128,16 @@
 func drawTime(rng *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(rng.Int64N(int64(most-least)))
 }
+
+func newRandom(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+
+// assertWhole fails the test unless a body is exactly what its header line says.
+func assertWhole(t *testing.T, header, body string) {
+	t.Helper()
+	in := bufio.NewReader(strings.NewReader("POST / HTTP/1.1\r\nHost: x\r\n" + header + "\r\n\r\n" + body))
+	r, err := http.ReadRequest(in)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, r.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, in.Buffered(), 0)
+}
--- a/cmd/oriolehub/stops_judge_test.go
+++ b/cmd/oriolehub/stops_judge_test.go
@@ -24,6 +24,8 @@
 // stops keeps what has happened beside planned stops. It is safe for concurrent use.
 type stops struct {
 	changes *changes
+	// folder holds the logs of the processes.
+	folder string
 
 	mu sync.Mutex
 	// byProcess are the stops of each process; Ended is zero while one is in progress.
--- a/cmd/oriolehub/stops_test.go
+++ b/cmd/oriolehub/stops_test.go
@@ -141,12 +141,12 @@
 func startStopping(t *testing.T) (*cluster.Cluster, *stops) {
 	t.Helper()
 	s := newStops()
-	folder := *stopsFolder
-	if folder == "" {
-		folder = t.TempDir()
+	s.folder = *stopsFolder
+	if s.folder == "" {
+		s.folder = t.TempDir()
 	}
 	started, err := cluster.Start(cluster.Options{
-		Size: stopsSize, Program: cluster.Program{Path: os.Args[0], Env: append(os.Environ(), envProgram+"=1")}, Folder: folder,
+		Size: stopsSize, Program: cluster.Program{Path: os.Args[0], Env: append(os.Environ(), envProgram+"=1")}, Folder: s.folder,
 		Switch: stopTime, Events: stopsEvents, Observe: s.changes.observe, Ended: s.addEnd, BrokeOff: s.addBrokenOff,
 		OnExit: func(err error) { t.Error(err) },
 	})
@@ -174,7 +174,7 @@
 	defer cancel()
 	var seen stopEndings
 	var running sync.WaitGroup
-	random := func(stream int) *rand.Rand { return rand.New(rand.NewPCG(*stopsSeed, uint64(stream))) }
+	random := func(stream int) *rand.Rand { return newRandom(*stopsSeed, uint64(stream)) }
 	running.Go(func() { s.stop(ctx, t, deployment, random(stopsStream)) })
 	running.Go(func() { s.configure(ctx, random(stopsChanges)) })
 	running.Go(func() { s.slow(ctx, random(stopsFirstSlow), changingEngines(), minSlow, maxSlow) })
@@ -242,7 +242,8 @@
 	for process, all := range s.byProcess {
 		stopped += len(all)
 		for _, stop := range all {
-			t.Logf("%s: SIGTERM at %s, ended after %s", process, stop.Signalled.Format("15:04:05.000"), stop.Ended.Sub(stop.Signalled).Round(time.Millisecond))
+			t.Logf("%s: SIGTERM at %s, noticed after %s, ended after %s", process, stop.Signalled.Format("15:04:05.000"),
+				s.noticed(process, stop).Round(time.Millisecond), stop.Ended.Sub(stop.Signalled).Round(time.Millisecond))
 		}
 	}
 	t.Logf("seed %d: %d stops, %d configurations, %d hangs, %d requests: %v", *stopsSeed, stopped, s.changes.version, s.changes.hangs, len(all), counts)
