route/forward: a body in chunks whose last line breaks are late is answered 408, not 400

Cause: net/http reports a read deadline within the line breaks after the last chunk as a trailer that is cut, so that the comparison with os.ErrDeadlineExceeded missed it. Callers don't come back after 400. The body reader now names the deadline if it has passed, and keeps the error.

--- a/internal/route/forward/memory.go
+++ b/internal/route/forward/memory.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -153,5 +154,10 @@
 	if b.exchange.interrupted() {
 		return 0, os.ErrDeadlineExceeded
 	}
-	return b.body.Read(p)
+	n, err := b.body.Read(p)
+	if err != nil && err != io.EOF && !time.Now().Before(deadline) {
+		// The end of a body in chunks that is cut within its last line breaks is not reported as a deadline.
+		err = fmt.Errorf("%w: %w", os.ErrDeadlineExceeded, err)
+	}
+	return n, err
 }
