cli/commands: a signal right after the start doesn't end a process with its requests

Signals were registered after the callers' listener had opened and 'started' was logged, SIGHUP in a goroutine of its own. One that came between ended the process at once: trial with SIGHUP at the first connection 'entry-0 has ended by itself: signal: hangup' at the first of 10 starts; SIGTERM: gone after 67 ms without a planned stop, first run. They are registered before the start now.

TestSignalsRightAfterTheStartAreHandled failed before for each of the two signals, passes now (3 starts each, 14 s).

--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -69,6 +69,11 @@
 				return err
 			}
 			defer j.Close()
+			// Registered before the start: a signal that comes before that would end the process with its requests.
+			ends, hangups := stopSignals(), make(chan os.Signal, 1)
+			defer signal.Stop(ends)
+			signal.Notify(hangups, syscall.SIGHUP)
+			defer signal.Stop(hangups)
 			d, at, err := p.start(s, j)
 			if err != nil {
 				return err
@@ -76,9 +81,9 @@
 			l := j.Logger(journal.Process)
 			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
 			watchCtx, stopWatch := context.WithCancel(ctx)
-			go p.watchSettings(watchCtx, file, d, l)
+			go p.watchSettings(watchCtx, hangups, file, d, l)
 			limit := p.stopTimeout(&s)
-			stopOnSignal(ctx, limit, func(ctx context.Context) {
+			stopOnOneOf(ctx, ends, limit, func(ctx context.Context) {
 				l.Info().Dur("Within", limit).Msg("stopping")
 				d.Stop(ctx)
 			})
@@ -92,12 +97,9 @@
 // settingsPollInterval is the interval at which the settings file is checked for changes.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when the content of the file has changed, until ctx is done. Invalid
+// watchSettings reloads the settings on each of hangups and when the content of the file has changed, until ctx is done. Invalid
 // settings are not applied.
-func (p processKind[S]) watchSettings(ctx context.Context, file string, d daemon, l *log.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func (p processKind[S]) watchSettings(ctx context.Context, hangups <-chan os.Signal, file string, d daemon, l *log.Logger) {
 	lastText, _ := os.ReadFile(file)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -106,7 +108,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-hangups:
 			forced = true
 		case <-ticker.C:
 		}
@@ -185,9 +187,20 @@
 // stopOnSignal waits for SIGTERM, SIGINT or the end of ctx, then calls stop with a context that expires after limit. Further
 // signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the context expire.
 func stopOnSignal(ctx context.Context, limit time.Duration, stop func(context.Context)) {
+	signals := stopSignals()
+	defer signal.Stop(signals)
+	stopOnOneOf(ctx, signals, limit, stop)
+}
+
+// stopSignals returns a channel that receives the signals that stop a process, until signal.Stop.
+func stopSignals() chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// stopOnOneOf is stopOnSignal for signals that are registered already.
+func stopOnOneOf(ctx context.Context, signals <-chan os.Signal, limit time.Duration, stop func(context.Context)) {
 	select {
 	case <-ctx.Done():
 	case <-signals:
