--- a/cmd/oriolehub/stops_test.go
+++ b/cmd/oriolehub/stops_test.go
@@ -31,6 +31,8 @@
 	minStopGap  = time.Second
 	maxStopGap  = 6 * time.Second
 	maxStopping = 2
+	// reloadAfter is the time after the signal of a stop at which the process reloads its settings.
+	reloadAfter = time.Second
 	// stopsEvents is the number of events of each stream, which minSlow and maxSlow make last longer.
 	stopsEvents = 60
 	minSlow     = 2500 * time.Millisecond
@@ -48,6 +50,7 @@
 	stopsChanges     = 1
 	stopsFirstHang   = 2
 	stopsFirstSlow   = 4
+	stopsSides       = 1000
 	stopsFirstCaller = 6
 )
 
@@ -81,15 +84,28 @@
 	}
 }
 
-// restart stops a process and waits until it serves again.
+// restart stops a process, which reloads its settings before and meanwhile, and waits until it serves again.
 func (s *stops) restart(t *testing.T, deployment *cluster.Cluster, name string) {
+	p := deployment.Processes[name]
 	done := s.addStop(name)
-	stopped, err := deployment.Processes[name].RestartTimed(syscall.SIGTERM, 0)
+	assert.Check(t, p.Signal(syscall.SIGHUP) == nil)
+	reload := time.AfterFunc(reloadAfter, func() { _ = p.Signal(syscall.SIGHUP) })
+	stopped, err := p.RestartTimed(syscall.SIGTERM, 0)
+	reload.Stop()
 	done(stopped)
 	assert.Check(t, err == nil, err)
 	assert.Check(t, deployment.AwaitReady(name, readyTimeout), name)
 }
 
+// restartSides stops one side process after the other, and starts each again, until ctx is done.
+func restartSides(ctx context.Context, t *testing.T, deployment *cluster.Cluster, rng *rand.Rand) {
+	for i := 0; hub.Sleep(ctx, drawTime(rng, minStopGap, maxStopGap)) == nil; i++ {
+		name := plan.SideName(i % stopsSize.Engines)
+		assert.Check(t, deployment.Processes[name].Restart(syscall.SIGTERM, 0) == nil)
+		assert.Check(t, deployment.AwaitReady(name, readyTimeout), name)
+	}
+}
+
 // configure changes the configuration in some phases until ctx is done, and writes the first one at the end of each.
 func (s *stops) configure(ctx context.Context, rng *rand.Rand) {
 	for hub.Sleep(ctx, drawTime(rng, minPhase, maxPhase)) == nil {
@@ -177,6 +193,7 @@
 	var running sync.WaitGroup
 	random := func(stream int) *rand.Rand { return newRandom(*stopsSeed, uint64(stream)) }
 	running.Go(func() { s.stop(ctx, t, deployment, random(stopsStream)) })
+	running.Go(func() { restartSides(ctx, t, deployment, random(stopsSides)) })
 	running.Go(func() { s.configure(ctx, random(stopsChanges)) })
 	running.Go(func() { s.slow(ctx, random(stopsFirstSlow), changingEngines(), minSlow, maxSlow) })
 	running.Go(func() { s.slow(ctx, random(stopsFirstSlow+1), changingPlain(), 0, maxSlowOnce) })
