cmd/oriolehub: ends beside planned stops are not held against the program while the test itself did not run

All three processes received nothing from 15:59:20.13 to 21.21 and everything at once then: the stand-ins and proxies, in the process of the test, had no processor. Wrong responses and runs count in any case.

--- a/cmd/oriolehub/stops_judge_test.go
+++ b/cmd/oriolehub/stops_judge_test.go
@@ -33,6 +33,8 @@
 	// ended are the times at which upstreams ceased to work on requests, brokeOff the requests that they broke off.
 	ended    map[string]time.Time
 	brokeOff map[string]bool
+	// stalls are the times in which the process of the test did not run.
+	stalls []interval
 }
 
 func newStops() *stops {
@@ -85,10 +87,32 @@
 	endNotRead    = "closed, not sent whole"
 	endBrokenOff  = "broken off by the upstream"
 	endStillBegun = "still at work at the end of the stop"
+	endStalled    = "unclear, because the test did not run"
 )
 
-// judge returns how a request has ended, and false if it must not end so.
+// judge returns how a request has ended, and false if it must not end so. Wrong responses, and requests that must not have run, are
+// wrong in any case.
 func (s *stops) judge(e *stopEnding) (string, bool) {
+	end, ok := s.judgeCalm(e)
+	if !ok && s.incomplete(e) && s.stalled(e) {
+		return endStalled, true
+	}
+	return end, ok
+}
+
+// incomplete reports whether a request has ended without a complete answer of an upstream, but not with something else.
+func (s *stops) incomplete(e *stopEnding) bool {
+	if e.sentAll.IsZero() && len(s.changes.arrivals[e.id]) > 0 {
+		return false
+	}
+	if e.err == nil {
+		return e.status == http.StatusBadGateway || e.status == http.StatusGatewayTimeout
+	}
+	return e.status == 0 || e.status == http.StatusOK && strings.HasPrefix(e.expected(), e.body)
+}
+
+// judgeCalm is judge for a process of the test that always runs.
+func (s *stops) judgeCalm(e *stopEnding) (string, bool) {
 	switch {
 	case e.sentAll.IsZero() && e.status == http.StatusOK:
 		return "answered before it was sent whole", false
--- a/cmd/oriolehub/stops_judgetable_test.go
+++ b/cmd/oriolehub/stops_judgetable_test.go
@@ -22,9 +22,11 @@
 	refusals, runs int
 	ceased         time.Duration
 	brokeOff       bool
-	status         int
-	body           string
-	err            error
+	// stalled is true if the process of the test did not run from 1.5 s to 0.5 s before the end.
+	stalled bool
+	status  int
+	body    string
+	err     error
 }
 
 const (
@@ -48,6 +50,10 @@
 		}
 	}
 	s.brokeOff["x"] = j.brokeOff
+	if j.stalled {
+		ended := signalled.Add(j.ended)
+		s.stalls = []interval{{ended.Add(-1500 * time.Millisecond), ended.Add(-500 * time.Millisecond)}}
+	}
 	e := &stopEnding{
 		ending: ending{
 			id: "x", process: "p", class: j.class, limit: j.class.limit, sent: signalled.Add(j.sent), ended: signalled.Add(j.ended),
@@ -108,7 +114,14 @@
 		"closed on a later connection": {
 			judged{class: once, opened: 7600 * ms, sent: 8 * second, sentAll: 8 * second, ended: 8 * second, err: io.EOF}, false,
 		},
-		"answered without a run, cut": {judged{class: stream, sentAll: second, ended: second, status: 200, body: part, err: io.EOF}, false},
+		"cut after a stall of the test": {
+			judged{class: stream, sent: second, sentAll: 2 * second, ended: 6 * second, runs: 1, status: 200, body: part, err: io.EOF, stalled: true}, true,
+		},
+		"other bytes after a stall":                {judged{class: stream, ended: 6 * second, runs: 1, status: 200, body: "id: 2", err: io.EOF, stalled: true}, false},
+		"504 after a stall":                        {judged{class: once, ended: 5 * second, runs: 1, status: 504, body: "time is up", stalled: true}, true},
+		"passed on without its end, after a stall": {judged{class: once, sentAll: notSent, ended: 7 * second, runs: 1, err: io.EOF, stalled: true}, false},
+		"refused after a run and a stall":          {judged{class: once, ended: second, runs: 1, status: 503, stalled: true}, false},
+		"answered without a run, cut":              {judged{class: stream, sentAll: second, ended: second, status: 200, body: part, err: io.EOF}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			end, ok := judgeOne(&tc.judged)
