--- a/internal/cli/commands/processes.go
+++ b/internal/cli/commands/processes.go
@@ -69,11 +69,11 @@
 				return err
 			}
 			defer j.Close()
-			// Registered before the start: a signal that comes before that would end the process with its requests.
-			ends, hangups := stopSignals(), make(chan os.Signal, 1)
-			defer signal.Stop(ends)
-			signal.Notify(hangups, syscall.SIGHUP)
-			defer signal.Stop(hangups)
+			// A signal that comes while the process starts must not end it.
+			hangup, stopHangup := notify(syscall.SIGHUP)
+			defer stopHangup()
+			ending, stopEnding := notify(os.Interrupt, syscall.SIGTERM)
+			defer stopEnding()
 			d, at, err := p.start(s, j)
 			if err != nil {
 				return err
@@ -81,9 +81,9 @@
 			l := j.Logger(journal.Process)
 			l.Info().Str("Role", p.name).Str("Id", at.Id).Str("Callers", at.Callers).Str("Control", at.Control).Str("Settings", file).Msg("started")
 			watchCtx, stopWatch := context.WithCancel(ctx)
-			go p.watchSettings(watchCtx, hangups, file, d, l)
+			go p.watchSettings(watchCtx, hangup, file, d, l)
 			limit := p.stopTimeout(&s)
-			stopOnOneOf(ctx, ends, limit, func(ctx context.Context) {
+			stopOnSignal(ctx, ending, limit, func(ctx context.Context) {
 				l.Info().Dur("Within", limit).Msg("stopping")
 				d.Stop(ctx)
 			})
@@ -97,9 +97,16 @@
 // settingsPollInterval is the interval at which the settings file is checked for changes.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on each of hangups and when the content of the file has changed, until ctx is done. Invalid
-// settings are not applied.
-func (p processKind[S]) watchSettings(ctx context.Context, hangups <-chan os.Signal, file string, d daemon, l *log.Logger) {
+// notify returns a channel that receives the given signals, which do not end the process any more, until stop is called.
+func notify(s ...os.Signal) (received <-chan os.Signal, stop func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, s...)
+	return c, func() { signal.Stop(c) }
+}
+
+// watchSettings reloads the settings on each signal from hangup and when the content of the file has changed, until ctx is done.
+// Invalid settings are not applied.
+func (p processKind[S]) watchSettings(ctx context.Context, hangup <-chan os.Signal, file string, d daemon, l *log.Logger) {
 	lastText, _ := os.ReadFile(file)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
@@ -108,7 +115,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-hangup:
 			forced = true
 		case <-ticker.C:
 		}
@@ -184,23 +191,10 @@
 	return &table.ExitError{Code: table.ExitInvalid, Err: err}
 }
 
-// stopOnSignal waits for SIGTERM, SIGINT or the end of ctx, then calls stop with a context that expires after limit. Further
-// signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the context expire.
-func stopOnSignal(ctx context.Context, limit time.Duration, stop func(context.Context)) {
-	signals := stopSignals()
-	defer signal.Stop(signals)
-	stopOnOneOf(ctx, signals, limit, stop)
-}
-
-// stopSignals returns a channel that receives the signals that stop a process, until signal.Stop.
-func stopSignals() chan os.Signal {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	return signals
-}
-
-// stopOnOneOf is stopOnSignal for signals that are registered already.
-func stopOnOneOf(ctx context.Context, signals <-chan os.Signal, limit time.Duration, stop func(context.Context)) {
+// stopOnSignal waits for one of the signals, SIGTERM and SIGINT, or the end of ctx, then calls stop with a context that expires
+// after limit. Further signals do not end the process during the stop; SIGINT, which operators send from a terminal, makes the
+// context expire.
+func stopOnSignal(ctx context.Context, signals <-chan os.Signal, limit time.Duration, stop func(context.Context)) {
 	select {
 	case <-ctx.Done():
 	case <-signals:
