--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -101,7 +101,7 @@
 	}
 	c, reused, err := p.get(ctx, address, call)
 	if err != nil {
-		return nil, p.dialError(address, call, err)
+		return nil, p.dialError(ctx, address, call, err)
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
 	r.stop = context.AfterFunc(ctx, c.abort)
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -85,7 +85,10 @@
 
 // dialError returns the error of Send for the failure err to get a connection. A reset, as opposed to a refusal, comes after
 // the handshake: if it is fast enough, the operating system reports it as the result of the handshake.
-func (p *Pool) dialError(address string, call *Call, err error) error {
+func (p *Pool) dialError(ctx context.Context, address string, call *Call, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, cause)
+	}
 	if call.MaxConnections > 0 && errors.Is(err, syscall.ECONNRESET) {
 		p.resetByLimit(address, false)
 		return fmt.Errorf("%w: %w: %w", ErrNotSent, ErrReset, err)
--- a/internal/route/forward/ended.go
+++ b/internal/route/forward/ended.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"os"
 	"syscall"
@@ -17,6 +18,7 @@
 	endedByCaller    = "caller"
 	endedByHedge     = "hedge"
 	endedByVersion   = "version"
+	endedByFirst     = "first attempt"
 	endedByMemory    = "memory"
 	endedByConnLimit = "connection limit"
 )
@@ -31,12 +33,15 @@
 	{errGone, endedByCaller},
 	{errSlow, endedByHedge},
 	{errReplaced, endedByVersion},
+	{errUnneeded, endedByFirst},
 	{errNoResponseMemory, endedByMemory},
 	{channel.ErrNoConnection, endedByConnLimit},
 	{os.ErrDeadlineExceeded, endedByNetwork},
 	{syscall.ETIMEDOUT, endedByNetwork},
 	{syscall.EHOSTUNREACH, endedByNetwork},
 	{syscall.ENETUNREACH, endedByNetwork},
+	// The context of a request ends without another cause once its caller has left.
+	{context.Canceled, endedByCaller},
 }
 
 // endedBy returns what has ended an attempt that failed with err: the upstream, unless err tells otherwise.
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -65,6 +65,8 @@
 	errSlow         = errors.New("upstream does not answer")
 	// errReplaced means that the version of an upstream is due to be replaced and that it has not begun to respond.
 	errReplaced = errors.New("version of the upstream is due to be replaced")
+	// errUnneeded means that the upstream of the first attempt has responded while a hedge was awaited.
+	errUnneeded = errors.New("first attempt has been answered")
 	errTimedOut = errors.New("time is up")
 	errStopping = errors.New("process is stopping")
 	errGone     = errors.New("caller has left")
--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -141,7 +141,7 @@
 	t.stopTimers()
 	t.round++
 	if t.trial != nil {
-		t.trial.cancel(nil)
+		t.trial.cancel(errUnneeded)
 	}
 	return t.accepted == nil
 }
