route/channel, route/forward: what heads of responses need is limited, for each call and together

Now a call reads at most 512 lines of heads, and what its heads cost beyond 8 KiB (twice the bytes, 256 for a line) is taken from 8 MiB that all calls share; usual heads need none of it, so that upstreams in trouble don't keep out sound ones. What follows a head is held back in the reader, so that lines of a body don't count. The header of a whole response, which outlasts it, is held in the memory for responses.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -1,7 +1,6 @@
 package channel
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -82,6 +81,8 @@
 
 	pool *Pool
 	conn *conn
+	// head holds the memory for the header.
+	head headMeter
 	body io.ReadCloser
 	// stop cancels the closing of the connection at the end of the context, and returns false if it came too late.
 	stop func() bool
@@ -103,7 +104,7 @@
 	if err != nil {
 		return nil, p.dialError(address, call, err)
 	}
-	r := &Response{pool: p, conn: c, Reused: reused}
+	r := &Response{pool: p, conn: c, Reused: reused, head: headMeter{ctx: ctx, budget: p.heads}}
 	r.stop = context.AfterFunc(ctx, c.abort)
 	if err := r.roundTrip(call); err != nil {
 		r.Close()
@@ -148,14 +149,14 @@
 	return &net.Buffers{b.Bytes()}
 }
 
-// readHeader reads the header of the response to call, up to maxHeadBytes. It discards late responses to earlier calls;
+// readHeader reads the header of the response to call, up to maxHeadBytes and maxHeadLines. It discards late responses to earlier calls;
 // the connection is not reused after one.
 func (r *Response) readHeader(call *Call) error {
 	r.conn.limit.left = maxHeadBytes
 	defer func() { r.conn.limit.left = noLimit }()
 	request := &http.Request{Method: call.Method}
 	for range maxMismatchedResponses {
-		resp, err := readResponse(r.conn.reader, request)
+		resp, err := r.readResponse(request)
 		if err != nil {
 			return err
 		}
@@ -181,9 +182,11 @@
 }
 
 // readResponse reads the header of the next final response and skips informational (1xx) ones.
-func readResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+func (r *Response) readResponse(request *http.Request) (*http.Response, error) {
+	r.conn.limit.head = &r.head
+	defer func() { r.conn.limit.head = nil }()
 	for {
-		resp, err := http.ReadResponse(r, request)
+		resp, err := http.ReadResponse(r.conn.reader, request)
 		if err != nil {
 			return nil, err
 		}
@@ -213,13 +216,17 @@
 		return
 	}
 	r.closed = true
+	r.head.release()
 	stopped := r.stop()
-	if stopped && r.complete && !r.close && r.conn.reader.Buffered() == 0 {
+	if stopped && r.complete && !r.close && !r.conn.pending() {
 		r.pool.put(r.conn, r.Header.Get("Keep-Alive"))
 		return
 	}
 	r.pool.drop(r.conn)
 }
 
+// HeadBytes is the memory that the header needs beyond what every response may take. It is held until Close.
+func (r *Response) HeadBytes() int64 { return r.head.charged }
+
 // SetReadTimeout makes reads of the body fail once d has passed from now.
 func (r *Response) SetReadTimeout(d time.Duration) { _ = r.conn.SetReadDeadline(time.Now().Add(d)) }
--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
@@ -34,8 +35,10 @@
 	Dial socket.DialFunc
 	// Entries returns the number of entry processes that share the connections of an upstream.
 	Entries func() int
-	Log     *log.Logger
-	Metrics *metrics.Set
+	// HeadMemory is the memory in bytes for the heads of all responses together, 0 for a default.
+	HeadMemory int64
+	Log        *log.Logger
+	Metrics    *metrics.Set
 }
 
 // Pool is a pool of connections to upstreams. It is safe for concurrent use.
@@ -46,6 +49,7 @@
 	// high until the next Sweep.
 	backingOff atomic.Int64
 	resets     resets
+	heads      *listener.Budget
 
 	mu sync.Mutex
 	// upstreams holds the state of the connections by address.
@@ -76,6 +80,9 @@
 	shared bool
 }
 
+// pending reports whether bytes were received that nobody has read.
+func (c *conn) pending() bool { return c.reader.Buffered() > 0 || len(c.limit.rest) > 0 }
+
 // abort resets the connection. Bytes of a call that are still in the send buffer are dropped; after a close they would
 // be delivered, however late, although nobody waits for the response.
 func (c *conn) abort() {
@@ -91,6 +98,7 @@
 // New returns an empty pool and registers its metrics.
 func New(o Options) *Pool {
 	p := &Pool{options: o, upstreams: map[string]*upstreamConns{}, series: map[string]bool{}}
+	p.heads = newHeadBudget(o.HeadMemory, o.Metrics)
 	p.resets.register(o.Metrics)
 	return p
 }
--- a/internal/route/forward/body.go
+++ b/internal/route/forward/body.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// readResponse reads the complete body of a response. The memory is held until the exchange ends.
+// readResponse reads the complete body of a response. The memory, also that for a long header, is held until the exchange ends.
 func (x *exchange) readResponse(ctx context.Context, response *channel.Response) ([]byte, error) {
 	if response.Length > maxResponseBytes {
 		return nil, fmt.Errorf("%w: %w: %d bytes", channel.ErrBroken, errTooLarge, response.Length)
@@ -103,7 +103,7 @@
 		n, err := response.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if err == io.EOF {
-			return body, nil
+			return body, x.holdHeader(ctx, response)
 		}
 		if err != nil {
 			return nil, err
@@ -111,6 +111,15 @@
 	}
 }
 
+// holdHeader acquires memory for the header of a response, which outlasts the response. Usual headers need none.
+func (x *exchange) holdHeader(ctx context.Context, response *channel.Response) error {
+	n := response.HeadBytes()
+	if n == 0 || x.holdResponse(ctx, n) {
+		return nil
+	}
+	return fmt.Errorf("%w: %w: %d bytes of its header", channel.ErrBroken, errNoResponseMemory, n)
+}
+
 // grow returns body with more capacity, or an error if that exceeds a limit.
 func (x *exchange) grow(ctx context.Context, body []byte, length int64) ([]byte, error) {
 	if len(body) > maxResponseBytes {
--- a/internal/wire/listener/budget.go
+++ b/internal/wire/listener/budget.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// Acquire waits for n bytes until ctx is done or wait has passed, and returns whether it has acquired them.
+func (b *Budget) Acquire(ctx context.Context, n int64, wait time.Duration) bool {
+	return b.acquire(ctx, n, wait, nil)
+}
+
 // acquire waits for n bytes until ctx is done or wait has passed. It calls reclaim, if not nil, before each further attempt and
 // stops waiting if that returns false.
 func (b *Budget) acquire(ctx context.Context, n int64, wait time.Duration, reclaim func() bool) bool {
