--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -18,6 +18,10 @@
 type Listing struct {
 	Items    []Item
 	Revision uint64
+	// Skipped is the number of entries of upstreams that can't be read. They name no upstream: List leaves them out, Follow
+	// returns them as deleted. SkipReason tells why the first of them can't be read.
+	Skipped    int
+	SkipReason string
 }
 
 // StateSource reads the keys of the operator and of the upstreams from the platform's store. All revisions are combined
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -167,6 +167,10 @@
 			return err
 		}
 		m.logRestored(prefix, listing, k)
+		if listing.Skipped != k.skipped {
+			k.skipped = listing.Skipped
+			m.logSkipped(prefix, listing)
+		}
 		if listing.Revision >= k.revision {
 			k.replace(listing)
 		}
@@ -180,6 +184,9 @@
 		return err
 	}
 	k.apply(changes)
+	if changes.Skipped > 0 {
+		m.logSkipped(prefix, changes)
+	}
 	if len(changes.Items) > 0 {
 		m.publish(prefix, k)
 	}
@@ -195,6 +202,12 @@
 		Msg("store was restored from a copy; it may lack changes that were confirmed")
 }
 
+// logSkipped logs how many entries of a listing can't be read.
+func (m *Mirror) logSkipped(prefix string, l hub.Listing) {
+	m.options.Log.Warn().Str("Prefix", prefix).Uint64("Revision", l.Revision).Int("Skipped", l.Skipped).Str("First", l.SkipReason).
+		Msg("entries that can't be read, skipping them")
+}
+
 // updateReachable updates the reachability of the store after a call that returned err and logs the changes.
 func (m *Mirror) updateReachable(prefix string, err error) {
 	failing := m.failingSince[prefix]
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -25,6 +25,8 @@
 	items map[string]hub.Item
 	// revision is the store revision.
 	revision uint64
+	// skipped is the number of entries that could not be read in the last listing.
+	skipped int
 }
 
 // tooLong returns the keys in include whose values are too long for an entry.
