platform, route/quarantine: lists of prompt parts are read only when they are needed, up to 256 keys

RequestInfo.SharedParts is now a sequence over the header, and KeysOf takes the first 256 parts, fewer bytes than the connection is counted with. So nothing beyond the header, which its budget has, is held before the body is complete, and no further charge is needed.

The quarantine does not know a part behind the first 256 of a prompt; copies of the request are still known.

--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"net/http"
 	"time"
 )
@@ -58,8 +59,9 @@
 	HasKey bool
 	// PromptTokens is the prompt length stated by the caller, 0 if not given.
 	PromptTokens int
-	// SharedParts lists the IDs of the parts of the prompt that other requests may share, in the order of the prompt.
-	SharedParts []string
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, in the order of the prompt; nil for none.
+	// They may be thousands, so they are taken from the header only when they are needed.
+	SharedParts iter.Seq[string]
 	// Prompt identifies the whole prompt, including the part that other requests do not share; empty if not given.
 	Prompt string
 	// LastEvent is the ID of the last event that the caller has received, after which its stream is resumed.
--- a/internal/route/quarantine/key.go
+++ b/internal/route/quarantine/key.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"iter"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,6 +12,8 @@
 const (
 	// maxKeyBytes is the maximum length of a key.
 	maxKeyBytes = 48
+	// maxParts limits the parts of a prompt that the quarantine knows. A legal header has room for thousands.
+	maxParts = 256
 	// requestKeyPrefix begins the keys of requests; those of parts contain a slash or begin with hashKeyPrefix.
 	requestKeyPrefix = "request-"
 	hashKeyPrefix    = "hash-"
@@ -24,14 +27,14 @@
 	Host    string
 	Target  string
 	Body    []byte
-	// Prompt identifies the whole prompt, SharedParts the parts that other requests may share, in their order.
+	// Prompt identifies the whole prompt, SharedParts are the parts that other requests may share, in their order; nil for none.
 	Prompt      string
-	SharedParts []string
+	SharedParts iter.Seq[string]
 }
 
 // Keys are the keys under which the quarantine knows a request.
 type Keys struct {
-	// Parts are the keys of the shared parts of its prompt, in their order and without empty ones.
+	// Parts are the keys of the first maxParts shared parts of its prompt, in their order and without empty ones.
 	Parts []string
 	// Request is the key of the request as a whole, the same for all copies of it.
 	Request string
@@ -41,7 +44,13 @@
 // or has other characters than letters, digits and "-_.".
 func KeysOf(service string, c *Content) Keys {
 	k := Keys{Request: requestKey(service, c)}
-	for _, p := range c.SharedParts {
+	if c.SharedParts == nil {
+		return k
+	}
+	for p := range c.SharedParts {
+		if len(k.Parts) == maxParts {
+			break
+		}
 		if p != "" {
 			k.Parts = append(k.Parts, partKey(service, p))
 		}
--- a/internal/route/quarantine/quarantine_test.go
+++ b/internal/route/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -43,7 +44,7 @@
 
 // prompt returns the keys of a request to a service whose prompt has the shared parts and one of its own.
 func prompt(service string, parts ...string) *quarantine.Keys {
-	k := quarantine.KeysOf(service, &quarantine.Content{SharedParts: parts, Prompt: fmt.Sprint(parts, requests.Add(1))})
+	k := quarantine.KeysOf(service, &quarantine.Content{SharedParts: slices.Values(parts), Prompt: fmt.Sprint(parts, requests.Add(1))})
 	return &k
 }
 
@@ -273,7 +274,7 @@
 // Guards against a deadly request that is not recognized, and against sound ones that are taken for a copy of it.
 func TestCopiesOfARequestHaveOneKey(t *testing.T) {
 	content := func() *quarantine.Content {
-		return &quarantine.Content{Account: "a", Method: "POST", Host: "h", Target: "/t?x", Body: []byte("body"), Prompt: "p,q", SharedParts: []string{"p"}}
+		return &quarantine.Content{Account: "a", Method: "POST", Host: "h", Target: "/t?x", Body: []byte("body"), Prompt: "p,q", SharedParts: slices.Values([]string{"p"})}
 	}
 	key := func(service string, change func(c *quarantine.Content)) string {
 		c := content()
--- a/internal/standin/desired/desired.go
+++ b/internal/standin/desired/desired.go
@@ -108,7 +108,7 @@
 		Key:         h.Get(HeaderKey),
 		HasKey:      h.Get(HeaderKey) != "",
 		LastEvent:   h.Get(HeaderLastEvent),
-		SharedParts: strings.Fields(h.Get(HeaderParts)),
+		SharedParts: strings.FieldsSeq(h.Get(HeaderParts)),
 		Prompt:      h.Get(HeaderPrompt),
 	}
 }
