--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -188,7 +188,7 @@
 	for {
 		resp, err := http.ReadResponse(r.conn.reader, request)
 		if err != nil {
-			return nil, err
+			return nil, shorten(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
--- a/internal/route/channel/heads_test.go
+++ b/internal/route/channel/heads_test.go
@@ -148,3 +148,20 @@
 	}
 	assert.Equal(t, u.connections.Load(), int64(3))
 }
+
+// Guards against errors and log lines as long as what an upstream in trouble sends in place of a head.
+func TestErrorsQuoteTheBeginningOfAHead(t *testing.T) {
+	long := strings.Repeat("\x01", 200<<10)
+	for name, response := range map[string]string{
+		"no protocol":    long + "\r\n\r\n",
+		"status":         "HTTP/1.1 " + long + "\r\n\r\n",
+		"no field":       "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"wrong length":   "HTTP/1.1 200 OK\r\nContent-Length: " + long + "\r\n\r\n",
+		"wrong transfer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + long + "\r\n\r\n",
+	} {
+		u := withTestUpstream(t, answerWith(response))
+		_, err := roundTrip(t, channel.NewPool(socket.Dialer(testTimeout)), u.address, testCall("a"))
+		assert.ErrorIs(t, err, channel.ErrBroken, name)
+		assert.Assert(t, len(err.Error()) < 500, "%s: %d bytes", name, len(err.Error()))
+	}
+}
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -218,7 +218,7 @@
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if x.relay != nil {
 		x.upstreamFailed(c)
-		return fmt.Errorf("%w: status %d and %q to a stream that goes on", errFailed, response.Status, response.Header.Get("Content-Type"))
+		return fmt.Errorf("%w: status %d and %.100q to a stream that goes on", errFailed, response.Status, response.Header.Get("Content-Type"))
 	}
 	if response.Status >= 500 {
 		x.upstreamFailed(c)
