state/directory: many versions in quick succession do not postpone the first of them

With more of them within the bound, none was due, so that any version could serve, and the oldest kept one set the limits of streams and loads, which moved on with each new version. Now 64 are kept; of more, the oldest is dropped if its successor is 10 minutes old, otherwise the two in the quickest succession are joined and the newer one counts from the time of the older.

--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -104,15 +104,38 @@
 	return Named{}, false
 }
 
-// withVersion returns t with version as the newest target, received at now. Only the last maxNamedVersions targets
-// are kept.
+// withVersion returns t with version as the newest target, received at now.
 func (t Target) withVersion(version uint64, now time.Time) Target {
 	named := append(slices.Clone(t.Named), Named{Version: version, Since: now})
-	return Target{Version: version, Named: named[max(0, len(named)-maxNamedVersions):]}
+	return Target{Version: version, Named: shorten(named, now)}
 }
 
-// maxNamedVersions is the maximum length of Target.Named.
-const maxNamedVersions = 8
+const (
+	// maxNamedVersions is the maximum length of Target.Named.
+	maxNamedVersions = 64
+	// namedTTL exceeds the time for which versions may be served after a newer one was set.
+	namedTTL = 10 * time.Minute
+)
+
+// shorten returns named with at most maxNamedVersions targets. It drops the oldest if that may not be served any more. Otherwise it
+// joins the two that were set in the quickest succession: the newer one counts from the time of the older one, so that no version
+// may be served for longer.
+func shorten(named []Named, now time.Time) []Named {
+	if len(named) <= maxNamedVersions {
+		return named
+	}
+	if now.Sub(named[1].Since) >= namedTTL {
+		return named[1:]
+	}
+	older := 0
+	for i := range len(named) - 1 {
+		if named[i+1].Since.Sub(named[i].Since) < named[older+1].Since.Sub(named[older].Since) {
+			older = i
+		}
+	}
+	named[older+1].Since = named[older].Since
+	return slices.Delete(named, older, older+1)
+}
 
 // Ready reports whether the configuration and the list of upstreams are known, so that requests can be served.
 func (s *Snapshot) Ready() bool { return s.Configuration != nil && s.UpstreamsRevision != 0 }
