process/side: silent entry processes don't delay a stop

The product's side process announced its stop to the entry processes one after the other, up to 2 s for each that does not answer, and to some of them twice (slices.Compact of a list that isn't sorted). Only 0.5 s after that did it refuse requests; with enough silent ones it accepted them until the time to stop was up and cut them then. All exchanges begin at once now, and end with the wait for requests at the latest.

--- a/internal/process/side/stop.go
+++ b/internal/process/side/stop.go
@@ -16,12 +16,14 @@
 	streamPollInterval = 20 * time.Millisecond
 )
 
-// Stop announces that the process is leaving, then rejects new requests, waits until those in progress have finished or
-// ctx is done, and ends the process.
+// Stop announces that the process is leaving, rejects new requests after leaveNoticeDelay, however long the announcement takes, waits
+// until those in progress have finished or ctx is done, and ends the process.
 func (p *Side) Stop(ctx context.Context) {
 	p.leaving.Store(true)
 	p.presence.Publish()
-	p.announce(ctx)
+	announcing, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.announce(announcing)
 	_ = hub.Sleep(ctx, leaveNoticeDelay)
 	p.guard.Block(guard.ReasonLeaving)
 	select {
@@ -34,10 +36,13 @@
 	p.Kill()
 }
 
-// announce exchanges state with all known entry processes, so that they receive the member record at once.
+// announce begins to exchange state with all known entry processes at once, so that they receive the member record even if some of
+// them do not answer.
 func (p *Side) announce(ctx context.Context) {
-	for _, address := range slices.Compact(append(p.manifestPeers(), p.settings.Peers...)) {
-		_ = p.exchange.Exchange(ctx, address, address)
+	addresses := slices.Concat(p.manifestPeers(), p.settings.Peers)
+	slices.Sort(addresses)
+	for _, address := range slices.Compact(addresses) {
+		go func() { _ = p.exchange.Exchange(ctx, address, address) }()
 	}
 }
 
