route/forward: a silent stream is continued after resets of new connections

A stream that had lost its upstream and met a single reset of a new connection, on which nothing was sent, was not continued any more when the next upstream fell silent: it was cut at its time limit. Attempts of which no byte was sent before the one in progress no longer count for hedges of a begun stream; those of its own hedges still do, which bounds them.

--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -68,9 +68,10 @@
 	// first are the requirements of the request before its response has begun, resumed those of its stream.
 	first   placement.Requirements
 	resumed placement.Requirements
-	// sent and runs are the numbers of attempts including the one in progress.
-	sent int
-	runs int
+	// sent and runs are the numbers of attempts including the one in progress, spent is that of the attempts that upstreams have got.
+	sent  int
+	runs  int
+	spent int
 
 	mu     sync.Mutex
 	counts hedgeCounts
@@ -82,7 +83,7 @@
 func (x *exchange) newHedger(c *placement.Choice, runs int) *hedger {
 	r := x.requirements()
 	r.Tried = append(slices.Clone(x.tried), c.Upstream.Key())
-	g := &hedger{exchange: x, first: *r, resumed: *r, sent: x.sent, runs: runs}
+	g := &hedger{exchange: x, first: *r, resumed: *r, sent: x.sent, runs: runs, spent: runs + len(x.refusedBy)}
 	requireForResumed(&g.resumed)
 	return g
 }
@@ -145,16 +146,17 @@
 }
 
 // requirements returns the requirements on the next upstream, or false if the request may not be sent again. Hedges leave one
-// attempt for a retry: upstreams that refuse them now may have room once the attempt in progress fails.
+// attempt for a retry: upstreams that refuse them now may have room once the attempt in progress fails. A stream that has begun is
+// not given up for connections on which nothing could be sent.
 func (g *hedger) requirements(resumed bool) (*placement.Requirements, bool) {
-	r := g.first
+	r, sent := g.first, g.sent
 	if resumed {
-		r = g.resumed
+		r, sent = g.resumed, g.spent
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r.Tried = slices.Concat(r.Tried, g.counts.tried)
-	return &r, !g.quarantined && g.sent+g.counts.sent < maxSent-1 && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
+	return &r, !g.quarantined && sent+g.counts.sent < maxSent-1 && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
 }
 
 // send sends the request to the chosen upstream and waits for the header of the response. It returns false if the upstream does
