--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -132,6 +132,21 @@
 	return len(l.connections)
 }
 
+// CloseUnused closes the connections on which nothing has been received.
+func (l *Listener) CloseUnused() {
+	var unused []*Conn
+	l.mu.Lock()
+	for c := range l.connections {
+		if c.yield(phaseNew) {
+			unused = append(unused, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range unused {
+		_ = c.Close()
+	}
+}
+
 // admit adds c if there is room or another connection can be closed.
 func (l *Listener) admit(c *Conn) bool {
 	l.mu.Lock()
