--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -35,13 +35,16 @@
 func (e *Entry) Stop(ctx context.Context) {
 	began := time.Now()
 	e.stop.Begin(before(ctx, cutMargin))
-	e.running.Go(func() { e.announceLeaving(ctx) })
+	e.leaving.Store(true)
+	announced := make(chan struct{})
+	go func() { defer close(announced); e.announceLeaving(ctx) }()
 	_ = hub.Sleep(ctx, drainDelay)
 	e.stop.Refuse()
 	e.journal.Logger(journal.Process).Info().Dur("SinceSignal", time.Since(began)).Int64("InProgress", e.inProgress.Load()).Msg("requests are no longer accepted")
 	_ = e.listener.Close()
 	e.finishRequests(ctx)
 	_ = e.ready.Close()
+	<-announced
 	e.shutdown(ctx)
 }
 
@@ -93,7 +96,8 @@
 	return e.callers.Shutdown(ctx) == nil
 }
 
-// awaitUnused closes the idle connections of callers and waits for up to unusedTime for requests on those that have not been used yet.
+// awaitUnused closes the idle connections of callers, waits for up to unusedTime for requests on those that have not been used yet, and
+// closes these too. http.Server.Shutdown would drop their requests and wait for them longer.
 func (e *Entry) awaitUnused(ctx context.Context) {
 	e.callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(ctx, unusedTime)
@@ -101,6 +105,7 @@
 	for e.listener.Open() > 0 && hub.Sleep(ctx, inProgressInterval) == nil {
 		continue
 	}
+	e.listener.CloseUnused()
 }
 
 // requestsEndWithin is requestsEnd with a time limit.
