route/forward: smaller responses in the test of the forms of bodies

With the race detector, 18 cases at once with 20,000 events each took over the 20 s that a connection of the test has (8 of 18 cases, load 50 on 8 cores). 2,000 events still exceed the buffers, since the caller's receive buffer is 4 KiB now. go test -count=2 and -race -count=1 -run TestFormOfABody ./internal/route/forward pass beside the same load.

--- a/internal/route/forward/bodyform_test.go
+++ b/internal/route/forward/bodyform_test.go
@@ -20,7 +20,9 @@
 	// formBody is the body that requests of the tests have in all forms.
 	formBody = "begin of a prompt, which goes on"
 	// formEvents is the number of events of a response that exceeds the buffers of a connection.
-	formEvents = 20000
+	formEvents = 2000
+	// formBuffer is the size in bytes of the receive buffer of a caller.
+	formBuffer = 4 << 10
 	// formPause is the time between two parts of a body, and the time after which a caller reads its response.
 	formPause = 30 * time.Millisecond
 )
@@ -61,6 +63,14 @@
 	}
 }
 
+// dialSmall returns a connection of a caller with a receive buffer that a response exceeds.
+func dialSmall(t *testing.T, f *fixture) net.Conn {
+	t.Helper()
+	c := dial(t, f)
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(formBuffer))
+	return c
+}
+
 // sendOn sends a request in a form on c and returns the status and body of the response, which it reads late.
 func (b *bodyForm) sendOn(c net.Conn, reader *bufio.Reader) (int, string, error) {
 	header := "POST /stream/x HTTP/1.1\r\nHost: h.test\r\n" + desired.HeaderKey + ": k1\r\n" + desired.HeaderRequestId + ": req-1\r\n" + b.fields + "\r\n"
@@ -103,7 +113,7 @@
 				}
 				f := withLimitedEntry(t, serve, nil, u)
 				f.extendTimeouts()
-				c := dial(t, f)
+				c := dialSmall(t, f)
 				reader := bufio.NewReader(c)
 				for range 3 {
 					status, body, err := form.sendOn(c, reader)
@@ -112,7 +122,7 @@
 					assert.Assert(t, body == completeStream(formEvents), "%d bytes", len(body))
 					if closing {
 						_ = c.Close()
-						c = dial(t, f)
+						c = dialSmall(t, f)
 						reader.Reset(c)
 					}
 				}
