--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -65,6 +65,8 @@
 	errSlow         = errors.New("upstream does not answer")
 	// errReplaced means that the version of an upstream is due to be replaced and that it has not begun to respond.
 	errReplaced = errors.New("version of the upstream is due to be replaced")
+	// errUnneeded means that the upstream of the first attempt has responded while a hedge was awaited.
+	errUnneeded = errors.New("first attempt has been answered")
 	errTimedOut = errors.New("time is up")
 	errStopping = errors.New("process is stopping")
 	errGone     = errors.New("caller has left")
@@ -79,7 +81,9 @@
 	r        *http.Request
 	started  time.Time
 	deadline time.Time
-	caller   hub.RequestInfo
+	// limit ends the request at its deadline.
+	limit  *time.Timer
+	caller hub.RequestInfo
 	// sentAhead is true if the caller sent the request before the response to the previous one began.
 	sentAhead bool
 	// snapshot is the desired state in which route and account were found.
@@ -141,12 +145,14 @@
 	x.service = pickTarget(x.route.Targets)
 	x.keys = x.quarantineKeys()
 	x.handler.options.RetryBudget.CountRequest(x.service)
-	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, errTimedOut)
-	defer cancel()
-	ctx, interrupt := context.WithCancelCause(ctx)
+	ctx, interrupt := context.WithCancelCause(x.r.Context())
 	defer interrupt(nil)
-	stop := x.whenInterrupted(func() { interrupt(errStopping) })
+	x.limit = time.AfterFunc(time.Until(x.deadline), func() { interrupt(errTimedOut) })
+	defer x.limit.Stop()
+	stop := x.whenInterrupted(func() { x.interruptUnlessBegun(interrupt) })
 	defer stop()
+	stopCut := x.whenCut(func() { interrupt(errStopping) })
+	defer stopCut()
 	defer func() { x.hedge.release() }()
 	for {
 		choice, err := x.choose(ctx)
@@ -284,6 +290,7 @@
 	if !x.authorize(s) {
 		return false
 	}
+	x.limit.Reset(time.Until(x.deadline))
 	for _, t := range x.route.Targets {
 		if t.Service == x.service {
 			return true
@@ -305,10 +312,20 @@
 	return min(wait, time.Until(x.deadline))
 }
 
+// sentTooOften reports whether the request has been sent as often as it may after an attempt that failed with err. A stream that has
+// begun is not given up for connections on which nothing could be sent, as long as its caller waits.
+func (x *exchange) sentTooOften(err error) bool {
+	if x.sent < maxSent {
+		return false
+	}
+	waits := x.relay != nil && time.Since(x.relay.lastAt) < callerPatience
+	return !waits || !errors.Is(err, channel.ErrNotSent)
+}
+
 // mayRetry reports whether the request may be sent again after an attempt that failed with err. It takes the
 // retry from the service's retry budget, except after an attempt of which no byte was sent.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.sent >= maxSent || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) || errors.Is(err, errGone) {
+	if ctx.Err() != nil || x.sentTooOften(err) || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) || errors.Is(err, errGone) {
 		return false
 	}
 	if x.relay != nil && x.relay.sequence.Last() == "" {
@@ -367,6 +384,9 @@
 	if errors.Is(err, errQuarantined) {
 		return x.decision.Left
 	}
+	if errors.Is(err, errStopping) {
+		return stoppingRetryAfter
+	}
 	if errors.Is(err, placement.ErrPaused) {
 		return x.pauseLeft + rand.N(max(busyRetryAfter, fraction(x.pauseLeft, pauseSpread)))
 	}
