route/forward, wire/listener: a connection that the listener has closed isn't logged as left by its caller

Cause: a write that fails because the listener gave it up after the write timeout, or closed the connection in favour of others, counted as the caller having left: Outcome gone, EndedBy caller. The record can't tell such a cut from one by the caller.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -258,7 +258,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	x.writeHeader(b.status)
 	if _, err := x.w.Write(b.body); err != nil {
-		x.finish(outcomeAnswered, b.status, "caller has left: "+err.Error())
+		x.finish(outcomeAnswered, b.status, x.callerLost().Error()+": "+err.Error())
 		return
 	}
 	x.finish(outcomeAnswered, b.status, "")
--- a/internal/route/forward/ended.go
+++ b/internal/route/forward/ended.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 )
 
 // What ends an attempt that fails, as named in log lines.
@@ -21,6 +22,7 @@
 	endedByFirst     = "first attempt"
 	endedByMemory    = "memory"
 	endedByConnLimit = "connection limit"
+	endedByLimits    = "limits of callers"
 )
 
 // endings maps the reasons for which this process ends an attempt, and those for which none begins, to what ends it.
@@ -30,6 +32,7 @@
 }{
 	{errStopping, endedByStop},
 	{errTimedOut, endedByTimeLimit},
+	{listener.ErrDisplaced, endedByLimits},
 	{errGone, endedByCaller},
 	{errSlow, endedByHedge},
 	{errReplaced, endedByVersion},
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -13,6 +13,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/channel"
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/route/stream"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 )
 
 const (
@@ -226,20 +227,25 @@
 func (r *relay) abort(err error) {
 	x := r.exchange
 	outcome := "cut"
-	if !x.isCut() && (x.r.Context().Err() != nil || errors.Is(err, errGone)) {
+	if x.callerLost() == errGone && (x.r.Context().Err() != nil || errors.Is(err, errGone)) {
 		outcome = "gone"
 	}
 	x.finish(outcome, http.StatusOK, fmt.Sprintf("%v, after %d events, resumed %d times", err, r.events, r.resumed))
 	panic(http.ErrAbortHandler)
 }
 
-// callerLost returns an error that wraps errGone for a connection to the caller that is lost. It wraps errStopping too if this process
-// may have closed the connection at the end of a planned stop.
+// callerLost returns an error that wraps errGone for a connection to the caller that is lost. It wraps errStopping or
+// listener.ErrDisplaced too if this process may have closed the connection at the end of a planned stop, or has done so to keep to its
+// limits.
 func (x *exchange) callerLost() error {
-	if x.isCut() {
+	switch {
+	case x.isCut():
 		return fmt.Errorf("%w: %w", errStopping, errGone)
+	case listener.FromContext(x.r.Context()).Displaced():
+		return fmt.Errorf("%w: %w", listener.ErrDisplaced, errGone)
+	default:
+		return errGone
 	}
-	return errGone
 }
 
 // brokenError wraps channel.ErrBroken around the reason for which a response was not received completely: that of callerLost if
--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -62,6 +62,8 @@
 	// writeDeadline is the deadline that the user of the connection has set, in Unix nanoseconds, 0 for none.
 	writeDeadline atomic.Int64
 	closed        atomic.Bool
+	// displaced is true once the listener has closed the connection, or has given up a write to it, to keep to its limits.
+	displaced atomic.Bool
 }
 
 func newConn(l *Listener, inner net.Conn) *Conn {
@@ -169,6 +171,7 @@
 func (c *Conn) countTimeout(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.writeDeadline.Load() == 0 {
 		c.listener.count(reasonUnread)
+		c.displaced.Store(true)
 		setReset(c.Conn)
 	}
 }
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -18,7 +18,7 @@
 }
 
 // FromContext returns the connection of a request, nil if it is not one of a Listener. The methods Acquire, Release,
-// Receive and SentAhead may be called on nil.
+// Receive, SentAhead and Displaced may be called on nil.
 func FromContext(ctx context.Context) *Conn {
 	c, _ := ctx.Value(contextKey{}).(*Conn)
 	return c
@@ -61,6 +61,9 @@
 // that body.
 func (c *Conn) SentAhead() bool { return c != nil && c.sentAhead.Load() }
 
+// Displaced reports whether the listener has ended the connection to keep to its limits.
+func (c *Conn) Displaced() bool { return c != nil && c.displaced.Load() }
+
 // Acquire acquires n bytes of b that are held for the connection. If they are not free, it waits for up to wait and closes
 // stalled connections that hold memory.
 func (c *Conn) Acquire(ctx context.Context, b *Budget, n int64, wait time.Duration) bool {
--- a/internal/wire/listener/listener.go
+++ b/internal/wire/listener/listener.go
@@ -28,6 +28,10 @@
 // ErrOptions means that the options of a listener are contradictory or set no limit.
 var ErrOptions = errors.New("invalid limits of a listener")
 
+// ErrDisplaced means that a listener has closed a connection with a request in progress, in favour of others or because its peer did
+// not read the response.
+var ErrDisplaced = errors.New("connection closed to keep to the limits")
+
 // Options are the limits of a Listener.
 type Options struct {
 	// Name labels the metrics and log lines.
@@ -224,6 +228,7 @@
 // closeFor closes a connection that had to yield.
 func (l *Listener) closeFor(c *Conn, reason string) {
 	l.count(reason)
+	c.displaced.Store(true)
 	if c.yieldedIn != phaseIdle {
 		setReset(c.Conn)
 	}
