soak/proxy, soak/cluster: links with a one-way delay, a limited rate and a bounded buffer

A link could be late only by 250 ms a chunk, so that more bytes were later ones. Capacity delays each direction by a fixed time and limits its rate; a direction holds 64 KiB, after which its sender blocks.

--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -301,6 +301,11 @@
 	l.proxy.Set(last)
 }
 
+// SetCapacity changes what the connections of a link can carry.
+func (c *Cluster) SetCapacity(name string, capacity proxy.Capacity) {
+	c.proxy(name).SetCapacity(capacity)
+}
+
 // Reset resets the connections of a link, Silence makes them forward nothing more.
 func (c *Cluster) Reset(name string)   { c.proxy(name).Reset() }
 func (c *Cluster) Silence(name string) { c.proxy(name).Silence() }
--- a/internal/soak/proxy/connection.go
+++ b/internal/soak/proxy/connection.go
@@ -51,28 +51,25 @@
 // copy forwards bytes from src to dst until the connection ends; cut is the mode that holds them back. Bytes that are held
 // back are lost when src resets the connection.
 func (c *connection) copy(dst, src net.Conn, cut Mode) {
-	chunks := make(chan []byte, maxHeldChunks)
-	go c.read(src, chunks)
-	for data := range chunks {
+	q := newQueue(c.ended)
+	go c.read(src, q)
+	for data := range q.chunks {
 		if !c.pass(dst, data, cut) {
 			return
 		}
+		q.remove(data)
 	}
 	c.end()
 }
 
 // read reads from src until that closes the connection, or ends all if it resets it.
-func (c *connection) read(src net.Conn, chunks chan<- []byte) {
-	defer close(chunks)
+func (c *connection) read(src net.Conn, q *queue) {
+	defer close(q.chunks)
+	buffer := make([]byte, chunkBytes)
 	for {
-		buffer := make([]byte, chunkBytes)
 		n, err := src.Read(buffer)
-		if n > 0 {
-			select {
-			case chunks <- buffer[:n]:
-			case <-c.ended:
-				return
-			}
+		if n > 0 && !q.add(buffer[:n]) {
+			return
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			c.reset()
@@ -84,7 +81,7 @@
 }
 
 // pass writes data to dst in the manner of the proxy's mode. It returns false once the connection has ended.
-func (c *connection) pass(dst net.Conn, data []byte, cut Mode) bool {
+func (c *connection) pass(dst net.Conn, chunk heldChunk, cut Mode) bool {
 	mode, ok := c.awaitPassage(cut)
 	if !ok {
 		return false
@@ -95,15 +92,23 @@
 			return false
 		}
 	case Drip:
-		return c.drip(dst, data)
+		return c.drip(dst, chunk.data)
+	}
+	return c.carry(dst, chunk, mode)
+}
+
+// carry writes a chunk to dst as the capacity of the proxy allows. It returns false once the connection has ended.
+func (c *connection) carry(dst net.Conn, chunk heldChunk, mode Mode) bool {
+	data, toTarget := chunk.data, dst == c.target
+	if !c.awaitDelay(chunk.readAt, toTarget) {
+		return false
 	}
-	if dst == c.target {
+	if toTarget {
 		c.beginRequest(mode == Repeat)
 	} else {
 		c.keep(data)
 	}
-	_, err := dst.Write(data)
-	return err == nil
+	return c.writeAtRate(dst, data, toTarget)
 }
 
 // awaitPassage waits while the mode holds back the bytes and returns the mode, or false once the connection has ended.
--- a/internal/soak/proxy/doc.go
+++ b/internal/soak/proxy/doc.go
@@ -1,3 +1,3 @@
-// Package proxy forwards TCP connections on loopback and disturbs them: it delays, cuts, silences or resets them, or
+// Package proxy forwards TCP connections on loopback and disturbs them: it delays, slows, cuts, silences or resets them, or
 // repeats responses.
 package proxy
--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -33,8 +33,11 @@
 	chunkDelay   = 250 * time.Millisecond
 	dripInterval = 15 * time.Millisecond
 	chunkBytes   = 16 << 10
-	// maxHeldChunks limits the chunks of a connection that are read before they are written.
-	maxHeldChunks = 4
+	// maxHeldBytes limits the bytes of a direction of a connection that are read before they are written. A link that holds as
+	// many blocks its sender.
+	maxHeldBytes = 64 << 10
+	// maxHeldChunks limits the chunks that these bytes came in.
+	maxHeldChunks = 1 << 10
 	// maxRepeatedBytes limits the responses that are kept to be repeated.
 	maxRepeatedBytes = 16 << 10
 	// dialTimeout exceeds the time after which the kernel repeats a lost connection request, one second.
@@ -46,9 +49,10 @@
 	target   string
 	listener net.Listener
 
-	mu   sync.Mutex
-	mode Mode
-	// changed is closed when mode changes.
+	mu       sync.Mutex
+	mode     Mode
+	capacity Capacity
+	// changed is closed when mode or capacity changes.
 	changed chan struct{}
 	open    map[*connection]struct{}
 	closed  bool
@@ -77,6 +81,15 @@
 	p.changed = make(chan struct{})
 }
 
+// SetCapacity changes what all connections can carry, in any mode but Drip.
+func (p *Proxy) SetCapacity(c Capacity) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.capacity = c
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // Reset resets all open connections.
 func (p *Proxy) Reset() {
 	for _, c := range p.connections() {
@@ -117,6 +130,16 @@
 	return p.mode, p.changed
 }
 
+// flow returns what the connections carry in one direction, and the channel that is closed when it changes.
+func (p *Proxy) flow(toTarget bool) (Flow, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if toTarget {
+		return p.capacity.ToTarget, p.changed
+	}
+	return p.capacity.FromTarget, p.changed
+}
+
 func (p *Proxy) accept() {
 	for {
 		caller, err := p.listener.Accept()
