route/channel, wire/socket: an upstream may pause reading a long body

Cause: TCP_USER_TIMEOUT (2 s) counts also probes of a full window that the peer acknowledges. An upstream, or a link, that read nothing for over 2 s of a body that does not fit into its receive buffer had its connection closed by our kernel ("writev: connection timed out", told as connection broke), though it was sound. Calls with bodies over 16 KiB now send without that limit; the time limit of the request still applies, and an idle connection is probed as before.

--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -7,8 +7,14 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
+// minLongBody is the length of a body that surely fits into the receive buffer of an upstream. A longer one stays in the send
+// buffer while the upstream reads nothing.
+const minLongBody = 16 << 10
+
 // sentError is the failure of an operation after bytes of a call have been sent.
 type sentError struct {
 	op  string
@@ -27,6 +33,10 @@
 			return err
 		}
 	}
+	if len(call.Body) > minLongBody {
+		// An error means that the connection has ended, which sending reports.
+		_ = socket.AllowPauses(r.conn.Conn)
+	}
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: r.Reused}
 	}
--- a/internal/wire/socket/dial.go
+++ b/internal/wire/socket/dial.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// unackedTimeout is the time for which sent data may remain unacknowledged before the connection is closed.
+	// unackedTimeout is the time for which sent data may remain unacknowledged before the connection is closed. It applies also to
+	// data that the peer has no room for, although it acknowledges the probes of the kernel.
 	unackedTimeout = 2 * time.Second
 	// probeInterval is the idle time before the first keep-alive probe and the time between two probes.
 	probeInterval = time.Second
@@ -33,14 +34,7 @@
 			Count:    probeCount,
 		},
 		Control: func(_, _ string, c syscall.RawConn) error {
-			var optionErr error
-			err := c.Control(func(fd uintptr) {
-				optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optionErr
+			return setUnackedTimeout(c, unackedTimeout)
 		},
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
@@ -48,6 +42,32 @@
 	}
 }
 
+// AllowPauses lets the peer of a connection read nothing for any time. Whether it has gone is noticed only while nothing is being
+// sent to it.
+func AllowPauses(c net.Conn) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(raw, 0)
+}
+
+// setUnackedTimeout sets the time for which sent data may remain unacknowledged, 0 for the default of the kernel.
+func setUnackedTimeout(c syscall.RawConn, d time.Duration) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // ResetOnClose returns a DialFunc whose connections are reset when they are closed: bytes that the peer has not received yet
 // are dropped, and do not reach it later.
 func ResetOnClose(dial DialFunc) DialFunc {
