route/channel: what has arrived of a response is read after its call is cancelled

Cause: when a call was cancelled (interruption at the end of a planned stop, time limit, hedge) its connection was reset with the bytes that it had received and that nobody had read yet. A stream that its upstream had completed was cut if its caller read slowly, or if the goroutine that reads it had not run.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -94,7 +94,7 @@
 }
 
 // Send sends a call to the upstream at address and returns the response once its header has been read.
-// It aborts the connection when ctx is done, also while the body is read. Its errors wrap ErrNotSent or ErrBroken.
+// It aborts the connection when ctx is done, also while the body is read; what has been received by then can be read. Its errors wrap ErrNotSent or ErrBroken.
 func (p *Pool) Send(ctx context.Context, address string, call *Call) (*Response, error) {
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
@@ -104,7 +104,7 @@
 		return nil, p.dialError(address, call, err)
 	}
 	r := &Response{pool: p, conn: c, Reused: reused}
-	r.stop = context.AfterFunc(ctx, c.abort)
+	r.stop = context.AfterFunc(ctx, c.cancel)
 	if err := r.roundTrip(call); err != nil {
 		r.Close()
 		return nil, p.sendError(ctx, c, call, reused, err)
--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -63,8 +63,9 @@
 // conn is a connection to the upstream at address.
 type conn struct {
 	net.Conn
-	address string
-	limit   *limitedReader
+	address  string
+	receiver *receiver
+	limit    *limitedReader
 	// reader buffers what limit reads.
 	reader *bufio.Reader
 	// until is the time after which the idle connection must not be used.
@@ -85,6 +86,12 @@
 	_ = c.Close()
 }
 
+// cancel aborts the connection. What it has received can still be read.
+func (c *conn) cancel() {
+	c.receiver.end()
+	c.abort()
+}
+
 // NewPool returns an empty pool that opens its connections with dial and is the only user of the upstreams.
 func NewPool(dial socket.DialFunc) *Pool { return New(Options{Dial: dial}) }
 
@@ -151,8 +158,9 @@
 		p.closed(address)
 		return nil, false, err
 	}
-	limit := &limitedReader{source: netConn, left: noLimit}
-	c = &conn{Conn: netConn, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), openedAt: time.Now()}
+	received := &receiver{conn: netConn}
+	limit := &limitedReader{source: received, left: noLimit}
+	c = &conn{Conn: netConn, address: address, receiver: received, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), openedAt: time.Now()}
 	c.dialTime = c.openedAt.Sub(began)
 	if !call.NewConnection {
 		p.begin(c)
