--- a/internal/route/channel/paused_test.go
+++ b/internal/route/channel/paused_test.go
@@ -14,8 +14,8 @@
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
-// readLate responds to requests on a connection, each pause after its header has arrived: it does not read the body before.
-func readLate(c net.Conn, pause time.Duration) {
+// readAfterPause responds to requests on a connection, each pause after its header has arrived: it does not read the body before.
+func readAfterPause(c net.Conn, pause time.Duration) {
 	r := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(r)
@@ -47,7 +47,7 @@
 			if err != nil {
 				return
 			}
-			go readLate(c, pause)
+			go readAfterPause(c, pause)
 		}
 	}()
 	p := channel.NewPool(socket.Dialer(testTimeout))
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -11,9 +11,8 @@
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
-// minLongBody is the length of a body that surely fits into the receive buffer of an upstream. A longer one stays in the send
-// buffer while the upstream reads nothing.
-const minLongBody = 16 << 10
+// longBodyBytes is the length from which on a body may exceed what an upstream's receive buffer holds.
+const longBodyBytes = 32 << 10
 
 // sentError is the failure of an operation after bytes of a call have been sent.
 type sentError struct {
@@ -33,9 +32,8 @@
 			return err
 		}
 	}
-	if len(call.Body) > minLongBody {
-		// An error means that the connection has ended, which sending reports.
-		_ = socket.AllowPauses(r.conn.Conn)
+	if err := r.conn.allowLateRead(len(call.Body) > longBodyBytes); err != nil {
+		return err
 	}
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: r.Reused}
@@ -53,6 +51,15 @@
 	return err
 }
 
+// allowLateRead sets whether the upstream may read what is sent to it some seconds late.
+func (c *conn) allowLateRead(late bool) error {
+	if c.lateRead == late {
+		return nil
+	}
+	c.lateRead = late
+	return socket.LetPeerReadLate(c.Conn, late)
+}
+
 // checkNew returns an error if the upstream has already sent bytes on the new connection, closed or reset it. A reset by the
 // connection limit arrives about one round trip after the connection was established. Only if the upstream has reset others
 // recently, checkNew waits that long for it.
--- a/internal/route/forward/arrived_test.go
+++ b/internal/route/forward/arrived_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -53,15 +52,15 @@
 	}
 }
 
-// Guards against streams that are cut when the process interrupts its requests, although all of them has arrived: only the caller
+// Guards against streams that are cut at the end of a planned stop, although all of them has arrived: only the caller
 // was slow.
-func TestStreamThatHasArrivedIsDeliveredAfterAnInterruption(t *testing.T) {
-	interrupted, interrupt := context.WithCancel(t.Context())
-	defer interrupt()
+func TestStreamThatHasArrivedIsDeliveredAfterTheCut(t *testing.T) {
+	stop := forward.NewStop()
+	defer stop.Cut()
 	release := streamToBusyCaller(t, func(written chan<- struct{}) []*upstream {
 		return []*upstream{withTestUpstream(t, thenTell(written, events(arrivedEvents, true)))}
-	}, func(o *forward.Options) { o.Interrupted = interrupted })
-	interrupt()
+	}, func(o *forward.Options) { o.Stop = stop })
+	stop.Cut()
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, release().Body.String(), completeStream(arrivedEvents))
 }
--- a/internal/wire/socket/dial.go
+++ b/internal/wire/socket/dial.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// unackedTimeout is the time for which sent data may remain unacknowledged before the connection is closed. It applies also to
-	// data that the peer has no room for, although it acknowledges the probes of the kernel.
+	// unackedTimeout is the time for which sent data may remain unacknowledged before the connection is closed.
 	unackedTimeout = 2 * time.Second
+	// longUnackedTimeout replaces it while a peer may read late what is sent to it: once its receive buffer is full, it
+	// acknowledges nothing more until it reads.
+	longUnackedTimeout = 10 * time.Second
 	// probeInterval is the idle time before the first keep-alive probe and the time between two probes.
 	probeInterval = time.Second
 	// probeCount is the number of unanswered probes after which the connection is closed.
@@ -42,9 +44,9 @@
 	}
 }
 
-// AllowPauses lets the peer of a connection read nothing for any time. Whether it has gone is noticed only while nothing is being
-// sent to it.
-func AllowPauses(c net.Conn) error {
+// LetPeerReadLate sets whether the peer of an open TCP connection may leave sent data unread for some seconds before the connection
+// is closed. It does nothing if c is not a connection of the operating system.
+func LetPeerReadLate(c net.Conn, late bool) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
@@ -53,10 +55,13 @@
 	if err != nil {
 		return err
 	}
-	return setUnackedTimeout(raw, 0)
+	if late {
+		return setUnackedTimeout(raw, longUnackedTimeout)
+	}
+	return setUnackedTimeout(raw, unackedTimeout)
 }
 
-// setUnackedTimeout sets the time for which sent data may remain unacknowledged, 0 for the default of the kernel.
+// setUnackedTimeout sets the time for which data sent on c may remain unacknowledged.
 func setUnackedTimeout(c syscall.RawConn, d time.Duration) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) {
