wire/listener: the last response of a connection arrives although the caller sends more

Cause: http.Server closes a connection after a response with Connection: close, which all responses of a leaving process have. If a further request lay unread in the socket, or came after the close, the kernel reset the connection and dropped the rest of that response from its send buffer. Such a connection, and one whose response is not acknowledged, now has only its sending direction closed and is read for up to 1 s; it may be closed in favour of others like an idle one.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -62,6 +62,9 @@
 	// writeDeadline is the deadline that the user of the connection has set, in Unix nanoseconds, 0 for none.
 	writeDeadline atomic.Int64
 	closed        atomic.Bool
+	// broken is true once a write has failed, lingering once the connection is read only until its last response has arrived.
+	broken    atomic.Bool
+	lingering atomic.Bool
 }
 
 func newConn(l *Listener, inner net.Conn) *Conn {
@@ -77,8 +80,17 @@
 // Keep exempts the connection from being closed in favour of others, because its peer is known.
 func (c *Conn) Keep() { c.kept.Store(true) }
 
-// Close closes the connection. What is held for it is released by those who acquired it.
+// Close closes the connection, or its sending direction while its last response is on its way. What is held for it is released by
+// those who acquired it.
 func (c *Conn) Close() error {
+	if c.lingers() {
+		go c.linger()
+		return nil
+	}
+	return c.closeAndRemove()
+}
+
+func (c *Conn) closeAndRemove() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.listener.mu.Lock()
 		c.listener.remove(c)
@@ -138,6 +150,9 @@
 		}
 		n, err := c.Conn.Write(part)
 		written += n
+		if err != nil {
+			c.broken.Store(true)
+		}
 		if err != nil || written == len(p) {
 			if n > 0 && !c.listener.options.HTTP {
 				c.progress()
@@ -231,7 +246,9 @@
 		c.enter(phaseIdle)
 	case http.StateClosed, http.StateHijacked:
 		c.releaseHeader()
-		c.current.Store(phaseActive)
+		if !c.lingering.Load() {
+			c.current.Store(phaseActive)
+		}
 	}
 }
 
