--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -78,6 +78,9 @@
 	defer cancel()
 	if err := e.callers.Shutdown(closing); err != nil {
 		l.Warn().Int64("InProgress", e.inProgress.Load()).Err(err).Msg("interrupted requests have not ended; closing their connections")
+		_ = e.callers.Close()
+		// A request that waits for its caller to read ends with its connection, and is logged then.
+		e.requestsEndWithin(rest, endTime)
 	}
 }
 
