--- a/cmd/oriolehub/stops_log_test.go
+++ b/cmd/oriolehub/stops_log_test.go
@@ -33,7 +33,7 @@
 			Message string
 		}
 		// Times in the log have milliseconds.
-		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Message != message || line.Time.Before(stop.Signalled.Truncate(time.Millisecond)) {
+		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Message != message || line.Time.Before(stop.Signalling.Truncate(time.Millisecond)) {
 			continue
 		}
 		if line.Time.After(stop.Ended) {
@@ -52,10 +52,13 @@
 		n += len(all)
 		for _, stop := range all {
 			noticed, stopped := s.logged(process, stop, stoppingMessage), s.logged(process, stop, stoppedMessage)
-			t.Logf("%s: SIGTERM at %s, noticed after %s, stopped after %s, ended after %s", process, stop.Signalled.Format("15:04:05.000"),
-				noticed.Round(time.Millisecond), stopped.Round(time.Millisecond), stop.Ended.Sub(stop.Signalled).Round(time.Millisecond))
+			t.Logf("%s: SIGTERM at %s, took %s to send, noticed after %s, stopped after %s, ended after %s", process,
+				stop.Signalled.Format("15:04:05.000"), inMilliseconds(stop.Signalled.Sub(stop.Signalling)), inMilliseconds(noticed),
+				inMilliseconds(stopped), inMilliseconds(stop.Ended.Sub(stop.Signalled)))
 			assert.Check(t, stopped >= 0 && stopped <= stopTime, "%s has stopped after %s", process, stopped)
 		}
 	}
 	return n
 }
+
+func inMilliseconds(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/internal/soak/cluster/process.go
+++ b/internal/soak/cluster/process.go
@@ -85,19 +85,21 @@
 	return p.current
 }
 
-// Stopped tells when a process was sent a signal that ends it and when it had ended.
-type Stopped struct{ Signalled, Ended time.Time }
+// Stopped tells when a process was sent a signal that ends it and when it had ended. On a busy machine sending may take long: it
+// began at Signalling and was done at Signalled.
+type Stopped struct{ Signalling, Signalled, Ended time.Time }
 
 // end sends a signal that ends the process, and kills it if it still runs after stopTimeout.
 func (p *Process) end(s syscall.Signal) Stopped {
-	out := Stopped{Signalled: time.Now()}
+	out := Stopped{Signalling: time.Now()}
 	r := p.running()
 	if r == nil {
-		out.Ended = out.Signalled
+		out.Signalled, out.Ended = out.Signalling, out.Signalling
 		return out
 	}
 	r.expected.Store(true)
 	_ = r.cmd.Process.Signal(s)
+	out.Signalled = time.Now()
 	select {
 	case <-r.ended:
 	case <-time.After(stopTimeout):
