--- a/cmd/oriolehub/stops_caller_test.go
+++ b/cmd/oriolehub/stops_caller_test.go
@@ -22,6 +22,9 @@
 	maxIdlePause = 3 * time.Second
 	// stopsShortShare is the share of the requests whose callers wait for a short time only.
 	stopsShortShare = 0.05
+	// slowHeadShare is the share of the requests whose heads are sent in two parts, kindSlowHead is added to their kind.
+	slowHeadShare = 0.1
+	kindSlowHead  = "-slow-head"
 )
 
 // stopEnding is how a request has ended for its caller.
@@ -146,8 +149,19 @@
 		e.limit = drawTime(c.rng, minShortWait, maxShortWait)
 		standin.SetWait(r, e.limit)
 	}
+	parts = withHead(r, header, parts)
+	if c.rng.Float64() < slowHeadShare {
+		e.kind += kindSlowHead
+		parts = splitFirst(parts, 1+c.rng.IntN(len(r.URL.Path)), drawTime(c.rng, minPartPause, maxPartPause))
+	}
 	e.sent = time.Now()
-	return e, r, withHead(r, header, parts)
+	return e, r, parts
+}
+
+// splitFirst returns parts with the first one sent in two, the second of which follows after a pause.
+func splitFirst(parts []part, at int, pause time.Duration) []part {
+	first := parts[0].bytes
+	return append([]part{{bytes: first[:at]}, {pause, first[at:]}}, parts[1:]...)
 }
 
 // withHead returns parts with the head of a request before them, in one part with the first one if that needs no pause.
