--- a/internal/bench/testbed/testbed.go
+++ b/internal/bench/testbed/testbed.go
@@ -72,6 +72,8 @@
 
 	options Options
 	peers   []string
+	// entrySettings are the settings of Entries.
+	entrySettings []settings.Node
 }
 
 // Start starts a deployment, which runs until Stop.
@@ -124,11 +126,25 @@
 			return err
 		}
 		b.Entries = append(b.Entries, e)
+		b.entrySettings = append(b.entrySettings, s)
 		b.Addresses = append(b.Addresses, standin.EntryAddress{Callers: s.Listen, Ready: s.ReadyListen})
 	}
 	return nil
 }
 
+// RestartEntry ends the entry process with the given index and starts it again with the same settings.
+func (b *Testbed) RestartEntry(i int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	b.Entries[i].Stop(ctx)
+	e, err := node.StartEntry(b.entrySettings[i], b.options.Journal, platform.Adapter())
+	if err != nil {
+		return err
+	}
+	b.Entries[i] = e
+	return nil
+}
+
 func (b *Testbed) addVm(i int) error {
 	ip := network.Loopback()
 	vm := &Vm{Id: fmt.Sprintf("engine-%d", i), Place: b.place(i)}
