state/directory, state/exchange: processes tell those that start the age of target versions

Callers saw 503 (no upstream may run the request) and cut streams at entry processes that started shortly after a version was named, from 2.3 s after their start until the first engine had loaded the version.

Cause: the store doesn't say when a version was named, so a process that starts took every version that it found for Bounds.Switch - Bounds.StartGrace old. Class of fault: an assumption made in place of knowledge that other processes have.

Processes now tell the ages of target versions that they saw arrive in the reply to the first exchange, and to a process whose request says that it has assumed ages. A told age replaces an assumed one, or one told as less; never one that the process saw itself. Versions named before the one found at the start are told too, because their deadline must not be extended to that of the newer one. If no process knows an age, the assumption stays. Other exchanges carry nothing more.

Why it works, and why no older version is served for longer: an age is rounded up and counted from before the request that brought it, so it is never less than that of the process which tells it; of several told the oldest counts. An age that a process assumed replaces none, it only adds versions that the starting process doesn't know.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -150,6 +150,15 @@
 	Version uint64
 }
 
+// TargetAge is the age of a target version, as one process tells it to another.
+type TargetAge struct {
+	Model   string
+	Version uint64
+	Age     time.Duration
+	// Assumed is true if neither the process that tells the age, nor one that has told it, saw the version arrive.
+	Assumed bool
+}
+
 // Directives are the operator's instructions that are stored apart from the configuration.
 type Directives struct {
 	// Evacuated lists the failure domains that receive no new requests.
--- a/internal/hub/interfaces.go
+++ b/internal/hub/interfaces.go
@@ -72,6 +72,16 @@
 	Pick(c Candidates, affinity uint64) (chosen, runnerUp int)
 }
 
+// TargetAges holds the ages of target versions, which processes tell each other. Implementations are safe for concurrent use.
+type TargetAges interface {
+	// Ages returns the ages to tell another process.
+	Ages() []TargetAge
+	// NeedsAges reports whether other processes may know ages that this process has assumed.
+	NeedsAges() bool
+	// LearnAges takes ages that another process has told at a time not before asOf.
+	LearnAges(ages []TargetAge, asOf time.Time)
+}
+
 // Topology determines from which members each member fetches which chunks of the weights.
 type Topology interface {
 	// Layout returns the layout of the member self for the weights with the given root digest.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -142,7 +142,7 @@
 	n.delegates = delegate.NewChooser(n.catalog)
 	n.directory = directory.New(directory.Options{
 		Catalog: n.catalog, Decoder: p.Decoder, Regions: domainRegions(&s),
-		InitialTargetAge: max(0, s.Bounds.Switch.Std()-s.Bounds.StartGrace.Std()), Log: stateLog,
+		InitialTargetAge: max(0, s.Bounds.Switch.Std()-s.Bounds.StartGrace.Std()), SwitchBound: s.Bounds.Switch.Std(), Log: stateLog,
 	})
 	n.mirror = mirror.New(mirror.Options{Source: p.Store(s.Store, n.dial), Decoder: p.Decoder, Catalog: n.catalog, Reads: n.readsStore, Log: stateLog})
 	n.presence = presence.New(n.catalog, record)
@@ -151,7 +151,7 @@
 	n.exchange = exchange.NewClient(exchange.Options{
 		Self: s.Id, Catalog: n.catalog, Link: n.link, Interval: n.exchangeInterval, MoreSeeds: n.seedAddresses,
 		Frequent: []string{mirror.DocumentUpstreams}, Prompt: n.needsListAtOnce, Required: mirror.Documents,
-		SeedInterval: func() time.Duration { return min(maxSeedInterval, n.scaled(seedInterval)) }, Log: stateLog,
+		SeedInterval: func() time.Duration { return min(maxSeedInterval, n.scaled(seedInterval)) }, TargetAges: n.directory, Log: stateLog,
 	})
 	return n
 }
--- /dev/null
+++ b/internal/state/directory/ages_test.go
@@ -0,0 +1,156 @@
+package directory_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/listing"
+	"github.com/oriolehub/oriolehub/internal/state/mirror"
+)
+
+// withVersionFoundAtTheStart returns a directory that finds a target version of model m when it starts.
+func withVersionFoundAtTheStart(t *testing.T, version uint64) *fixture {
+	f := withTestDirectory(t)
+	f.configure(1, 1)
+	f.target(2, version)
+	return f
+}
+
+// learn has another process tell the age of a version now, and rebuilds the snapshot.
+func (f *fixture) learn(version uint64, age time.Duration, assumed bool) {
+	f.directory.LearnAges([]hub.TargetAge{{Model: "m", Version: version, Age: age, Assumed: assumed}}, time.Now())
+	f.directory.Rebuild()
+}
+
+// assertDue verifies that after d, and not before, all versions below the given one must be replaced.
+func (f *fixture) assertDue(version uint64, d time.Duration) {
+	f.t.Helper()
+	target := f.directory.Current().Service("engine").Target
+	assert.Assert(f.t, target.Due(time.Now().Add(d-time.Millisecond), switchBound) < version)
+	assert.Equal(f.t, target.Due(time.Now().Add(d), switchBound), version)
+}
+
+// Guards against a restarted process that takes a version for older than it is although others know its age.
+func TestToldAgesReplaceOnlyAssumedOnesAndLesserTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		f.assertDue(2, switchBound-initialTargetAge)
+		f.learn(2, time.Second, false)
+		f.assertDue(2, switchBound-time.Second)
+		f.learn(2, 2*time.Second, false)
+		f.assertDue(2, switchBound-2*time.Second)
+		f.learn(2, time.Second, false)
+		f.assertDue(2, switchBound-2*time.Second)
+		f.target(3, 3)
+		for _, assumed := range []bool{false, true} {
+			f.learn(3, 3*time.Second, assumed)
+			f.assertDue(3, switchBound)
+		}
+		f.assertDue(2, switchBound-2*time.Second)
+	})
+}
+
+func TestToldAgeOlderThanTheAssumedOneReplacesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		f.learn(2, 7*time.Second, false)
+		f.assertDue(2, switchBound-7*time.Second)
+	})
+}
+
+func TestAgesAssumedByOthersReplaceNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		for _, age := range []time.Duration{time.Second, 7 * time.Second} {
+			f.learn(2, age, true)
+			f.assertDue(2, switchBound-initialTargetAge)
+		}
+		assert.Assert(t, f.directory.NeedsAges())
+	})
+}
+
+func TestAgeToldBeforeTheFirstDirectivesIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestDirectory(t)
+		f.configure(1, 1)
+		f.learn(2, time.Second, false)
+		time.Sleep(time.Second)
+		f.target(2, 2)
+		f.assertDue(2, switchBound-2*time.Second)
+	})
+}
+
+func TestAgeToldAfterTheSnapshotWasBuiltIsPublished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.directory.Run(ctx) }()
+		synctest.Wait()
+		changed := f.directory.Changed()
+		f.directory.LearnAges([]hub.TargetAge{{Model: "m", Version: 2, Age: time.Second}}, time.Now())
+		<-changed
+		f.assertDue(2, switchBound-time.Second)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a restarted process that extends the deadline of an earlier version to that of the one which it finds.
+func TestVersionBeforeTheOneFoundAtTheStartIsDueByItsToldAge(t *testing.T) {
+	for _, assumed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := withVersionFoundAtTheStart(t, 3)
+			f.learn(3, time.Second, false)
+			f.learn(2, 6*time.Second, assumed)
+			f.assertDue(2, switchBound-6*time.Second)
+			f.assertDue(3, switchBound-time.Second)
+			f.target(3, 5)
+			f.learn(4, 7*time.Second, assumed)
+			f.assertDue(3, switchBound-time.Second)
+			f.assertDue(5, switchBound)
+		})
+	}
+}
+
+func TestToldAgesArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		assert.Equal(t, len(f.directory.Ages()), 0, "only an assumption is known")
+		f.learn(2, time.Second, false)
+		f.learn(1, 3*time.Second, true)
+		time.Sleep(time.Second)
+		f.target(3, 3)
+		assert.DeepEqual(t, f.directory.Ages(), []hub.TargetAge{
+			{Model: "m", Version: 3}, {Model: "m", Version: 2, Age: 2 * time.Second}, {Model: "m", Version: 1, Age: 4 * time.Second, Assumed: true},
+		})
+		time.Sleep(switchBound - 2*time.Second)
+		assert.DeepEqual(t, f.directory.Ages(), []hub.TargetAge{
+			{Model: "m", Version: 3, Age: 6 * time.Second}, {Model: "m", Version: 2, Age: switchBound},
+		})
+	})
+}
+
+func TestAgesAreNeededWhileAnAssumedOneMatters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		assert.Assert(t, f.directory.NeedsAges())
+		time.Sleep(switchBound)
+		assert.Assert(t, !f.directory.NeedsAges())
+
+		f = withVersionFoundAtTheStart(t, 2)
+		f.learn(2, 0, false)
+		assert.Assert(t, !f.directory.NeedsAges())
+
+		f = withTestDirectory(t)
+		f.configure(1, 1)
+		f.put(mirror.DocumentDirectives, 1, []listing.Entry{})
+		f.target(2, 2)
+		assert.Assert(t, !f.directory.NeedsAges())
+	})
+}
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -27,7 +27,9 @@
 	// InitialTargetAge is the assumed age of the target versions that are already set when this process starts. The
 	// documents do not contain the time at which a version was set.
 	InitialTargetAge time.Duration
-	Log              *log.Logger
+	// SwitchBound is the time within which a target version must replace older ones; ages beyond it do not matter.
+	SwitchBound time.Duration
+	Log         *log.Logger
 }
 
 // Directory maintains the current snapshot.
@@ -38,6 +40,8 @@
 	mu      sync.Mutex
 	changed chan struct{}
 
+	told *toldAges
+
 	// The fields below are used by Rebuild only.
 
 	// revisions holds the revision of each document at the last rebuild.
@@ -79,6 +83,7 @@
 		targets:   map[string]Target{},
 		evacuated: map[string]uint64{},
 		rejected:  map[string]uint64{},
+		told:      newToldAges(),
 		runs:      map[string]lastRun{},
 	}
 	s := &Snapshot{}
@@ -97,7 +102,7 @@
 	return d.changed
 }
 
-// Run rebuilds the snapshot after each change of a document until ctx is done.
+// Run rebuilds the snapshot after each change of a document, and after ages of targets were told, until ctx is done.
 func (d *Directory) Run(ctx context.Context) {
 	for {
 		documentsChanged := d.options.Catalog.DocumentsChanged()
@@ -109,6 +114,7 @@
 			return
 		case <-documentsChanged:
 		case <-recheck:
+		case <-d.told.arrived:
 		}
 		stop()
 	}
@@ -123,8 +129,8 @@
 	return timer.C, func() { timer.Stop() }
 }
 
-// Rebuild publishes a new snapshot if a document in the catalog has changed or recheckAt has passed. It must not be called
-// concurrently.
+// Rebuild publishes a new snapshot if a document in the catalog has changed, recheckAt has passed or an age of a target
+// was told that changes one. It must not be called concurrently.
 func (d *Directory) Rebuild() {
 	configuration := d.options.Catalog.Document(mirror.DocumentConfiguration)
 	directives, directivesRevision := d.options.Catalog.List(mirror.DocumentDirectives)
@@ -139,6 +145,7 @@
 			modified = true
 		}
 	}
+	modified = d.applyToldAges() || modified
 	if !modified {
 		return
 	}
@@ -147,6 +154,7 @@
 	next := &Snapshot{Configuration: old.Configuration, Revision: old.Revision, UpstreamsRevision: upstreamsRevision, Revisions: maps.Clone(d.revisions)}
 	d.applyConfiguration(next, configuration)
 	d.applyDirectives(next, directives, directivesRevision)
+	d.applyToldAges()
 	next.targets = d.targets
 	next.index()
 	d.applyUpstreams(next, upstreams, upstreamsRevision)
@@ -243,11 +251,12 @@
 		if known.Version >= t.Version {
 			continue
 		}
-		since := now
+		since, source := now, ageSeen
 		if !d.directivesApplied {
 			since = since.Add(-d.options.InitialTargetAge)
+			source = ageAssumed
 		}
-		targets[t.Model] = known.withVersion(t.Version, since)
+		targets[t.Model] = known.withVersion(t.Version, since, source)
 		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", revision).Msg("target version changed")
 	}
 	d.targets = targets
--- a/internal/state/directory/directory_test.go
+++ b/internal/state/directory/directory_test.go
@@ -17,7 +17,10 @@
 	"github.com/oriolehub/oriolehub/internal/state/mirror"
 )
 
-const initialTargetAge = 5 * time.Second
+const (
+	initialTargetAge = 5 * time.Second
+	switchBound      = 8 * time.Second
+)
 
 type fixture struct {
 	t         *testing.T
@@ -28,7 +31,8 @@
 func withTestDirectory(t *testing.T) *fixture {
 	c := catalog.New(1)
 	d := directory.New(directory.Options{
-		Catalog: c, Decoder: desired.Decoder{}, Regions: map[string]string{"a": "north"}, InitialTargetAge: initialTargetAge, Log: journal.Discard().Logger(journal.State),
+		Catalog: c, Decoder: desired.Decoder{}, Regions: map[string]string{"a": "north"}, InitialTargetAge: initialTargetAge, SwitchBound: switchBound,
+		Log: journal.Discard().Logger(journal.State),
 	})
 	return &fixture{t: t, catalog: c, directory: d}
 }
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -77,10 +77,13 @@
 }
 
 // Named is a version that the operator has set as target, with the time at which this process received it. For
-// a version that was set before the process started, Since is earlier by Options.InitialTargetAge.
+// a version that was set before the process started, Since is the time that another process has told, or else earlier by
+// Options.InitialTargetAge.
 type Named struct {
 	Version uint64
 	Since   time.Time
+	// source is the source of Since.
+	source ageSource
 }
 
 // Due returns the newest version that was set at least bound before now, or 0 if there is none. Upstreams with older
@@ -104,10 +107,10 @@
 	return Named{}, false
 }
 
-// withVersion returns t with version as the newest target, received at now. Only the last maxNamedVersions targets
+// withVersion returns t with version as the newest target, set at the time since. Only the last maxNamedVersions targets
 // are kept.
-func (t Target) withVersion(version uint64, now time.Time) Target {
-	named := append(slices.Clone(t.Named), Named{Version: version, Since: now})
+func (t Target) withVersion(version uint64, since time.Time, source ageSource) Target {
+	named := append(slices.Clone(t.Named), Named{Version: version, Since: since, source: source})
 	return Target{Version: version, Named: named[max(0, len(named)-maxNamedVersions):]}
 }
 
--- /dev/null
+++ b/internal/state/exchange/ages.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"math"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/message"
+)
+
+// needsAges reports whether peers may know ages of target versions that this process has assumed.
+func (c *Client) needsAges() bool {
+	return c.options.TargetAges != nil && c.options.TargetAges.NeedsAges()
+}
+
+// learnAges takes the ages in the reply to a request that was sent at the given time. That time is their reference, because
+// they must not be taken for less than they are.
+func (c *Client) learnAges(reply *message.ExchangeReply, sent time.Time) {
+	if c.options.TargetAges != nil && len(reply.GetTargetAges()) > 0 {
+		c.options.TargetAges.LearnAges(fromTargetAges(reply.GetTargetAges()), sent)
+	}
+}
+
+// agesFor returns the ages of target versions for the sender of a request that needs them or has just started.
+func (s *Server) agesFor(r *message.ExchangeRequest) []*message.TargetAge {
+	if s.ages == nil || r.GetKnownEpoch() != 0 && !r.GetNeedsAges() {
+		return nil
+	}
+	return toTargetAges(s.ages.Ages())
+}
+
+func toTargetAges(ages []hub.TargetAge) []*message.TargetAge {
+	var out []*message.TargetAge
+	for _, a := range ages {
+		out = append(out, &message.TargetAge{Model: a.Model, Version: a.Version, AgeMs: toMilliseconds(a.Age), Assumed: a.Assumed})
+	}
+	return out
+}
+
+func fromTargetAges(ages []*message.TargetAge) []hub.TargetAge {
+	var out []hub.TargetAge
+	for _, a := range ages {
+		out = append(out, hub.TargetAge{
+			Model: a.GetModel(), Version: a.GetVersion(), Age: time.Duration(a.GetAgeMs()) * time.Millisecond, Assumed: a.GetAssumed(),
+		})
+	}
+	return out
+}
+
+// toMilliseconds returns d in milliseconds, rounded up.
+func toMilliseconds(d time.Duration) uint32 {
+	ms := (max(0, d) + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(ms, math.MaxUint32))
+}
--- a/internal/state/exchange/client.go
+++ b/internal/state/exchange/client.go
@@ -50,7 +50,9 @@
 	SeedInterval func() time.Duration
 	// MoreSeeds returns additional seeds and is called anew for each exchange with a seed; it may be nil.
 	MoreSeeds func() []string
-	Log       *log.Logger
+	// TargetAges holds the ages of target versions; nil if this process does not know any.
+	TargetAges hub.TargetAges
+	Log        *log.Logger
 }
 
 // Client exchanges documents and member records with the neighbours periodically, and with those that need it at once
@@ -160,11 +162,13 @@
 
 // call sends one request to a peer and merges its reply.
 func (c *Client) call(ctx context.Context, conn drpc.Conn, id string, request *message.ExchangeRequest) (*message.ExchangeReply, error) {
+	sent := time.Now()
 	reply, err := message.NewDRPCPeerClient(conn).Exchange(ctx, request)
 	if err != nil {
 		return nil, err
 	}
 	c.heardAt.Store(int64(time.Since(c.created)))
+	c.learnAges(reply, sent)
 	merge(c.options.Catalog, id, reply.GetDocuments(), reply.GetMembers())
 	return reply, nil
 }
@@ -181,6 +185,7 @@
 		Documents:      newerThan(local, fromRevisions(reply.GetRevisions()), reply.GetAcceptsEntries()),
 		Revisions:      c.joining.revisions(local, reserved),
 		AcceptsEntries: true,
+		NeedsAges:      c.needsAges(),
 	}
 }
 
@@ -198,6 +203,7 @@
 		Revisions:     c.joining.revisions(local, false),
 
 		AcceptsEntries: true,
+		NeedsAges:      c.needsAges(),
 	}
 	if state.epoch == 0 {
 		buckets := local.Buckets()
--- a/internal/state/exchange/server.go
+++ b/internal/state/exchange/server.go
@@ -14,6 +14,8 @@
 	record  func() hub.Member
 	// joining is nil if the process needs no documents to join.
 	joining *joining
+	// ages is nil if the process knows no ages of target versions.
+	ages hub.TargetAges
 }
 
 // NewServer returns a server for catalog c; record returns the current member record of this process.
@@ -23,7 +25,7 @@
 
 // NewServer returns a server for the catalog of the client; record returns the current member record of this process.
 func (c *Client) NewServer(record func() hub.Member) *Server {
-	return &Server{catalog: c.options.Catalog, record: record, joining: c.joining}
+	return &Server{catalog: c.options.Catalog, record: record, joining: c.joining, ages: c.options.TargetAges}
 }
 
 // Describe returns the current member record of this process.
@@ -43,6 +45,7 @@
 		Documents:      newerThan(s.catalog, fromRevisions(r.GetRevisions()), r.GetAcceptsEntries()),
 		Revisions:      s.joining.revisions(s.catalog, !s.joining.reserve(r.GetRevisions()).IsZero()),
 		AcceptsEntries: true,
+		TargetAges:     s.agesFor(r),
 	}
 	var change catalog.Change
 	if r.GetKnownEpoch() == s.catalog.Epoch() {
