--- a/internal/route/forward/resetsthenstall_test.go
+++ b/internal/route/forward/resetsthenstall_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -30,9 +29,7 @@
 				return p.dial(ctx, address)
 			}
 			f := withFixtureOptions(t, fixtureOptions{pool: channel.NewPool(dial), serve: p.serve}, lost)
-			transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return p.connect() }}
-			t.Cleanup(transport.CloseIdleConnections)
-			f.client = &http.Client{Transport: transport}
+			f.client = p.client(t)
 			f.configureStreamsWith(3)
 			f.refresh()
 			f.limitConnections(10)
