--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// followWait is the maximum time for which the store waits for a change before it responds. A dead connection
-	// is detected after this time plus the timeout of a call.
-	followWait = 2500 * time.Millisecond
+	// followWait is the maximum time for which the store waits for a change before it responds. A connection that has gone
+	// silent is detected after this time plus the timeout of a call; changes must be known 3 s after that.
+	followWait = 1000 * time.Millisecond
 	// relistInterval is the interval between two listings of all keys, which repair changes that a watch has missed
 	// without an error.
 	relistInterval = 8 * time.Second
@@ -143,7 +143,9 @@
 		if !listing {
 			lost = errors.Is(err, hub.ErrHistoryLost)
 		}
-		if err != nil && !errors.Is(err, hub.ErrHistoryLost) || lostAgain {
+		// A watch that has gone silent has taken long enough, and a new connection may work.
+		silent := !listing && err != nil && time.Since(started) > followWait
+		if err != nil && !silent && !errors.Is(err, hub.ErrHistoryLost) || lostAgain {
 			_ = hub.Sleep(ctx, meanRetryDelay/2+rand.N(meanRetryDelay))
 		}
 		if err == nil && prefix == m.upstreams && !listing {
