soak/plan, soak/session: stalled and late connections to upstreams, which disturb nothing

Both excuse nothing in the checks. TestSoakHoldsUpConnections shows that they are applied and recorded as no disturbance.

--- a/cmd/oriolehub/soak_test.go
+++ b/cmd/oriolehub/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,6 +15,7 @@
 	"github.com/oriolehub/oriolehub/internal/soak/check"
 	"github.com/oriolehub/oriolehub/internal/soak/cluster"
 	"github.com/oriolehub/oriolehub/internal/soak/plan"
+	"github.com/oriolehub/oriolehub/internal/soak/record"
 	"github.com/oriolehub/oriolehub/internal/soak/session"
 )
 
@@ -83,6 +85,35 @@
 	}
 }
 
+// A plan with each fault of the connections to upstreams that disturbs nothing.
+const heldUpPlan = `Seed 3
+Time 3s
+Size 1 1 1
+Fault 200ms 1s Stall plain-0
+Fault 200ms 1s Late engine-0
+`
+
+// Guards against connections that are held up being recorded as a disturbance, which would excuse requests that end without an answer.
+func TestSoakHoldsUpConnections(t *testing.T) {
+	p, err := plan.Parse(heldUpPlan)
+	assert.NilError(t, err)
+	program := cluster.Program{Path: os.Args[0], Env: append(os.Environ(), envProgram+"=1")}
+	r, err := session.Run(t.Context(), session.Options{Plan: p, Folder: t.TempDir(), Program: program})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Seen.Disturbances), 0)
+	var heldUp []string
+	for _, c := range r.Seen.Changes {
+		if c.Kind == record.HeldUp && c.Until > 0 {
+			heldUp = append(heldUp, c.Subject)
+		}
+	}
+	slices.Sort(heldUp)
+	assert.DeepEqual(t, heldUp, []string{"engine-0", "plain-0"})
+	for _, v := range r.Violations {
+		assert.Check(t, v.Promise == check.Recovers, v.String())
+	}
+}
+
 // Guards against faults of load and memory that are missing in the output and the report. The plan is too short for the check
 // on recovery, so that the exit code tells nothing.
 func TestSoakReportsFaultsOfLoad(t *testing.T) {
--- a/internal/soak/check/promises.go
+++ b/internal/soak/check/promises.go
@@ -194,7 +194,7 @@
 		last = max(last, d.To)
 	}
 	for _, x := range c.Changes {
-		if x.Kind == record.Hanging || x.Kind == record.ChangingRoutes {
+		if slices.Contains([]record.Kind{record.Hanging, record.HeldUp, record.ChangingRoutes}, x.Kind) {
 			last = max(last, x.Until)
 		}
 	}
--- a/internal/soak/plan/generate.go
+++ b/internal/soak/plan/generate.go
@@ -32,6 +32,9 @@
 	// numbers.
 	meanChangeGap = time.Second
 	changesStream = 1 << 33
+	// meanWayGap and waysStream are the same for those of the connections to upstreams.
+	meanWayGap = 2 * time.Second
+	waysStream = 1 << 34
 	// minHang and maxHang limit the duration of a Hang. A sound upstream may be silent for so long.
 	minHang = time.Second
 	maxHang = 1300 * time.Millisecond
@@ -127,6 +130,12 @@
 	{kind: ChangeRoutes, weight: 1, target: (*generator).none},
 }
 
+// wayChoices are the faults of connections that AddChanges draws.
+var wayChoices = []choice{
+	{kind: Stall, weight: 1, target: (*generator).upstream, min: minHang, max: maxHang},
+	{kind: Late, weight: 1, target: (*generator).upstream},
+}
+
 // generator draws faults from choices.
 type generator struct {
 	rng     *rand.Rand
@@ -152,6 +161,7 @@
 // AddChanges adds the faults of the plan's seed that disturb nothing.
 func (p *Plan) AddChanges() {
 	p.addFaults(&generator{rng: rand.New(rand.NewPCG(p.Seed, changesStream)), size: p.Size, choices: changeChoices, meanGap: meanChangeGap})
+	p.addFaults(&generator{rng: rand.New(rand.NewPCG(p.Seed, waysStream)), size: p.Size, choices: wayChoices, meanGap: meanWayGap})
 }
 
 func (p *Plan) addFaults(g *generator) {
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -70,9 +70,12 @@
 )
 
 // Faults that disturb nothing: the promises hold beside them as without them. Hang makes an upstream send nothing until it
-// ends; ChangeRoutes changes the routes again and again until it ends.
+// ends; Stall and Late make the connections to an upstream hold all bytes until it ends, or deliver responses late;
+// ChangeRoutes changes the routes again and again until it ends.
 const (
 	Hang         Kind = "Hang"
+	Stall        Kind = "Stall"
+	Late         Kind = "Late"
 	ChangeRoutes Kind = "ChangeRoutes"
 )
 
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -55,7 +55,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, read.String(), p.String())
 	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool {
-		return slices.ContainsFunc(changeChoices, func(c choice) bool { return c.kind == f.Kind })
+		return slices.ContainsFunc(slices.Concat(changeChoices, wayChoices), func(c choice) bool { return c.kind == f.Kind })
 	})
 	assert.Equal(t, p.String(), before.String())
 }
@@ -66,8 +66,8 @@
 		p := &Plan{Seed: rapid.Uint64().Draw(t, "seed"), Time: 40 * time.Second, Size: testSize}
 		p.AddChanges()
 		for _, f := range p.Faults {
-			if f.Kind == Hang && f.For > maxHang {
-				t.Fatalf("a hang of %s", f.For)
+			if (f.Kind == Hang || f.Kind == Stall) && f.For > maxHang {
+				t.Fatalf("a %s of %s", f.Kind, f.For)
 			}
 		}
 	})
@@ -96,7 +96,8 @@
 	head := "Seed 1\nTime 20s\nSize 2 2 1\n"
 	for _, line := range []string{"Fault 1s 1s Kill entry-2", "Fault 1s 1s Kil entry-1", "Fault 1s Kill entry-1", "Fault -1s 1s Kill entry-1", "Fault 1s 1s Cut store:side", "Fault 1s 1s Kill engine-0", "Fault 1s 1s Stop -", "Fault 1s 1s Cut callers:side-0", "Fault 1s 1s StoreBusy entry-0", "Fault 1s 1s Leave entry-0", "Size 1 1 0", "Time x",
 		"Fault 1s 1s SlowDown entry-0", "Fault 1s 1s ShortBodies side-0", "Fault 1s 1s EndlessHeaders -", "Fault 1s 1s UnreadResponses entry-2", "Memory 63", "Memory x",
-		"Fault 1s 1s Hang entry-0", "Fault 1s 1s Hang -", "Fault 1s 1s ChangeRoutes engine-0"} {
+		"Fault 1s 1s Hang entry-0", "Fault 1s 1s Hang -", "Fault 1s 1s ChangeRoutes engine-0",
+		"Fault 1s 1s Stall callers:entry-0", "Fault 1s 1s Late -"} {
 		_, err := Parse(head + line)
 		assert.Assert(t, errors.Is(err, ErrInvalid), "%q: %v", line, err)
 	}
--- a/internal/soak/plan/text.go
+++ b/internal/soak/plan/text.go
@@ -136,7 +136,7 @@
 
 // isKnown reports whether a kind of fault can be drawn.
 func isKnown(kind Kind) bool {
-	return slices.ContainsFunc(slices.Concat(choices, loadChoices, changeChoices), func(c choice) bool { return c.kind == kind })
+	return slices.ContainsFunc(slices.Concat(choices, loadChoices, changeChoices, wayChoices), func(c choice) bool { return c.kind == kind })
 }
 
 // suits reports whether a deployment of this size has the target of a fault, and whether the fault can befall it.
@@ -148,7 +148,7 @@
 		return slices.Contains([]string{AllEntries, AllSides, All}, f.Target)
 	case Delay, Drip, Cut, CutTo, CutFrom, Silence, ResetAll:
 		return s.hasLink(f.Target)
-	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit, SlowDown, Hang:
+	case RepeatOld, Crash, Leave, AskPause, Refuse, BreakStreams, NameLimit, SlowDown, Hang, Stall, Late:
 		return s.hasUpstream(f.Target)
 	case ShortBodies, EndlessHeaders, UnreadResponses:
 		return isNumbered(f.Target, EntryName, s.Entries)
--- a/internal/soak/record/record.go
+++ b/internal/soak/record/record.go
@@ -83,9 +83,10 @@
 	// OutsideLimits is the time for which callers outside the limits have connections to the entry process Subject. It is kept
 	// among the changes because it excuses nothing.
 	OutsideLimits Kind = "callers outside the limits"
-	// Hanging is the time for which an upstream sends nothing, ChangingRoutes that in which the routes change again and again.
-	// They are kept among the changes because they excuse nothing.
+	// Hanging is the time for which an upstream sends nothing, HeldUp that in which the connections to one stall or are late,
+	// ChangingRoutes that in which the routes change again and again. They are kept among the changes because they excuse nothing.
 	Hanging        Kind = "upstream hangs"
+	HeldUp         Kind = "connections to upstream held up"
 	ChangingRoutes Kind = "routes change"
 	// RouteMissing is the time for which the desired state lacks the route Subject, RouteTimeout that for which it gives it the
 	// timeout Limit.
--- a/internal/soak/session/faults.go
+++ b/internal/soak/session/faults.go
@@ -32,6 +32,8 @@
 	maxChangePause = 300 * time.Millisecond
 	// slowTime is the time by which the responses of a slow upstream take longer, most of the time limit of short requests.
 	slowTime = 1500 * time.Millisecond
+	// lateTime is the time by which responses are late on their way.
+	lateTime = 300 * time.Millisecond
 )
 
 // modes are the modes of the faults of links.
@@ -85,6 +87,10 @@
 		return func() { s.lifetime("delay of "+f.Target, func() { s.slowDown(ctx, f.Target, f.For) }) }
 	case plan.Hang:
 		return func() { s.hang(ctx, f.Target, f.For) }
+	case plan.Stall:
+		return func() { s.stall(ctx, f.Target, f.For) }
+	case plan.Late:
+		return func() { s.lifetime("way to "+f.Target, func() { s.delay(ctx, f.Target, f.For) }) }
 	case plan.ChangeRoutes:
 		return func() { s.lifetime("routes", func() { s.changeRoutes(ctx, f.For) }) }
 	case plan.ShortBodies, plan.EndlessHeaders, plan.UnreadResponses:
@@ -224,6 +230,21 @@
 	_ = hub.Sleep(ctx, d)
 }
 
+// stall makes the connections to an upstream hold all bytes for a time. It disturbs nothing, as a hang does.
+func (s *session) stall(ctx context.Context, name string, d time.Duration) {
+	defer s.record.Change(record.Change{Kind: record.HeldUp, Subject: name})()
+	defer s.cluster.SetMode(name, proxy.Cut)()
+	_ = hub.Sleep(ctx, d)
+}
+
+// delay makes the responses of an upstream late for a time. It disturbs nothing.
+func (s *session) delay(ctx context.Context, name string, d time.Duration) {
+	defer s.record.Change(record.Change{Kind: record.HeldUp, Subject: name})()
+	s.cluster.SetCapacity(name, proxy.Capacity{FromTarget: proxy.Flow{Delay: lateTime}})
+	defer s.cluster.SetCapacity(name, proxy.Capacity{})
+	_ = hub.Sleep(ctx, d)
+}
+
 // changeRoutes changes the routes again and again for a time, and takes all of it back. It disturbs nothing.
 func (s *session) changeRoutes(ctx context.Context, d time.Duration) {
 	defer s.record.Change(record.Change{Kind: record.ChangingRoutes})()
--- a/internal/soak/session/report.go
+++ b/internal/soak/session/report.go
@@ -82,7 +82,7 @@
 func faultBars(seen *record.Seen) []record.Disturbance {
 	out := slices.Clone(seen.Disturbances)
 	for _, c := range seen.Changes {
-		if slices.Contains([]record.Kind{record.OutsideLimits, record.Hanging, record.ChangingRoutes}, c.Kind) {
+		if slices.Contains([]record.Kind{record.OutsideLimits, record.Hanging, record.HeldUp, record.ChangingRoutes}, c.Kind) {
 			out = append(out, record.Disturbance{Kind: string(c.Kind), Target: c.Subject, From: c.At, To: c.Until})
 		}
 	}
