--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -218,7 +218,7 @@
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if x.relay != nil {
 		x.upstreamFailed(c)
-		return fmt.Errorf("%w: status %d and %q to a stream that goes on", errFailed, response.Status, response.Header.Get("Content-Type"))
+		return fmt.Errorf("%w: status %d and %.100q to a stream that goes on", errFailed, response.Status, response.Header.Get("Content-Type"))
 	}
 	if response.Status >= 500 {
 		x.upstreamFailed(c)
@@ -258,7 +258,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	x.writeHeader(b.status)
 	if _, err := x.w.Write(b.body); err != nil {
-		x.finish(outcomeAnswered, b.status, "caller has left: "+err.Error())
+		x.finish(outcomeAnswered, b.status, x.callerLost().Error()+": "+err.Error())
 		return
 	}
 	x.finish(outcomeAnswered, b.status, "")
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -77,10 +77,13 @@
 }
 
 // Named is a version that the operator has set as target, with the time at which this process received it. For
-// a version that was set before the process started, Since is earlier by Options.InitialTargetAge.
+// a version that was set before the process started, Since is the time that another process has told, or else earlier by
+// Options.InitialTargetAge.
 type Named struct {
 	Version uint64
 	Since   time.Time
+	// source is the source of Since.
+	source ageSource
 }
 
 // Due returns the newest version that was set at least bound before now, or 0 if there is none. Upstreams with older
@@ -104,15 +107,38 @@
 	return Named{}, false
 }
 
-// withVersion returns t with version as the newest target, received at now. Only the last maxNamedVersions targets
-// are kept.
-func (t Target) withVersion(version uint64, now time.Time) Target {
-	named := append(slices.Clone(t.Named), Named{Version: version, Since: now})
-	return Target{Version: version, Named: named[max(0, len(named)-maxNamedVersions):]}
+// withVersion returns t with version as the newest target, set at the time since.
+func (t Target) withVersion(version uint64, since time.Time, source ageSource) Target {
+	named := append(slices.Clone(t.Named), Named{Version: version, Since: since, source: source})
+	return Target{Version: version, Named: shorten(named, since)}
 }
 
-// maxNamedVersions is the maximum length of Target.Named.
-const maxNamedVersions = 8
+const (
+	// maxNamedVersions is the maximum length of Target.Named.
+	maxNamedVersions = 64
+	// namedTTL exceeds the time for which versions may be served after a newer one was set.
+	namedTTL = 10 * time.Minute
+)
+
+// shorten returns named with at most maxNamedVersions targets. It drops the oldest if that may not be served any more. Otherwise it
+// joins the two that were set in the quickest succession: the newer one counts from the time of the older one, so that no version
+// may be served for longer.
+func shorten(named []Named, now time.Time) []Named {
+	if len(named) <= maxNamedVersions {
+		return named
+	}
+	if now.Sub(named[1].Since) >= namedTTL {
+		return named[1:]
+	}
+	older := 0
+	for i := range len(named) - 1 {
+		if named[i+1].Since.Sub(named[i].Since) < named[older+1].Since.Sub(named[older].Since) {
+			older = i
+		}
+	}
+	named[older+1].Since = named[older].Since
+	return slices.Delete(named, older, older+1)
+}
 
 // Ready reports whether the configuration and the list of upstreams are known, so that requests can be served.
 func (s *Snapshot) Ready() bool { return s.Configuration != nil && s.UpstreamsRevision != 0 }
