--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -95,7 +95,8 @@
 }
 
 // Send sends a call to the upstream at address and returns the response once its header has been read.
-// It aborts the connection when ctx is done, also while the body is read; what has been received by then can be read. Its errors wrap ErrNotSent or ErrBroken.
+// It aborts the connection when ctx is done, also while the body is read; what has been received by then can be read. Its errors
+// wrap ErrNotSent or ErrBroken.
 func (p *Pool) Send(ctx context.Context, address string, call *Call) (*Response, error) {
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
