--- a/cmd/oriolehub/held_test.go
+++ b/cmd/oriolehub/held_test.go
@@ -235,8 +235,9 @@
 	began := time.Now()
 	for ; time.Since(began) < d; version++ {
 		h.Site.ConfigureRoutes(version, &standin.Routing{StreamTimeout: heldTimeout, PlainTimeout: heldTimeout}, standin.Key)
+		id := fmt.Sprintf("%s-within-%d", name, version)
 		running.Go(func() {
-			assert.Check(t, h.sendUntilRun(standin.AtMostOncePath, fmt.Sprintf("%s-within-%d", name, version), 0), "beside a stall of %s", d)
+			assert.Check(t, h.sendUntilRun(standin.AtMostOncePath, id, 0), "beside a stall of %s", d)
 		})
 		_ = hub.Sleep(context.Background(), min(d/4, time.Until(began.Add(d))))
 	}
