--- a/cmd/oriolehub/stops_body_test.go
+++ b/cmd/oriolehub/stops_body_test.go
@@ -19,8 +19,8 @@
 	minPartPause = 50 * time.Millisecond
 	maxPartPause = 2 * time.Second
 	maxBodyTime  = 4 * time.Second
-	// shortBody and longBody are the lengths of bodies that are sent at once.
-	shortBody = 2 << 10
+	// shortBodyBytes and longBody are the lengths of bodies that are sent at once.
+	shortBodyBytes = 2 << 10
 	longBody  = 40 << 10
 	// lastChunk ends a body in chunks.
 	lastChunk = "0\r\n\r\n"
@@ -45,8 +45,8 @@
 	{"length", drawLength},
 	{"length-slow", drawSlowLength},
 	{"chunks", drawChunks},
-	{"chunks-slow", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, shortBody) }},
-	{"chunks-slow", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, shortBody) }},
+	{"chunks-slow", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, shortBodyBytes) }},
+	{"chunks-slow", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, shortBodyBytes) }},
 	{"chunks-bytes", func(rng *rand.Rand) (string, []part) { return drawSlowChunks(rng, 1) }},
 	{"chunks-end", drawSeparateEnd},
 	{"chunks-end", drawSeparateEnd},
@@ -63,7 +63,7 @@
 func lengthHeader(n int) string { return "Content-Length: " + strconv.Itoa(n) }
 
 func drawLength(rng *rand.Rand) (string, []part) {
-	n := []int{shortBody, longBody}[rng.IntN(2)]
+	n := []int{shortBodyBytes, longBody}[rng.IntN(2)]
 	return lengthHeader(n), []part{{bytes: strings.Repeat("x", n)}}
 }
 
@@ -71,9 +71,9 @@
 	pauses := drawPauses(rng)
 	var parts []part
 	for _, pause := range pauses {
-		parts = append(parts, part{pause, strings.Repeat("x", shortBody)})
+		parts = append(parts, part{pause, strings.Repeat("x", shortBodyBytes)})
 	}
-	return lengthHeader(len(pauses) * shortBody), parts
+	return lengthHeader(len(pauses) * shortBodyBytes), parts
 }
 
 func drawChunks(*rand.Rand) (string, []part) {
@@ -95,7 +95,7 @@
 	pauses := drawPauses(rng)
 	var parts []part
 	for _, pause := range pauses[:len(pauses)-1] {
-		parts = append(parts, part{pause, chunk(shortBody)})
+		parts = append(parts, part{pause, chunk(shortBodyBytes)})
 	}
 	return chunkedHeader, append(parts, part{pauses[len(pauses)-1], lastChunk})
 }
@@ -103,7 +103,7 @@
 // drawSplitEnd draws a body whose end comes in two parts.
 func drawSplitEnd(rng *rand.Rand) (string, []part) {
 	pauses := drawPauses(rng)
-	parts := []part{{bytes: chunk(shortBody)}}
+	parts := []part{{bytes: chunk(shortBodyBytes)}}
 	for i, pause := range pauses {
 		at := len(lastChunk) * i / len(pauses)
 		until := len(lastChunk) * (i + 1) / len(pauses)
