--- a/_scripts/lint.sh
+++ b/_scripts/lint.sh
@@ -18,6 +18,7 @@
 for arch in amd64 arm64; do
   CGO_ENABLED=0 GOARCH=$arch go build ./...
   CGO_ENABLED=0 GOARCH=$arch go vet ./... ./_scripts/prove
+  CGO_ENABLED=0 GOARCH=$arch go vet -tags crowd ./cmd/oriolehub
 done
 go tool staticcheck ./...
 page=$(mktemp)
--- a/cmd/oriolehub/stops_body_test.go
+++ b/cmd/oriolehub/stops_body_test.go
@@ -21,7 +21,7 @@
 	maxBodyTime  = 4 * time.Second
 	// shortBodyBytes and longBody are the lengths of bodies that are sent at once.
 	shortBodyBytes = 2 << 10
-	longBody  = 40 << 10
+	longBody       = 40 << 10
 	// lastChunk ends a body in chunks.
 	lastChunk = "0\r\n\r\n"
 )
