state/mirror: the return of the store is published once

TestReturnIsPublishedOnce failed before: "4 != 3". It now publishes only if it knows of no return after its last contact.

The moment of TestReturnAfterAnOutageIsPublished now begins with an answer, for a watch that waits counts as no contact and the test failed once without.

--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -207,6 +207,9 @@
 	if prefix != m.upstreams || m.failingSince[prefix].Load() == 0 || outage < expiryTime {
 		return
 	}
+	if m.options.Catalog.Document(DocumentReturn).Revision > k.revision {
+		return // Another process has published this return.
+	}
 	m.options.Log.Warn().Uint64("Revision", l.Revision).Dur("Outage", outage).Msg("store is back; entries of upstreams may have expired meanwhile")
 	m.options.Catalog.PutDocument(hub.Document{Name: DocumentReturn, Revision: l.Revision})
 }
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -219,6 +219,8 @@
 				time.Sleep(10 * time.Second)
 				assert.Equal(t, c.Document(mirror.DocumentReturn).Revision, uint64(0))
 				for range 2 {
+					s.put(desired.UpstreamPrefix+"a", "y")
+					time.Sleep(50 * time.Millisecond)
 					s.set(func(s *source) { s.down = true })
 					time.Sleep(test.outage)
 					s.set(func(s *source) { s.revision++; s.down = false })
@@ -230,6 +232,26 @@
 	}
 }
 
+// Guards against a time of grace that begins anew with each process that reaches the store again.
+func TestReturnIsPublishedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newSource(), catalog.New(1)
+		s.put(desired.UpstreamPrefix+"a", "x")
+		defer withTestMirror(s, c)()
+		time.Sleep(time.Second)
+		s.set(func(s *source) { s.down = true })
+		time.Sleep(5 * time.Second)
+		s.put(desired.UpstreamPrefix+"a", "y")
+		first := s.revision
+		c.PutDocument(hub.Document{Name: mirror.DocumentReturn, Revision: first})
+		s.put(desired.UpstreamPrefix+"a", "z")
+		s.set(func(s *source) { s.down = false })
+		time.Sleep(time.Second)
+		assert.Equal(t, c.Document(mirror.DocumentUpstreams).Revision, s.revision)
+		assert.Equal(t, c.Document(mirror.DocumentReturn).Revision, first)
+	})
+}
+
 // losingSource is a store that never keeps the requested changes.
 type losingSource struct {
 	*source
