cmd/oriolehub: requests beside changes of accounts, limits, versions, silent and unlisted upstreams end

TestRequestsBesideFurtherChangesEnd has the shape of TestRequestsBesideChangesEnd and shares its callers and its judge. Its cases add what that test leaves out: accounts, API keys and limits; versions and evacuations; two silent upstreams, also for longer, and services without a listed upstream; requests sent ahead and slow readers; SIGHUP, a silent link to the store, a process that is killed and started. Every run is judged for its account too.

--- /dev/null
+++ b/cmd/oriolehub/changes_further_test.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/soak/cluster"
+	"github.com/oriolehub/oriolehub/internal/soak/plan"
+	"github.com/oriolehub/oriolehub/internal/soak/proxy"
+	"github.com/oriolehub/oriolehub/platform/standin"
+)
+
+var furtherTime = flag.Duration("changes.further", 2500*time.Millisecond, "time for which each case of TestRequestsBesideFurtherChangesEnd sends requests")
+
+const (
+	// withdrawnShare is the share of the API keys that a configuration does not hold, limitedShare that of the configurations with a
+	// lower limit of bodies.
+	withdrawnShare = 0.15
+	limitedShare   = 0.3
+	// minVersionPause and maxVersionPause limit the time between two named versions.
+	minVersionPause = time.Second
+	maxVersionPause = 3 * time.Second
+	// minEvacuated and maxEvacuated limit the time for which a failure domain is evacuated.
+	minEvacuated = 300 * time.Millisecond
+	maxEvacuated = 1500 * time.Millisecond
+	// minSilence and maxSilence limit the time for which two upstreams of a service hang at once.
+	minSilence = time.Second
+	maxSilence = 4 * time.Second
+	// minUnlisted and maxUnlisted limit the time for which the store lists no upstream of a service.
+	minUnlisted = 50 * time.Millisecond
+	maxUnlisted = 500 * time.Millisecond
+	// minFaultPause and maxFaultPause limit the time between two faults of a kind.
+	minFaultPause = 200 * time.Millisecond
+	maxFaultPause = 1500 * time.Millisecond
+	// minStoreCut and maxStoreCut limit the time for which the link of a process to the store is silent.
+	minStoreCut = 200 * time.Millisecond
+	maxStoreCut = time.Second
+	// sentAhead is the number of requests that callers send ahead of the response to an earlier one.
+	sentAhead = 3
+	// longPadding is the length of long plain responses, maxReadPause the longest time before a part of one is read.
+	longPadding  = 400 << 10
+	maxReadPause = 12 * time.Millisecond
+	// firstFault is the stream of random numbers of the first fault of a case.
+	firstFault = 1000
+)
+
+// otherAccount is the second client account.
+const otherAccount = "other"
+
+// changingDeployment is a deployment whose configuration changes.
+type changingDeployment struct {
+	*changes
+	*cluster.Cluster
+	t *testing.T
+}
+
+// furtherCase is a kind of changes and faults beside those of TestRequestsBesideChangesEnd.
+type furtherCase struct {
+	name    string
+	entries int
+	// draw draws a configuration.
+	draw func(*rand.Rand) *standin.Routing
+	// prepare changes the caller with an index, begin the deployment; nil for neither.
+	prepare func(i int, c *changingCaller)
+	begin   func(d *changingDeployment)
+	// faults are the functions that disturb the deployment until their context is done.
+	faults []func(context.Context, *changingDeployment, *rand.Rand)
+}
+
+var furtherCases = []furtherCase{
+	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: func(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }},
+	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []func(context.Context, *changingDeployment, *rand.Rand){nameVersions, evacuate}},
+	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, faults: []func(context.Context, *changingDeployment, *rand.Rand){silence, unlist}},
+	{name: "requests sent ahead and slow readers", entries: 2, draw: drawRouting, prepare: readSlowly, begin: lengthenResponses},
+	{name: "processes", entries: 3, draw: drawAccounts, faults: []func(context.Context, *changingDeployment, *rand.Rand){reload, cutFromStore, kill}},
+}
+
+// Guards against requests that end without an answer or a refusal beside changes of accounts and limits, versions, evacuations,
+// several silent or unlisted upstreams, requests sent ahead, slow readers, reloads, and processes that start or miss the store.
+func TestRequestsBesideFurtherChangesEnd(t *testing.T) {
+	for i := range furtherCases {
+		t.Run(furtherCases[i].name, furtherCases[i].run)
+	}
+}
+
+func (f *furtherCase) run(t *testing.T) {
+	size := changingSize
+	size.Entries = f.entries
+	deployment, c := startChanging(t, size)
+	d := &changingDeployment{c, deployment, t}
+	if f.begin != nil {
+		f.begin(d)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), *furtherTime)
+	defer cancel()
+	var seen endings
+	var running sync.WaitGroup
+	running.Go(func() { c.configure(ctx, newRandom(*changesSeed, changesStream), f.draw) })
+	for i, upstreams := range [][]string{changingEngines(), changingPlain()} {
+		running.Go(func() { c.hang(ctx, newRandom(*changesSeed, uint64(firstHang+i)), upstreams) })
+	}
+	for i, fault := range f.faults {
+		running.Go(func() { fault(ctx, d, newRandom(*changesSeed, uint64(firstFault+i))) })
+	}
+	for i, caller := range changingCallers(deployment, f.entries, seen.add) {
+		if f.prepare != nil {
+			f.prepare(i, caller)
+		}
+		running.Go(func() { caller.run(ctx) })
+	}
+	running.Wait()
+	c.check(t, seen.all)
+}
+
+// drawAccounts draws a configuration with other accounts, limits and routes.
+func drawAccounts(rng *rand.Rand) *standin.Routing {
+	r := drawRouting(rng)
+	r.Accounts = []standin.ClientAccount{{Name: standin.Account, Keys: []string{}, Priority: 1}, {Name: otherAccount, Keys: []string{}, Priority: rng.IntN(3)}}
+	for _, key := range changingKeys {
+		if rng.Float64() >= withdrawnShare {
+			a := &r.Accounts[rng.IntN(len(r.Accounts))]
+			a.Keys = append(a.Keys, key)
+		}
+	}
+	if rng.Float64() < limitedShare {
+		r.Limits.MaxBodyBytes = lowerBodyLimit
+	}
+	r.Limits.IdleTimeout = []time.Duration{time.Second, 5 * time.Second}[rng.IntN(2)]
+	r.Limits.HeaderTimeout = []time.Duration{500 * time.Millisecond, 5 * time.Second}[rng.IntN(2)]
+	return r
+}
+
+// drawFirstServices draws a configuration without the second services, whose engines load no versions.
+func drawFirstServices(rng *rand.Rand) *standin.Routing {
+	r := drawRouting(rng)
+	r.SecondWeight = 0
+	return r
+}
+
+// readSlowly makes a caller send requests ahead, and every other one read long responses slowly.
+func readSlowly(i int, c *changingCaller) {
+	c.ahead = sentAhead
+	if i%2 == 1 {
+		c.readPause = time.Duration(c.rng.Int64N(int64(maxReadPause)))
+	}
+	if c.class.events == 0 {
+		long := *c.class
+		long.padding = longPadding
+		c.class = &long
+	}
+}
+
+func lengthenResponses(d *changingDeployment) {
+	for _, u := range changingPlain() {
+		d.site.SetBehavior(u, standin.Behavior{Padding: longPadding})
+	}
+}
+
+// nameVersions names one version of the weights after the other.
+func nameVersions(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	for version := uint64(2); hub.Sleep(ctx, drawTime(rng, minVersionPause, maxVersionPause)) == nil; version++ {
+		d.site.SetTargetVersion(version)
+	}
+}
+
+// evacuate evacuates one failure domain after the other.
+func evacuate(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
+		domain := plan.Domains[rng.IntN(len(plan.Domains))]
+		d.site.Evacuate(domain, true)
+		_ = hub.Sleep(ctx, drawTime(rng, minEvacuated, maxEvacuated))
+		d.site.Evacuate(domain, false)
+	}
+}
+
+// servicesOfUpstreams returns the upstreams of each of the first services.
+func servicesOfUpstreams() [][]string {
+	var engines, plain []string
+	for i := range changingSize.Engines {
+		engines = append(engines, plan.EngineName(i))
+	}
+	for i := range changingSize.Plain {
+		plain = append(plain, plan.PlainName(i))
+	}
+	return [][]string{engines, plain}
+}
+
+// silence makes two upstreams of a service hang at once.
+func silence(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
+		upstreams := servicesOfUpstreams()[rng.IntN(2)]
+		rng.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
+		length := drawTime(rng, minSilence, maxSilence)
+		for _, u := range upstreams[:2] {
+			d.site.Hang(u, length)
+		}
+		_ = hub.Sleep(ctx, length)
+	}
+}
+
+// unlist removes all upstreams of a service from the store and writes them again.
+func unlist(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
+		upstreams := servicesOfUpstreams()[rng.IntN(2)]
+		for _, u := range upstreams {
+			d.site.RemoveEntry(u)
+		}
+		_ = hub.Sleep(ctx, drawTime(rng, minUnlisted, maxUnlisted))
+		for _, u := range upstreams {
+			d.site.WriteEntry(u, "ready")
+		}
+	}
+}
+
+// The entry processes to which the faults of processes happen: the first reloads its settings, the second misses the store, the
+// third is killed.
+const (
+	reloading = iota
+	storeless
+	killed
+)
+
+// reload makes a process reload its settings.
+func reload(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
+		assert.Check(d.t, d.Processes[plan.EntryName(reloading)].Signal(syscall.SIGHUP) == nil)
+	}
+}
+
+// cutFromStore makes the link of a process to the store silent.
+func cutFromStore(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
+		restore := d.SetMode(plan.StoreLink(plan.EntryName(storeless)), proxy.Cut)
+		_ = hub.Sleep(ctx, drawTime(rng, minStoreCut, maxStoreCut))
+		restore()
+	}
+}
+
+// kill kills a process and starts it again.
+func kill(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	name := plan.EntryName(killed)
+	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
+		started := d.addKill(name)
+		assert.Check(d.t, d.Processes[name].Restart(syscall.SIGKILL, 0) == nil)
+		started()
+	}
+}
+
+// addKill adds a kill that begins, and returns a function that completes it once the process has started again.
+func (c *changes) addKill(process string) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kills[process] = append(c.kills[process], interval{from: time.Now()})
+	i := len(c.kills[process]) - 1
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.kills[process][i].until = time.Now()
+	}
+}
--- a/cmd/oriolehub/changes_test.go
+++ b/cmd/oriolehub/changes_test.go
@@ -64,7 +64,7 @@
 	plainTimeouts  = []time.Duration{time.Second, 2 * time.Second}
 )
 
-// interval is a time in which a route was missing; until is zero while it is.
+// interval is a time in which a condition held; until is zero while it does.
 type interval struct{ from, until time.Time }
 
 // changes changes the configuration and makes upstreams hang, and keeps what it did.
@@ -73,12 +73,19 @@
 
 	mu      sync.Mutex
 	version int
-	missing map[string][]interval
-	hangs   int
+	// conditions are the times in which configurations with a condition were in force.
+	conditions map[condition][]interval
+	hangs      int
+	// kills are the times in which processes were killed and not started again.
+	kills map[string][]interval
 	// arrivals are the requests at upstreams by their IDs.
 	arrivals map[string][]standin.Arrival
 }
 
+func newChanges() *changes {
+	return &changes{version: 1, conditions: map[condition][]interval{}, kills: map[string][]interval{}, arrivals: map[string][]standin.Arrival{}}
+}
+
 func (c *changes) observe(a standin.Arrival) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,40 +93,46 @@
 }
 
 // configure changes the configuration again and again until ctx is done, and writes the first one at the end.
-func (c *changes) configure(ctx context.Context, rng *rand.Rand) {
+func (c *changes) configure(ctx context.Context, rng *rand.Rand, draw func(*rand.Rand) *standin.Routing) {
 	defer c.write(&standin.Routing{})
-	for hub.Sleep(ctx, minChangePause+time.Duration(rng.Int64N(int64(maxChangePause-minChangePause)))) == nil {
-		r := &standin.Routing{
-			SecondWeight: []int{0, 30, 70, 100}[rng.IntN(4)], StreamTimeout: streamTimeouts[rng.IntN(2)], PlainTimeout: plainTimeouts[rng.IntN(2)],
-		}
-		if rng.Float64() < missingShare {
-			r.Missing = changingClasses[rng.IntN(len(changingClasses))].route
-		}
-		c.write(r)
+	for hub.Sleep(ctx, drawTime(rng, minChangePause, maxChangePause)) == nil {
+		c.write(draw(rng))
+	}
+}
+
+// drawRouting draws a configuration with other routes.
+func drawRouting(rng *rand.Rand) *standin.Routing {
+	r := &standin.Routing{
+		SecondWeight: []int{0, 30, 70, 100}[rng.IntN(4)], StreamTimeout: streamTimeouts[rng.IntN(2)], PlainTimeout: plainTimeouts[rng.IntN(2)],
 	}
+	if rng.Float64() < missingShare {
+		r.Missing = changingClasses[rng.IntN(len(changingClasses))].route
+	}
+	return r
 }
 
-// write writes a configuration. A route counts as missing from before it is left out until after it is back.
+// write writes a configuration. A condition counts as in force from before it is written until after it is replaced.
 func (c *changes) write(r *standin.Routing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version++
-	if r.Missing != "" {
-		c.missing[r.Missing] = append(c.missing[r.Missing], interval{from: time.Now()})
+	conditions := conditionsOf(r)
+	for _, name := range conditions {
+		c.conditions[name] = append(c.conditions[name], interval{from: time.Now()})
 	}
 	c.site.ConfigureRoutes(c.version, r, standin.Key)
-	for route, intervals := range c.missing {
+	for name, intervals := range c.conditions {
 		for i := range intervals {
-			if intervals[i].until.IsZero() && (route != r.Missing || i < len(intervals)-1) {
+			if intervals[i].until.IsZero() && (i < len(intervals)-1 || !slices.Contains(conditions, name)) {
 				intervals[i].until = time.Now()
 			}
 		}
 	}
 }
 
-// wasMissing reports whether a configuration without a route may have been in force at some time of a request.
-func (c *changes) wasMissing(e *ending) bool {
-	return slices.ContainsFunc(c.missing[e.class.route], func(i interval) bool {
+// wasInForce reports whether a configuration with a condition may have been in force at some time of a request.
+func (c *changes) wasInForce(name condition, e *ending) bool {
+	return slices.ContainsFunc(c.conditions[name], func(i interval) bool {
 		return i.from.Before(e.ended) && (i.until.IsZero() || e.sent.Before(i.until.Add(inForce)))
 	})
 }
@@ -142,6 +155,10 @@
 	endRefused  = "refused"
 	endNoRoute  = "no route"
 	endLate     = "time was up"
+	endNoKey    = "unknown key"
+	endTooLong  = "body too long"
+	endKilled   = "process was killed"
+	endUnread   = "connection closed after an earlier response"
 )
 
 // judge returns how a request has ended, and false if it must not end so. The upstreams answer each request that they run, so
@@ -149,18 +166,28 @@
 func (c *changes) judge(e *ending) (string, bool) {
 	late := e.took() >= e.limit-clockTolerance
 	switch {
+	case !c.accountsFit(e):
+		return "run for an account without the key", false
+	case e.err != nil && c.killed(e):
+		return endKilled, c.ranOnce(e)
+	case e.unread:
+		return endUnread, c.ran(e) == 0
 	case e.err != nil && e.status == http.StatusOK && late && strings.HasPrefix(e.expected(), e.body):
 		return endLate, e.class.events > 0
 	case e.err != nil:
 		return "connection: " + e.err.Error(), false
 	case e.status == http.StatusOK && e.signed && e.body == e.expected():
-		return endAnswered, c.ran(e) >= 1 && (e.class.route == standin.LookupRoute || c.ran(e) == 1 || e.class.events > 0)
+		return endAnswered, c.ran(e) >= 1 && c.ranOnce(e)
 	case e.status == http.StatusOK:
 		return fmt.Sprintf("wrong response of %d bytes", len(e.body)), false
 	case slices.Contains([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, e.status):
 		return endRefused, e.class.route == standin.LookupRoute || c.ran(e) == 0
 	case e.status == http.StatusNotFound:
-		return endNoRoute, c.wasMissing(e)
+		return endNoRoute, c.wasInForce(withoutRoute(e.class.route), e)
+	case e.status == http.StatusUnauthorized:
+		return endNoKey, c.ran(e) == 0 && c.wasInForce(withoutKey(e.key), e)
+	case e.status == http.StatusRequestEntityTooLarge:
+		return endTooLong, c.ran(e) == 0 && e.bodyLength > lowerBodyLimit && c.wasInForce(limitsBodies, e)
 	case e.status == http.StatusGatewayTimeout:
 		return endLate, late
 	default:
@@ -173,7 +200,7 @@
 	if e.class.events > 0 {
 		return standin.StreamBody(e.id, e.class.events)
 	}
-	return standin.PlainBody(e.id, e.class.method)
+	return standin.PlainBody(e.id, e.class.method) + string(make([]byte, e.class.padding))
 }
 
 // ran returns how often a request has run.
@@ -187,16 +214,28 @@
 	return n
 }
 
+// ranOnce reports whether a request has run once at most, unless it may run again.
+func (c *changes) ranOnce(e *ending) bool {
+	return e.class.route != standin.AtMostOnceRoute || c.ran(e) <= 1
+}
+
+// killed reports whether the process of a request was killed or did not run at some time since the connection was opened.
+func (c *changes) killed(e *ending) bool {
+	return slices.ContainsFunc(c.kills[e.process], func(i interval) bool {
+		return i.from.Before(e.ended) && (i.until.IsZero() || e.opened.Before(i.until))
+	})
+}
+
 // startChanging starts the deployment. Its logs are in the folder of the flag, if there is one.
-func startChanging(t *testing.T) (*cluster.Cluster, *changes) {
+func startChanging(t *testing.T, size plan.Size) (*cluster.Cluster, *changes) {
 	t.Helper()
-	c := &changes{version: 1, missing: map[string][]interval{}, arrivals: map[string][]standin.Arrival{}}
+	c := newChanges()
 	folder := *changesFolder
 	if folder == "" {
 		folder = t.TempDir()
 	}
 	started, err := cluster.Start(cluster.Options{
-		Size: changingSize, Program: cluster.Program{Path: os.Args[0], Env: append(os.Environ(), envProgram+"=1")}, Folder: folder,
+		Size: size, Program: cluster.Program{Path: os.Args[0], Env: append(os.Environ(), envProgram+"=1")}, Folder: folder,
 		Switch: 8 * time.Second, Events: changingEvents, Observe: c.observe, OnExit: func(err error) { t.Error(err) },
 	})
 	assert.NilError(t, err)
@@ -218,16 +257,16 @@
 // Guards against requests that end without an answer or a refusal because the configuration changes or an upstream is silent for
 // a second.
 func TestRequestsBesideChangesEnd(t *testing.T) {
-	deployment, c := startChanging(t)
+	deployment, c := startChanging(t, changingSize)
 	ctx, cancel := context.WithTimeout(t.Context(), *changesTime)
 	defer cancel()
 	var seen endings
 	var running sync.WaitGroup
-	running.Go(func() { c.configure(ctx, rand.New(rand.NewPCG(*changesSeed, changesStream))) })
+	running.Go(func() { c.configure(ctx, newRandom(*changesSeed, changesStream), drawRouting) })
 	for i, upstreams := range [][]string{changingEngines(), changingPlain()} {
-		running.Go(func() { c.hang(ctx, rand.New(rand.NewPCG(*changesSeed, uint64(firstHang+i))), upstreams) })
+		running.Go(func() { c.hang(ctx, newRandom(*changesSeed, uint64(firstHang+i)), upstreams) })
 	}
-	for _, caller := range changingCallers(deployment, seen.add) {
+	for _, caller := range changingCallers(deployment, changingSize.Entries, seen.add) {
 		running.Go(func() { caller.run(ctx) })
 	}
 	running.Wait()
@@ -251,17 +290,17 @@
 	return out
 }
 
-// changingCallers returns the callers of all classes at all entry processes.
-func changingCallers(deployment *cluster.Cluster, add func(*ending)) []*changingCaller {
+// changingCallers returns the callers of all classes at a number of entry processes.
+func changingCallers(deployment *cluster.Cluster, entries int, add func(*ending)) []*changingCaller {
 	var out []*changingCaller
-	for i := range changingSize.Entries {
+	for i := range entries {
 		for j := range changingClasses {
 			class := &changingClasses[j]
 			for k := range class.callers {
 				process := plan.EntryName(i)
 				out = append(out, &changingCaller{
 					name: fmt.Sprintf("e%d-%s-%d", i, class.name, k), process: process, address: deployment.ListenerAddress(process), class: class, add: add,
-					rng: rand.New(rand.NewPCG(*changesSeed, uint64(firstCaller+len(out)))),
+					key: standin.Key, rng: newRandom(*changesSeed, uint64(firstCaller+len(out))),
 				})
 			}
 		}
@@ -273,7 +312,11 @@
 func (c *changes) check(t *testing.T, all []*ending) {
 	t.Helper()
 	counts := map[string]int{}
+	latest := &ending{}
 	for _, e := range all {
+		if e.took()-e.limit > latest.took()-latest.limit {
+			latest = e
+		}
 		end, ok := c.judge(e)
 		counts[e.class.name+" "+end]++
 		if !ok {
@@ -282,6 +325,7 @@
 		}
 	}
 	t.Logf("seed %d: %d configurations, %d hangs, %d requests: %v", *changesSeed, c.version, c.hangs, len(all), counts)
+	t.Logf("the latest is %s, after %s of %s", latest.id, latest.took(), latest.limit)
 	for _, class := range changingClasses {
 		assert.Check(t, counts[class.name+" "+endAnswered] > 0, class.name)
 	}
@@ -320,16 +364,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := tc.ending
-			e.id, e.sent, e.limit = "x", sent, e.class.limit
+			e.id, e.key, e.sent, e.limit = "x", standin.Key, sent, e.class.limit
 			if e.ended.IsZero() {
 				e.ended = sent.Add(e.limit / 2)
 			}
-			c := &changes{arrivals: map[string][]standin.Arrival{}, missing: map[string][]interval{
-				standin.AtMostOnceRoute: {{from: sent.Add(-inForce), until: sent.Add(-inForce / 2)}},
-				standin.LookupRoute:     {{from: sent.Add(-2 * inForce), until: sent.Add(-inForce - time.Second)}},
-			}}
+			c := newChanges()
+			c.conditions[withoutRoute(standin.AtMostOnceRoute)] = []interval{{from: sent.Add(-inForce), until: sent.Add(-inForce / 2)}}
+			c.conditions[withoutRoute(standin.LookupRoute)] = []interval{{from: sent.Add(-2 * inForce), until: sent.Add(-inForce - time.Second)}}
+			c.conditions[keyOfAccount(standin.Key, standin.Account)] = []interval{{from: sent.Add(-inForce)}}
 			for range tc.runs {
-				c.observe(standin.Arrival{RequestId: "x", Ran: true})
+				c.observe(standin.Arrival{RequestId: "x", Account: standin.Account, Ran: true})
 			}
 			_, ok := c.judge(&e)
 			assert.Equal(t, ok, tc.ok)
--- a/cmd/oriolehub/stops_caller_test.go
+++ b/cmd/oriolehub/stops_caller_test.go
@@ -32,8 +32,6 @@
 	ending
 	// kind is the name of the way in which the body was sent.
 	kind string
-	// opened is the time at which the connection was opened.
-	opened time.Time
 	// sentAll is the time at which the last byte of the request was sent, zero if that did not happen.
 	sentAll time.Time
 }
@@ -135,9 +133,10 @@
 	header, parts := kind.draw(c.rng)
 	e := &stopEnding{
 		ending: ending{
-			id: fmt.Sprintf("%s-%d", c.name, c.sent), class: c.class, process: c.process, limit: c.class.limit, reused: c.onConn > 0,
+			id: fmt.Sprintf("%s-%d", c.name, c.sent), key: standin.Key, class: c.class, process: c.process, limit: c.class.limit, opened: c.opened,
+			reused: c.onConn > 0,
 		},
-		kind: kind.name, opened: c.opened,
+		kind: kind.name,
 	}
 	c.onConn++
 	r, err := standin.Request(c.address, c.class.method, c.class.path, e.id)
--- a/cmd/oriolehub/stops_judge_test.go
+++ b/cmd/oriolehub/stops_judge_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/soak/cluster"
-	"github.com/oriolehub/oriolehub/platform/standin"
 )
 
 const (
@@ -39,7 +38,7 @@
 
 func newStops() *stops {
 	return &stops{
-		changes:   &changes{version: 1, missing: map[string][]interval{}, arrivals: map[string][]standin.Arrival{}},
+		changes:   newChanges(),
 		byProcess: map[string][]cluster.Stopped{}, ended: map[string]time.Time{}, brokeOff: map[string]bool{},
 	}
 }
--- a/cmd/oriolehub/stops_judgetable_test.go
+++ b/cmd/oriolehub/stops_judgetable_test.go
@@ -41,9 +41,10 @@
 func judgeOne(j *judged) (string, bool) {
 	signalled := time.Now()
 	s := newStops()
+	s.changes.conditions[keyOfAccount(standin.Key, standin.Account)] = []interval{{from: signalled.Add(-time.Minute)}}
 	s.byProcess["p"] = []cluster.Stopped{{Signalled: signalled, Ended: signalled.Add(stopLasts)}}
 	for i := range j.refusals + j.runs {
-		s.changes.observe(standin.Arrival{RequestId: "x", Ran: i < j.runs})
+		s.changes.observe(standin.Arrival{RequestId: "x", Account: standin.Account, Ran: i < j.runs})
 		s.ended["x"] = signalled.Add(j.ended)
 		if j.ceased != 0 {
 			s.ended["x"] = signalled.Add(j.ceased)
@@ -56,10 +57,10 @@
 	}
 	e := &stopEnding{
 		ending: ending{
-			id: "x", process: "p", class: j.class, limit: j.class.limit, sent: signalled.Add(j.sent), ended: signalled.Add(j.ended),
-			status: j.status, signed: j.status == http.StatusOK, body: j.body, err: j.err,
+			id: "x", key: standin.Key, process: "p", class: j.class, limit: j.class.limit, sent: signalled.Add(j.sent), ended: signalled.Add(j.ended),
+			status: j.status, signed: j.status == http.StatusOK, body: j.body, err: j.err, opened: signalled.Add(j.opened),
 		},
-		opened: signalled.Add(j.opened), sentAll: signalled.Add(j.sentAll),
+		sentAll: signalled.Add(j.sentAll),
 	}
 	if j.sentAll == notSent {
 		e.sentAll = time.Time{}
