route/forward: a silent stream is continued elsewhere if its continuation is silent too

Callers saw: a stream whose upstream and whose continuation were silent was cut at its time limit, though another upstream was free.

Cause: a hedge was awaited without a limit, during the attempt (tryHedge) and after its failure (finish), and no other could be made beside it. Now a hedge is late by the same time as the attempt, and another one is made beside it, at another upstream. None is ended for its silence: the first that has the next event goes on, the others are ended.

With MaxAttempts 2 the one continuation is awaited as before. Only one hedge at a time looks for room, so that each is counted before the next one is allowed.

Evidence: TestStreamIsContinuedElsewhereIfItsContinuationIsSilentToo failed before, both cases ("unexpected EOF: after 38s"), 2 of 2; TestBrokenStreamIsContinuedElsewhereIfItsContinuationIsSilent ("unexpected EOF") and TestContinuationOutlivesTheNextOne 2 of 2 too. All pass with -race -count=5, with TestSilentStreamRunsNoMoreOftenThanAllowed (1, 2, 3 and 10 attempts: 1, 2, 3 and 3 runs) and the guard against a run too many while two hedges wait for room.

--- a/internal/route/forward/crash.go
+++ b/internal/route/forward/crash.go
@@ -40,7 +40,7 @@
 // returns when that is known, so that the request or a part of it is in quarantine before it is sent to another upstream, also by
 // a hedge.
 func (x *exchange) reportCrash(ctx context.Context, c *placement.Choice, timer *attemptTimer, err error) {
-	timer.close()
+	timer.suspend()
 	if context.Cause(ctx) != nil && x.r.Context().Err() != nil {
 		x.handler.options.Quarantine.Abandoned(c.Upstream.Key(), &x.keys)
 	}
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -75,6 +75,8 @@
 
 	mu     sync.Mutex
 	counts hedgeCounts
+	// awaited lists the upstreams of the hedges that await their responses.
+	awaited []directory.Key
 	// quarantined is true once the quarantine has blocked a hedge. It lasts longer than the attempt.
 	quarantined bool
 }
@@ -88,10 +90,11 @@
 	return g
 }
 
-// attempt sends the request to another upstream, to continue after lastEvent if that is not empty. It returns nil if there is no
-// upstream with room, if the request may not be sent again, or if the upstream does not accept it. It does not panic, because a
-// panic outside the goroutine of a request would end the process.
-func (g *hedger) attempt(ctx context.Context, cancel context.CancelCauseFunc, lastEvent string) (accepted *hedge) {
+// attempt sends the request to another upstream, to continue after lastEvent if that is not empty, and calls onSend before. It returns
+// nil if there is no upstream with room, if the request may not be sent again, or if the upstream does not accept it. No other call may
+// begin before onSend, so that each is counted before the next one is allowed. It does not panic, because a panic outside the goroutine
+// of a request would end the process.
+func (g *hedger) attempt(ctx context.Context, cancel context.CancelCauseFunc, lastEvent string, onSend func()) (accepted *hedge) {
 	h := &hedge{ctx: ctx, cancel: cancel}
 	defer func() {
 		if v := recover(); v != nil {
@@ -102,7 +105,13 @@
 			h.release()
 		}
 	}()
-	if !g.reserve(h, lastEvent != "") || !g.send(h, lastEvent) {
+	if !g.reserve(h, lastEvent != "") {
+		return nil
+	}
+	sending := g.begin(&h.choice)
+	defer g.end(&h.choice)
+	onSend()
+	if !g.send(h, lastEvent, sending) {
 		return nil
 	}
 	return h
@@ -155,20 +164,19 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r.Tried = slices.Concat(r.Tried, g.counts.tried)
+	r.Tried = slices.Concat(r.Tried, g.counts.tried, g.awaited)
 	return &r, !g.quarantined && sent+g.counts.sent < maxSent-1 && g.runs+g.counts.runs < g.exchange.route.MaxAttempts
 }
 
-// send sends the request to the chosen upstream and waits for the header of the response. It returns false if the upstream does
-// not accept the request.
-func (g *hedger) send(h *hedge, lastEvent string) bool {
+// send sends the request to the chosen upstream, as the attempt with the given number, and waits for the header of the response. It
+// returns false if the upstream does not accept the request.
+func (g *hedger) send(h *hedge, lastEvent string, sending int) bool {
 	x, c := g.exchange, &h.choice
 	remaining := time.Until(x.deadline)
 	r := &g.first
 	if lastEvent != "" {
 		r = &g.resumed
 	}
-	sending := g.begin()
 	x.logChoice(c, remaining, sending)
 	call := x.call(c, hub.Attempt{Remaining: remaining, Priority: upstreamPriority(r.Priority), LastEvent: lastEvent}, &h.trace)
 	// The upstream may have refused the request before.
@@ -240,14 +248,23 @@
 }
 
 // begin counts a hedge that is about to be sent, as one that may run, and returns the number of attempts so far.
-func (g *hedger) begin() int {
+func (g *hedger) begin(c *placement.Choice) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.counts.sent++
 	g.counts.runs++
+	g.awaited = append(g.awaited, c.Upstream.Key())
 	return g.sent + g.counts.sent
 }
 
+// end records that a hedge does not await its response any more.
+func (g *hedger) end(c *placement.Choice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := slices.Index(g.awaited, c.Upstream.Key())
+	g.awaited = slices.Delete(g.awaited, i, i+1)
+}
+
 // notRun counts that the last hedge has not run.
 func (g *hedger) notRun() {
 	g.mu.Lock()
