route: a begun stream waits for engines that load, as it does for busy ones

Callers saw a stream closed after 0.1 s ("no upstream may run the request") although another engine of its service was sound and about to serve: while all others carry out a load order, or have no weights yet after a loss of power, the choice counted them like engines that do not exist.

TestBegunStreamWaitsForEnginesThatLoad failed before, both cases: "error is not nil: unexpected EOF".

The choice now tells these engines from none (ErrLoading, which is an ErrNoUpstream for new requests, so that they are refused as before). A begun stream asks again every 20 ms until 2 s after its last event, as with busy engines, but without a place in the queue: there it would be before new requests that its own, lost engine can run. TestNewRequestsAreServedBesideAStreamThatWaitsForALoad fails with that place: "25ms".

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -120,6 +120,8 @@
 	complete   bool
 	// timeProbe is true if the request is sent although too little time may remain.
 	timeProbe bool
+	// awaitsLoad is true while a stream that has begun waits for engines that load weights.
+	awaitsLoad bool
 	// keys are the keys under which the quarantine knows the request.
 	keys quarantine.Keys
 	// crashed is true once an upstream has crashed under the request.
@@ -306,8 +308,12 @@
 	return x.caller.Wait > 0 && x.caller.Wait < x.route.Timeout-x.route.Objective
 }
 
-// queueTimeout returns the time for which the request may wait for an upstream.
+// queueTimeout returns the time for which the request may wait for an upstream. A stream that waits for engines that load does not
+// wait in the queue, where it would be before new requests that others can run.
 func (x *exchange) queueTimeout() time.Duration {
+	if x.awaitsLoad {
+		return 0
+	}
 	wait := max(minWait, x.route.Objective/queueTimeoutDivisor)
 	return min(wait, time.Until(x.deadline))
 }
--- a/internal/route/forward/relay.go
+++ b/internal/route/forward/relay.go
@@ -214,8 +214,9 @@
 		return false
 	}
 	left := callerPatience - time.Since(x.relay.lastAt)
+	x.awaitsLoad = errors.Is(err, placement.ErrLoading)
 	switch {
-	case errors.Is(err, placement.ErrNoRoom):
+	case errors.Is(err, placement.ErrNoRoom), x.awaitsLoad:
 	case errors.Is(err, placement.ErrPaused) && x.pauseLeft < left:
 	default:
 		return false
--- a/internal/route/placement/choice.go
+++ b/internal/route/placement/choice.go
@@ -44,6 +44,9 @@
 	// PauseLeft is the time until the first of the upstreams that have asked for a pause, or have got what their rate
 	// limits allow, may run the request, 0 if there is none. It is set only if no upstream was chosen.
 	PauseLeft time.Duration
+	// Loading is true if an engine could run the request but for the weights that it loads or lacks. It is set only if no
+	// upstream was chosen.
+	Loading bool
 
 	placement *Placement
 	// pendingTokens is the number of prompt tokens that the Load counts until the response starts.
@@ -57,7 +60,7 @@
 }
 
 // Choose chooses the upstream with the lowest score among those with room and reserves a slot there.
-// If none has room, it returns false and sets only Candidates and PauseLeft.
+// If none has room, it returns false and sets only Candidates, PauseLeft and Loading.
 func (p *Placement) Choose(r *Requirements) (Choice, bool) {
 	snapshot := p.options.Directory.Current()
 	service := snapshot.Service(r.Service)
@@ -66,7 +69,7 @@
 	}
 	search := p.search(snapshot, service, r)
 	if search.best == nil {
-		return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft}, false
+		return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft, Loading: search.loading}, false
 	}
 	u, l := search.best, search.bestLoad
 	if search.isCold(u) && !l.cold.take(search.coldTurns(u), search.now) {
--- a/internal/route/placement/score.go
+++ b/internal/route/placement/score.go
@@ -27,9 +27,8 @@
 	defaultPlainSlots = 8
 )
 
-// usable reports whether a request may be sent to an upstream, apart from its load. oldest is the oldest version that
-// the upstream may serve.
-func (p *Placement) usable(snapshot *directory.Snapshot, s *directory.Service, u *directory.Upstream, l *Load, r *Requirements, oldest uint64) bool {
+// mayRun reports whether a request may be sent to an upstream, apart from its load and its weights.
+func (p *Placement) mayRun(snapshot *directory.Snapshot, u *directory.Upstream, l *Load, r *Requirements) bool {
 	if u.Leaving || l.leaving.Load() || l.misdirected() || snapshot.Evacuated[u.Domain] || slices.Contains(r.Tried, u.Key()) {
 		return false
 	}
@@ -38,9 +37,11 @@
 			return false
 		}
 	}
-	if s.Engine == nil {
-		return true
-	}
+	return true
+}
+
+// serves reports whether the engine u has the weights of a version that is not older than oldest, and loads no others.
+func (l *Load) serves(u *directory.Upstream, oldest uint64) bool {
 	held := l.held(u)
 	return held != 0 && held >= oldest && !l.loading()
 }
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -35,6 +35,8 @@
 	// pauseLeft is the shortest time after which an upstream that has asked for a pause, or has got what its rate limit
 	// allows, may run the request, 0 if there is none.
 	pauseLeft time.Duration
+	// loading is true if an engine could run the request but for the weights that it loads or lacks.
+	loading bool
 
 	// limited is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
 	// in flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
@@ -61,7 +63,11 @@
 		}
 		u := service.Upstreams[(first+i)%len(service.Upstreams)]
 		l := loads[u.Key()]
-		if l == nil || !p.usable(snapshot, service, u, l, r, oldest.at(l)) {
+		if l == nil || !p.mayRun(snapshot, u, l, r) {
+			continue
+		}
+		if service.Engine != nil && !l.serves(u, oldest.at(l)) {
+			f.loading = true
 			continue
 		}
 		if left := max(l.pauseLeft(), p.rateLimitLeft(u.Id, l, f.now)); left > 0 {
--- a/internal/route/placement/wait.go
+++ b/internal/route/placement/wait.go
@@ -16,6 +16,8 @@
 	ErrNoRoom = errors.New("no upstream has room")
 	// ErrNoUpstream means that no upstream may run the request, whatever its load.
 	ErrNoUpstream = errors.New("no upstream may run the request")
+	// ErrLoading is ErrNoUpstream while engines that may run the request otherwise load weights or have none.
+	ErrLoading = fmt.Errorf("%w: engines load weights", ErrNoUpstream)
 	// ErrPaused means that all upstreams that may run the request have asked not to be sent any, or have got what their
 	// rate limits allow, for a longer time than the request may wait. Choice.PauseLeft is the time until the first of them
 	// may run it.
@@ -27,7 +29,7 @@
 const recheckInterval = 25 * time.Millisecond
 
 // Acquire chooses an upstream and reserves a slot there. If none has room, it waits for up to timeout, in the order of
-// priorities and fairly between client accounts. It returns ErrNoRoom, ErrNoUpstream, ErrPaused or the cause of
+// priorities and fairly between client accounts. It returns ErrNoRoom, ErrNoUpstream, ErrLoading, ErrPaused or the cause of
 // ctx.
 func (p *Placement) Acquire(ctx context.Context, r *Requirements, timeout time.Duration) (Choice, error) {
 	c, err := p.acquire(ctx, r, timeout)
@@ -65,6 +67,9 @@
 	if c.paused() && c.PauseLeft > timeout {
 		return c, ErrPaused
 	}
+	if timeout <= 0 {
+		return p.chooseLast(r)
+	}
 	q := p.queue(r)
 	ctx, cancel := context.WithTimeoutCause(ctx, timeout, ErrNoRoom)
 	defer cancel()
@@ -125,18 +130,26 @@
 	return ok && time.Until(deadline) < c.PauseLeft
 }
 
-// waitEnded makes a last attempt to choose an upstream after the wait has timed out, and returns ErrNoUpstream,
-// ErrPaused or ErrNoRoom if it fails. If ctx was cancelled by the caller, it returns the cause.
+// waitEnded makes a last attempt to choose an upstream after the wait has timed out. If ctx was cancelled by the caller, it returns
+// the cause.
 func (p *Placement) waitEnded(ctx context.Context, r *Requirements) (Choice, error) {
 	if cause := context.Cause(ctx); !errors.Is(cause, ErrNoRoom) {
 		return Choice{}, cause
 	}
+	return p.chooseLast(r)
+}
+
+// chooseLast is Choose for a request that waits no longer. It returns ErrNoUpstream, ErrLoading, ErrPaused or ErrNoRoom if none has
+// room.
+func (p *Placement) chooseLast(r *Requirements) (Choice, error) {
 	c, ok := p.Choose(r)
 	switch {
 	case ok:
 		return c, nil
 	case c.paused():
 		return c, ErrPaused
+	case c.Candidates == 0 && c.Loading:
+		return c, ErrLoading
 	case c.Candidates == 0:
 		return c, ErrNoUpstream
 	default:
