--- a/internal/route/forward/requestbody_test.go
+++ b/internal/route/forward/requestbody_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -36,7 +37,7 @@
 	r.Header = http.Header{desired.HeaderKey: {"k1"}, desired.HeaderRequestId: {"req-1"}}
 	status := make(chan int, 1)
 	go func() {
-		resp, err := http.DefaultTransport.RoundTrip(r)
+		resp, err := f.client.Do(r)
 		if err != nil {
 			t.Error(err)
 			status <- 0
@@ -146,3 +147,22 @@
 		assert.Equal(t, <-status, http.StatusOK)
 	}
 }
+
+// Guards against a smaller limit that ends a request of which a part has been received.
+func TestSmallerBodyLimitDoesNotApplyToARequestInProgress(t *testing.T) {
+	for _, length := range []int64{600, -1} {
+		synctest.Test(t, func(t *testing.T) {
+			p := withTestPipes(t)
+			f := withPipedEntry(t, p, p.upstream(respond(http.StatusOK, "whole")))
+			w, status := f.sendBody(t, length)
+			_, err := w.Write(make([]byte, 500))
+			assert.NilError(t, err)
+			synctest.Wait()
+			f.limitBodies(100)
+			_, err = w.Write(make([]byte, 100))
+			assert.NilError(t, err)
+			assert.NilError(t, w.Close())
+			assert.Equal(t, <-status, http.StatusOK, "length %d", length)
+		})
+	}
+}
