--- a/cmd/oriolehub/changes_further_test.go
+++ b/cmd/oriolehub/changes_further_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -25,9 +26,6 @@
 	// lower limit of bodies.
 	withdrawnShare = 0.15
 	limitedShare   = 0.3
-	// minVersionPause and maxVersionPause limit the time between two named versions.
-	minVersionPause = time.Second
-	maxVersionPause = 3 * time.Second
 	// minEvacuated and maxEvacuated limit the time for which a failure domain is evacuated.
 	minEvacuated = 300 * time.Millisecond
 	maxEvacuated = 1500 * time.Millisecond
@@ -37,7 +35,7 @@
 	// minUnlisted and maxUnlisted limit the time for which the store lists no upstream of a service.
 	minUnlisted = 50 * time.Millisecond
 	maxUnlisted = 500 * time.Millisecond
-	// minFaultPause and maxFaultPause limit the time between two faults of a kind.
+	// minFaultPause and maxFaultPause limit the time between the end of a fault and the next one of its kind.
 	minFaultPause = 200 * time.Millisecond
 	maxFaultPause = 1500 * time.Millisecond
 	// minStoreCut and maxStoreCut limit the time for which the link of a process to the store is silent.
@@ -60,6 +58,8 @@
 	*changes
 	*cluster.Cluster
 	t *testing.T
+	// named is the newest named version of the weights.
+	named uint64
 }
 
 // furtherCase is a kind of changes and faults beside those of TestRequestsBesideChangesEnd.
@@ -71,16 +71,19 @@
 	// prepare changes the caller with an index, begin the deployment; nil for neither.
 	prepare func(i int, c *changingCaller)
 	begin   func(d *changingDeployment)
-	// faults are the functions that disturb the deployment until their context is done.
-	faults []func(context.Context, *changingDeployment, *rand.Rand)
+	// faults disturb the deployment, each once and with a later one of its kind after a pause.
+	faults []fault
 }
 
+// fault disturbs a deployment until it is over; it ends early if its context is done.
+type fault func(context.Context, *changingDeployment, *rand.Rand)
+
 var furtherCases = []furtherCase{
 	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: func(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }},
-	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []func(context.Context, *changingDeployment, *rand.Rand){nameVersions, evacuate}},
-	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, faults: []func(context.Context, *changingDeployment, *rand.Rand){silence, unlist}},
+	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []fault{nameVersion, evacuate}},
+	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, faults: []fault{silence, unlist}},
 	{name: "requests sent ahead and slow readers", entries: 2, draw: drawRouting, prepare: readSlowly, begin: lengthenResponses},
-	{name: "processes", entries: 3, draw: drawAccounts, faults: []func(context.Context, *changingDeployment, *rand.Rand){reload, cutFromStore, kill}},
+	{name: "processes", entries: 3, draw: drawAccounts, faults: []fault{reload, cutFromStore, kill}},
 }
 
 // Guards against requests that end without an answer or a refusal beside changes of accounts and limits, versions, evacuations,
@@ -95,7 +98,7 @@
 	size := changingSize
 	size.Entries = f.entries
 	deployment, c := startChanging(t, size)
-	d := &changingDeployment{c, deployment, t}
+	d := &changingDeployment{c, deployment, t, cluster.InitialVersion}
 	if f.begin != nil {
 		f.begin(d)
 	}
@@ -107,8 +110,9 @@
 	for i, upstreams := range [][]string{changingEngines(), changingPlain()} {
 		running.Go(func() { c.hang(ctx, newRandom(*changesSeed, uint64(firstHang+i)), upstreams) })
 	}
+	disturbed := make([]int, len(f.faults))
 	for i, fault := range f.faults {
-		running.Go(func() { fault(ctx, d, newRandom(*changesSeed, uint64(firstFault+i))) })
+		running.Go(func() { disturbed[i] = d.disturb(ctx, fault, newRandom(*changesSeed, uint64(firstFault+i))) })
 	}
 	for i, caller := range changingCallers(deployment, f.entries, seen.add) {
 		if f.prepare != nil {
@@ -118,6 +122,16 @@
 	}
 	running.Wait()
 	c.check(t, seen.all)
+	assert.Check(t, !slices.Contains(disturbed, 0), "faults of each kind: %v", disturbed)
+}
+
+// disturb disturbs the deployment by a kind of fault again and again until ctx is done, and returns the number of faults.
+func (d *changingDeployment) disturb(ctx context.Context, disturb fault, rng *rand.Rand) int {
+	n := 0
+	for ; hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil; n++ {
+		disturb(ctx, d, rng)
+	}
+	return n
 }
 
 // drawAccounts draws a configuration with other accounts, limits and routes.
@@ -164,25 +178,22 @@
 	}
 }
 
-// nameVersions names one version of the weights after the other.
-func nameVersions(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
-	for version := uint64(2); hub.Sleep(ctx, drawTime(rng, minVersionPause, maxVersionPause)) == nil; version++ {
-		d.site.SetTargetVersion(version)
-	}
+// nameVersion names the next version of the weights.
+func nameVersion(_ context.Context, d *changingDeployment, _ *rand.Rand) {
+	d.named++
+	d.site.SetTargetVersion(d.named)
 }
 
-// evacuate evacuates one failure domain after the other.
+// evacuate evacuates a failure domain for a time.
 func evacuate(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
-	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
-		domain := plan.Domains[rng.IntN(len(plan.Domains))]
-		d.site.Evacuate(domain, true)
-		_ = hub.Sleep(ctx, drawTime(rng, minEvacuated, maxEvacuated))
-		d.site.Evacuate(domain, false)
-	}
+	domain := plan.Domains[rng.IntN(len(plan.Domains))]
+	d.site.Evacuate(domain, true)
+	_ = hub.Sleep(ctx, drawTime(rng, minEvacuated, maxEvacuated))
+	d.site.Evacuate(domain, false)
 }
 
-// servicesOfUpstreams returns the upstreams of each of the first services.
-func servicesOfUpstreams() [][]string {
+// firstServices returns the upstreams of each of the first services.
+func firstServices() [][]string {
 	var engines, plain []string
 	for i := range changingSize.Engines {
 		engines = append(engines, plan.EngineName(i))
@@ -195,28 +206,24 @@
 
 // silence makes two upstreams of a service hang at once.
 func silence(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
-	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
-		upstreams := servicesOfUpstreams()[rng.IntN(2)]
-		rng.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
-		length := drawTime(rng, minSilence, maxSilence)
-		for _, u := range upstreams[:2] {
-			d.site.Hang(u, length)
-		}
-		_ = hub.Sleep(ctx, length)
+	upstreams := firstServices()[rng.IntN(2)]
+	rng.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
+	length := drawTime(rng, minSilence, maxSilence)
+	for _, u := range upstreams[:2] {
+		d.site.Hang(u, length)
 	}
+	_ = hub.Sleep(ctx, length)
 }
 
-// unlist removes all upstreams of a service from the store and writes them again.
+// unlist removes all upstreams of a service from the store for a time.
 func unlist(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
-	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
-		upstreams := servicesOfUpstreams()[rng.IntN(2)]
-		for _, u := range upstreams {
-			d.site.RemoveEntry(u)
-		}
-		_ = hub.Sleep(ctx, drawTime(rng, minUnlisted, maxUnlisted))
-		for _, u := range upstreams {
-			d.site.WriteEntry(u, "ready")
-		}
+	upstreams := firstServices()[rng.IntN(2)]
+	for _, u := range upstreams {
+		d.site.RemoveEntry(u)
+	}
+	_ = hub.Sleep(ctx, drawTime(rng, minUnlisted, maxUnlisted))
+	for _, u := range upstreams {
+		d.site.WriteEntry(u, "ready")
 	}
 }
 
@@ -229,29 +236,23 @@
 )
 
 // reload makes a process reload its settings.
-func reload(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
-	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
-		assert.Check(d.t, d.Processes[plan.EntryName(reloading)].Signal(syscall.SIGHUP) == nil)
-	}
+func reload(_ context.Context, d *changingDeployment, _ *rand.Rand) {
+	assert.Check(d.t, d.Processes[plan.EntryName(reloading)].Signal(syscall.SIGHUP) == nil)
 }
 
-// cutFromStore makes the link of a process to the store silent.
+// cutFromStore makes the link of a process to the store silent for a time.
 func cutFromStore(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
-	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
-		restore := d.SetMode(plan.StoreLink(plan.EntryName(storeless)), proxy.Cut)
-		_ = hub.Sleep(ctx, drawTime(rng, minStoreCut, maxStoreCut))
-		restore()
-	}
+	restore := d.SetMode(plan.StoreLink(plan.EntryName(storeless)), proxy.Cut)
+	_ = hub.Sleep(ctx, drawTime(rng, minStoreCut, maxStoreCut))
+	restore()
 }
 
 // kill kills a process and starts it again.
-func kill(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+func kill(_ context.Context, d *changingDeployment, _ *rand.Rand) {
 	name := plan.EntryName(killed)
-	for hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause)) == nil {
-		started := d.addKill(name)
-		assert.Check(d.t, d.Processes[name].Restart(syscall.SIGKILL, 0) == nil)
-		started()
-	}
+	started := d.addKill(name)
+	assert.Check(d.t, d.Processes[name].Restart(syscall.SIGKILL, 0) == nil)
+	started()
 }
 
 // addKill adds a kill that begins, and returns a function that completes it once the process has started again.
--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -23,8 +23,8 @@
 const frontPort = ":7105"
 
 const (
-	// initialVersion is the version that engines hold at the start.
-	initialVersion = 1
+	// InitialVersion is the version that engines hold at the start.
+	InitialVersion = 1
 	// seedPeers is the number of entry processes in the settings of each process.
 	seedPeers     = 3
 	probeTimeout  = 300 * time.Millisecond
@@ -204,7 +204,7 @@
 func (c *Cluster) addEngine(i int) error {
 	name, ip, bound := plan.SideName(i), network.Loopback(), network.Loopback()
 	c.vms[plan.EngineName(i)] = ip
-	engine, address, err := c.Site.AddEngine(plan.EngineName(i), bound, Domain(i), initialVersion)
+	engine, address, err := c.Site.AddEngine(plan.EngineName(i), bound, Domain(i), InitialVersion)
 	if err != nil {
 		return err
 	}
@@ -349,7 +349,7 @@
 // WrongWeights returns a line for each load of an engine whose content is not that of a named version.
 func (c *Cluster) WrongWeights(newest uint64) []string {
 	digests := map[string]bool{}
-	for v := uint64(initialVersion); v <= newest; v++ {
+	for v := uint64(InitialVersion); v <= newest; v++ {
 		digests[c.Site.Origin.Digest(v)] = true
 	}
 	var out []string
