cmd/oriolehub: streams that callers continue, and stalls of the test, beside changes

Callers of the case of silent and unlisted upstreams continue streams from any event. The tests beside changes print the times in which their own process did not run, as the test of planned stops does; they excuse nothing by them.

--- a/cmd/oriolehub/changes_caller_test.go
+++ b/cmd/oriolehub/changes_caller_test.go
@@ -77,6 +77,8 @@
 	sent       time.Time
 	ended      time.Time
 	bodyLength int
+	// lastEvent is the event after which the request continues a stream, 0 for one from the beginning.
+	lastEvent int
 	// reused is true if the connection had carried a request before.
 	reused bool
 	// status is 0 if there was no response.
@@ -102,6 +104,8 @@
 	add     func(*ending)
 	// ahead is the largest number of requests that are sent ahead of the response to an earlier one.
 	ahead int
+	// continues makes the caller continue streams from any event, 0 included.
+	continues bool
 	// readPause is the time that passes before each part of readBytes is read, 0 for a caller that reads at once.
 	readPause time.Duration
 
@@ -222,6 +226,10 @@
 		e.limit = min(e.limit, wait)
 		standin.SetWait(r, wait)
 	}
+	if c.continues && c.class.events > 0 {
+		e.lastEvent = c.rng.IntN(c.class.events)
+		standin.SetLastEvent(r, e.lastEvent)
+	}
 	if e.bodyLength > 0 {
 		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", e.bodyLength))), int64(e.bodyLength)
 	}
--- a/cmd/oriolehub/changes_further_test.go
+++ b/cmd/oriolehub/changes_further_test.go
@@ -81,7 +81,7 @@
 var furtherCases = []furtherCase{
 	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: func(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }},
 	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []fault{nameVersion, evacuate}},
-	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, faults: []fault{silence, unlist}},
+	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{silence, unlist}},
 	{name: "requests sent ahead and slow readers", entries: 2, draw: drawRouting, prepare: readSlowly, begin: lengthenResponses},
 	{name: "processes", entries: 3, draw: drawAccounts, faults: []fault{reload, cutFromStore, kill}},
 }
@@ -104,6 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), *furtherTime)
 	defer cancel()
+	go c.stalls.run(ctx)
 	var seen endings
 	var running sync.WaitGroup
 	running.Go(func() { c.configure(ctx, newRandom(*changesSeed, changesStream), f.draw) })
@@ -172,6 +173,9 @@
 	}
 }
 
+// continueStreams makes every other caller continue streams.
+func continueStreams(i int, c *changingCaller) { c.continues = i%2 == 1 }
+
 func lengthenResponses(d *changingDeployment) {
 	for _, u := range changingPlain() {
 		d.site.SetBehavior(u, standin.Behavior{Padding: longPadding})
--- a/cmd/oriolehub/changes_test.go
+++ b/cmd/oriolehub/changes_test.go
@@ -76,6 +76,7 @@
 	// conditions are the times in which configurations with a condition were in force.
 	conditions map[condition][]interval
 	hangs      int
+	stalls     stallWatch
 	// kills are the times in which processes were killed and not started again.
 	kills map[string][]interval
 	// arrivals are the requests at upstreams by their IDs.
@@ -198,7 +199,7 @@
 // expected returns the body of the whole response.
 func (e *ending) expected() string {
 	if e.class.events > 0 {
-		return standin.StreamBody(e.id, e.class.events)
+		return standin.StreamBodyAfter(e.id, e.lastEvent, e.class.events)
 	}
 	return standin.PlainBody(e.id, e.class.method) + string(make([]byte, e.class.padding))
 }
@@ -260,6 +261,7 @@
 	deployment, c := startChanging(t, changingSize)
 	ctx, cancel := context.WithTimeout(t.Context(), *changesTime)
 	defer cancel()
+	go c.stalls.run(ctx)
 	var seen endings
 	var running sync.WaitGroup
 	running.Go(func() { c.configure(ctx, newRandom(*changesSeed, changesStream), drawRouting) })
@@ -325,7 +327,8 @@
 		}
 	}
 	t.Logf("seed %d: %d configurations, %d hangs, %d requests: %v", *changesSeed, c.version, c.hangs, len(all), counts)
-	t.Logf("the latest is %s, after %s of %s", latest.id, latest.took(), latest.limit)
+	stalls, stalled := c.stalls.count()
+	t.Logf("%d stalls of the test (%s); the latest is %s, after %s of %s", stalls, stalled.Round(time.Millisecond), latest.id, latest.took(), latest.limit)
 	for _, class := range changingClasses {
 		assert.Check(t, counts[class.name+" "+endAnswered] > 0, class.name)
 	}
--- a/cmd/oriolehub/stops_judge_test.go
+++ b/cmd/oriolehub/stops_judge_test.go
@@ -32,8 +32,7 @@
 	// ended are the times at which upstreams ceased to work on requests, brokeOff the requests that they broke off.
 	ended    map[string]time.Time
 	brokeOff map[string]bool
-	// stalls are the times in which the process of the test did not run.
-	stalls []interval
+	stalls   stallWatch
 }
 
 func newStops() *stops {
--- a/cmd/oriolehub/stops_judgetable_test.go
+++ b/cmd/oriolehub/stops_judgetable_test.go
@@ -53,7 +53,7 @@
 	s.brokeOff["x"] = j.brokeOff
 	if j.stalled {
 		ended := signalled.Add(j.ended)
-		s.stalls = []interval{{ended.Add(-1500 * time.Millisecond), ended.Add(-500 * time.Millisecond)}}
+		s.stalls.times = []interval{{ended.Add(-1500 * time.Millisecond), ended.Add(-500 * time.Millisecond)}}
 	}
 	e := &stopEnding{
 		ending: ending{
--- a/cmd/oriolehub/stops_stall_test.go
+++ b/cmd/oriolehub/stops_stall_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -18,28 +19,37 @@
 	maxStallShare = 4
 )
 
-// watchStalls keeps the times in which the process of the test, with its upstreams and callers, did not run, until ctx is done. Such a
-// time is an unplanned disturbance of them all, which LOST excuses.
-func (s *stops) watchStalls(ctx context.Context) {
+// stallWatch keeps the times in which the process of the test, with its upstreams and callers, did not run. Such a time is an
+// unplanned disturbance of them all.
+type stallWatch struct {
+	mu    sync.Mutex
+	times []interval
+}
+
+// run watches until ctx is done.
+func (w *stallWatch) run(ctx context.Context) {
 	for from := time.Now(); hub.Sleep(ctx, stallCheck) == nil; from = time.Now() {
 		if until := time.Now(); until.Sub(from) >= minStall {
-			s.mu.Lock()
-			s.stalls = append(s.stalls, interval{from, until})
-			s.mu.Unlock()
+			w.mu.Lock()
+			w.times = append(w.times, interval{from, until})
+			w.mu.Unlock()
 		}
 	}
 }
 
-// stalled reports whether a stall may have ended a request.
-func (s *stops) stalled(e *stopEnding) bool {
-	return slices.ContainsFunc(s.stalls, func(i interval) bool { return i.from.Before(e.ended) && e.ended.Before(i.until.Add(stallReach)) })
-}
-
-// stallTime returns the sum of all stalls.
-func (s *stops) stallTime() time.Duration {
-	sum := time.Duration(0)
-	for _, i := range s.stalls {
+// count returns the number of stalls and their sum.
+func (w *stallWatch) count() (n int, sum time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range w.times {
 		sum += i.until.Sub(i.from)
 	}
-	return sum
+	return len(w.times), sum
+}
+
+// stalled reports whether a stall may have ended a request, which LOST excuses.
+func (s *stops) stalled(e *stopEnding) bool {
+	s.stalls.mu.Lock()
+	defer s.stalls.mu.Unlock()
+	return slices.ContainsFunc(s.stalls.times, func(i interval) bool { return i.from.Before(e.ended) && e.ended.Before(i.until.Add(stallReach)) })
 }
--- a/cmd/oriolehub/stops_test.go
+++ b/cmd/oriolehub/stops_test.go
@@ -194,7 +194,7 @@
 	random := func(stream int) *rand.Rand { return newRandom(*stopsSeed, uint64(stream)) }
 	watching, ended := context.WithCancel(t.Context())
 	defer ended()
-	go s.watchStalls(watching)
+	go s.stalls.run(watching)
 	running.Go(func() { s.stop(ctx, t, deployment, random(stopsStream)) })
 	running.Go(func() { restartSides(ctx, t, deployment, random(stopsSides)) })
 	running.Go(func() { s.configure(ctx, random(stopsChanges)) })
@@ -260,12 +260,13 @@
 		}
 	}
 	stopped := s.checkStops(t)
+	stalls, stalled := s.stalls.count()
 	t.Logf("seed %d: %d stops, %d configurations, %d hangs, %d stalls of the test (%s), %d requests: %v",
-		*stopsSeed, stopped, s.changes.version, s.changes.hangs, len(s.stalls), s.stallTime().Round(time.Millisecond), len(all), counts)
+		*stopsSeed, stopped, s.changes.version, s.changes.hangs, stalls, stalled.Round(time.Millisecond), len(all), counts)
 	t.Logf("beside stops, by body: %v", besideStops)
 	for _, class := range stopsClasses {
 		assert.Check(t, counts[class.name+" "+endAnswered] > 0, class.name)
 	}
-	assert.Check(t, s.stallTime() < *stopsTime/maxStallShare, "the machine is too busy for this test: its own process did not run for %s", s.stallTime())
+	assert.Check(t, stalled < *stopsTime/maxStallShare, "the machine is too busy for this test: its own process did not run for %s", stalled)
 	assert.Check(t, stopped > 0 && s.changes.version > 1 && s.changes.hangs > 0)
 }
