wire/listener: Drain stops a server without dropping requests, for both entry processes

Callers saw: the product's entry process read the first request on a connection that was opened before its stop, and closed the connection without an answer. Cause: http.Server.Shutdown at the beginning of its stop, the same class of fault that mended in process/node, with code of its own. That code is now listener.Drain, which process/node and process/entry call: wait for the requests in progress, close idle connections, wait up to a second for requests on unused ones, close these, then Shutdown. The requests are answered by the handler, which refuses them. The behaviour of process/node is unchanged.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -90,7 +90,8 @@
 	traces     *trace.Buffer
 	server     *link.Server
 	http       *http.Server
-	listener   net.Listener
+	listener   *listener.Listener
+	requests   listener.Requests
 	admin      *admin.Server
 	metrics    *metrics.Set
 
@@ -223,7 +224,7 @@
 	}
 	p.listener = limitedCallers
 	p.http = &http.Server{
-		Handler:           alice.New(recoverPanics(p.journal.Logger(journal.Process))).Then(p.dispatcher),
+		Handler:           alice.New(p.requests.Count, recoverPanics(p.journal.Logger(journal.Process))).Then(p.dispatcher),
 		ReadHeaderTimeout: s.Requests.HeaderTimeout.Std(),
 		ReadTimeout:       s.Requests.BodyTimeout.Std(),
 		IdleTimeout:       s.Requests.IdleTimeout.Std(),
@@ -323,7 +324,8 @@
 	p.leaving.Store(true)
 	p.presence.Publish()
 	p.dispatcher.StopAccepting()
-	_ = p.http.Shutdown(ctx)
+	_ = p.listener.Close()
+	_ = p.listener.Drain(ctx, p.http, &p.requests)
 	p.Kill()
 }
 
--- a/internal/process/node/entry.go
+++ b/internal/process/node/entry.go
@@ -59,9 +59,9 @@
 	ready     *http.Server
 	// listener accepts the connections of callers.
 	listener *listener.Listener
-	// stop is the planned stop, inProgress the number of requests that have begun and not ended.
-	stop       *forward.Stop
-	inProgress atomic.Int64
+	// stop is the planned stop, requests are those that have begun and not ended.
+	stop     *forward.Stop
+	requests listener.Requests
 }
 
 // StartEntry starts an entry process, which runs until Stop.
@@ -226,7 +226,7 @@
 		Metrics:     e.metrics,
 	})
 	e.callers = &http.Server{
-		Handler:           alice.New(listener.LimitBodies(s.Callers.BodyTimeout.Std()), e.countInProgress, e.closeWhileLeaving).Then(handler),
+		Handler:           alice.New(listener.LimitBodies(s.Callers.BodyTimeout.Std()), e.requests.Count, e.closeWhileLeaving).Then(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -256,15 +256,6 @@
 	})
 }
 
-// countInProgress counts the requests in progress.
-func (e *Entry) countInProgress(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.inProgress.Add(1)
-		defer e.inProgress.Add(-1)
-		next.ServeHTTP(w, r)
-	})
-}
-
 // closeWhileLeaving asks callers to use their connections no longer once the process is leaving.
 func (e *Entry) closeWhileLeaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -13,14 +13,10 @@
 	// once a second and stops sending connections after two failed checks. A busy VM may learn of the signal late, so that
 	// little is added to that.
 	drainDelay = 2200 * time.Millisecond
-	// inProgressInterval is the interval at which a stopping process checks whether requests are in progress.
-	inProgressInterval = 10 * time.Millisecond
 	// interruptMargin is the time before the deadline of a planned stop at which requests without a response are answered,
 	// cutMargin that at which streams in progress are cut. What remains is for the other steps of the stop.
 	interruptMargin = 700 * time.Millisecond
 	cutMargin       = 400 * time.Millisecond
-	// unusedTime is the time for which a stopping process waits for the first requests of open connections, to refuse them.
-	unusedTime = time.Second
 	// endTime is the time in which requests that were cut must end.
 	endTime = 100 * time.Millisecond
 )
@@ -40,7 +36,7 @@
 	go func() { defer close(announced); e.announceLeaving(ctx) }()
 	_ = hub.Sleep(ctx, drainDelay)
 	e.stop.Refuse()
-	e.journal.Logger(journal.Process).Info().Dur("SinceSignal", time.Since(began)).Int64("InProgress", e.inProgress.Load()).Msg("requests are no longer accepted")
+	e.journal.Logger(journal.Process).Info().Dur("SinceSignal", time.Since(began)).Int64("InProgress", e.requests.InProgress()).Msg("requests are no longer accepted")
 	_ = e.listener.Close()
 	e.finishRequests(ctx)
 	_ = e.ready.Close()
@@ -66,18 +62,18 @@
 		return
 	}
 	l := e.journal.Logger(journal.Process)
-	l.Warn().Int64("InProgress", e.inProgress.Load()).Msg("time to stop is up; interrupting the requests in progress")
+	l.Warn().Int64("InProgress", e.requests.InProgress()).Msg("time to stop is up; interrupting the requests in progress")
 	e.stop.Interrupt()
 	rest := context.WithoutCancel(ctx)
 	if !e.requestsEndWithin(rest, interruptMargin-cutMargin) {
-		l.Warn().Int64("InProgress", e.inProgress.Load()).Msg("cutting the streams in progress")
+		l.Warn().Int64("InProgress", e.requests.InProgress()).Msg("cutting the streams in progress")
 		e.stop.Cut()
 		e.requestsEndWithin(rest, endTime)
 	}
 	closing, cancel := context.WithTimeout(rest, endTime)
 	defer cancel()
 	if err := e.callers.Shutdown(closing); err != nil {
-		l.Warn().Int64("InProgress", e.inProgress.Load()).Err(err).Msg("interrupted requests have not ended; closing their connections")
+		l.Warn().Int64("InProgress", e.requests.InProgress()).Err(err).Msg("interrupted requests have not ended; closing their connections")
 		_ = e.callers.Close()
 		// A request that waits for its caller to read ends with its connection, and is logged then.
 		e.requestsEndWithin(rest, endTime)
@@ -92,39 +88,12 @@
 		ctx, cancel = context.WithDeadline(ctx, at)
 		defer cancel()
 	}
-	if !e.requestsEnd(ctx) {
-		return false
-	}
-	e.awaitUnused(ctx)
-	return e.callers.Shutdown(ctx) == nil
-}
-
-// awaitUnused closes the idle connections of callers, waits for up to unusedTime for requests on those that have not been used yet, and
-// closes these too. http.Server.Shutdown would drop their requests and wait for them longer.
-func (e *Entry) awaitUnused(ctx context.Context) {
-	e.callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(ctx, unusedTime)
-	defer cancel()
-	for e.listener.Open() > 0 && hub.Sleep(ctx, inProgressInterval) == nil {
-		continue
-	}
-	e.listener.CloseUnused()
+	return e.listener.Drain(ctx, e.callers, &e.requests) == nil
 }
 
-// requestsEndWithin is requestsEnd with a time limit.
+// requestsEndWithin waits until no request is in progress, or returns false after the given time.
 func (e *Entry) requestsEndWithin(ctx context.Context, limit time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return e.requestsEnd(ctx)
-}
-
-// requestsEnd waits until no request is in progress, or returns false once ctx is done. Until then http.Server.Shutdown must not be
-// called, because it drops requests on open connections, which are refused instead.
-func (e *Entry) requestsEnd(ctx context.Context) bool {
-	for e.inProgress.Load() > 0 {
-		if hub.Sleep(ctx, inProgressInterval) != nil {
-			return false
-		}
-	}
-	return true
+	return e.requests.Wait(ctx) == nil
 }
