route/forward: begun streams outlive a refusal after connections that failed

Callers saw a stream without its end, 4.2 s before its time limit, with sound upstreams listed.

Cause: the limit of four attempts counted connections on which nothing was sent, unless the last attempt was one of these. A stream whose upstream had broken off, and whose next three connections were refused, was given up at the first refusal (421 or 503 as not run) after that: one run and one refusal. Hedges count only attempts that upstreams have got.

Now a begun stream whose caller waits is limited by the attempts that upstreams have got: runs and refusals, as hedges are.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -312,20 +312,19 @@
 	return min(wait, time.Until(x.deadline))
 }
 
-// sentTooOften reports whether the request has been sent as often as it may after an attempt that failed with err. A stream that has
-// begun is not given up for connections on which nothing could be sent, as long as its caller waits.
-func (x *exchange) sentTooOften(err error) bool {
-	if x.sent < maxSent {
-		return false
+// sentTooOften reports whether the request has been sent as often as it may. For a stream that has begun, connections on which nothing
+// could be sent don't count as long as its caller waits.
+func (x *exchange) sentTooOften() bool {
+	if x.relay != nil && time.Since(x.relay.lastAt) < callerPatience {
+		return x.runs+len(x.refusedBy) >= maxSent
 	}
-	waits := x.relay != nil && time.Since(x.relay.lastAt) < callerPatience
-	return !waits || !errors.Is(err, channel.ErrNotSent)
+	return x.sent >= maxSent
 }
 
 // mayRetry reports whether the request may be sent again after an attempt that failed with err. It takes the
 // retry from the service's retry budget, except after an attempt of which no byte was sent.
 func (x *exchange) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || x.sentTooOften(err) || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) || errors.Is(err, errGone) {
+	if ctx.Err() != nil || x.sentTooOften() || time.Until(x.deadline) < minRemaining || errors.Is(err, errTimedOut) || errors.Is(err, errGone) {
 		return false
 	}
 	if x.relay != nil && x.relay.sequence.Last() == "" {
