--- a/cmd/oriolehub/changes_test.go
+++ b/cmd/oriolehub/changes_test.go
@@ -313,6 +313,8 @@
 // check judges how all requests have ended. Too few answers or changes would prove nothing.
 func (c *changes) check(t *testing.T, all []*ending) {
 	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	counts := map[string]int{}
 	latest := &ending{}
 	for _, e := range all {
