--- a/cmd/oriolehub/changes_further_test.go
+++ b/cmd/oriolehub/changes_further_test.go
@@ -82,11 +82,11 @@
 type fault func(context.Context, *changingDeployment, *rand.Rand)
 
 var furtherCases = []furtherCase{
-	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: func(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }},
+	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: useKeys},
 	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []fault{nameVersion, evacuate}},
 	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{silence, unlist}},
-	{name: "requests sent ahead and slow readers", entries: 2, draw: drawRouting, prepare: readSlowly, begin: lengthenResponses},
-	{name: "processes", entries: 3, draw: drawAccounts, faults: []fault{reload, cutFromStore, kill}},
+	{name: "requests sent ahead and slow readers", entries: 2, draw: drawAccounts, prepare: readSlowly, begin: lengthenResponses},
+	{name: "processes", entries: 3, draw: drawAccounts, prepare: useKeys, faults: []fault{reload, cutFromStore, kill}},
 }
 
 // Guards against requests that end without an answer or a refusal beside changes of accounts and limits, versions, evacuations,
@@ -163,8 +163,12 @@
 	return r
 }
 
+// useKeys gives each caller one of the API keys.
+func useKeys(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }
+
 // readSlowly makes a caller send requests ahead, and every other one read long responses slowly.
 func readSlowly(i int, c *changingCaller) {
+	useKeys(i, c)
 	c.ahead = sentAhead
 	if i%2 == 1 {
 		c.readPause = time.Duration(c.rng.Int64N(int64(maxReadPause)))
