--- a/internal/route/placement/placement_test.go
+++ b/internal/route/placement/placement_test.go
@@ -281,6 +281,46 @@
 	assert.Assert(t, errors.Is(err, placement.ErrNoUpstream), "%v", err)
 }
 
+// Guards against engines that count as loading although the request may not be sent there whatever they load, and against ones with
+// weights that are due to be replaced which count as gone.
+func TestEnginesThatLoadAreToldFromNone(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(f *fixture, r *placement.Requirements)
+		want   error
+	}{
+		"loading": {func(f *fixture, _ *placement.Requirements) {
+			f.report(0, hub.UpstreamReport{Held: 1, Busy: true, Born: 1})
+		}, placement.ErrLoading},
+		"without weights": {func(f *fixture, _ *placement.Requirements) { f.report(0, hub.UpstreamReport{Born: 1}) }, placement.ErrLoading},
+		"older weights": {func(f *fixture, _ *placement.Requirements) {
+			f.directives(hub.Directives{Targets: []hub.ModelTarget{{Model: "m", Version: 2}}})
+			time.Sleep(switchBound)
+		}, placement.ErrLoading},
+		"leaving": {func(f *fixture, _ *placement.Requirements) {
+			f.report(0, hub.UpstreamReport{Busy: true, Leaving: true, Born: 1})
+		}, placement.ErrNoUpstream},
+		"tried": {func(f *fixture, r *placement.Requirements) {
+			f.report(0, hub.UpstreamReport{Busy: true, Born: 1})
+			r.Tried = []directory.Key{{Id: "i000", Born: 1}}
+		}, placement.ErrNoUpstream},
+		"out of service": {func(f *fixture, _ *placement.Requirements) {
+			f.report(0, hub.UpstreamReport{Busy: true, Born: 1})
+			f.directives(hub.Directives{Evacuated: []string{"a"}})
+		}, placement.ErrNoUpstream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, r := withTestPlacement(t), requirements()
+				f.engines(1, 0)
+				test.change(f, r)
+				_, err := f.placement.Acquire(t.Context(), r, 0)
+				assert.Assert(t, errors.Is(err, placement.ErrNoUpstream), "%v", err)
+				assert.Equal(t, errors.Is(err, placement.ErrLoading), test.want == placement.ErrLoading, "%v", err)
+			})
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{16, 1000, 10000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
