route: a begun stream may try an upstream again that took no connection in time

Callers saw a stream closed after 0.4 s although another upstream was sound: if the only other one was silent for a second, as the users' page allows, the connection timed out after 0.3 s, and the upstream was not chosen again for this stream ("no upstream may run the request").

TestBegunStreamOutlivesASilentMomentOfTheOnlyOtherUpstream failed before: "error is not nil: unexpected EOF".

A connection that times out is now told from one that is refused (channel.ErrSilent).

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -22,6 +22,8 @@
 	// ErrReset means that the upstream has ended a new connection, presumably because of its limit of connections. It is
 	// used only for calls with MaxConnections.
 	ErrReset = errors.New("upstream reset a new connection")
+	// ErrSilent means that the upstream has not taken a new connection in time.
+	ErrSilent = errors.New("upstream took no connection in time")
 	// errEnded means that the upstream has sent bytes, closed or reset a new connection before a call was sent.
 	errEnded = errors.New("connection ended before the call")
 )
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -93,6 +94,10 @@
 		p.resetByLimit(address, false)
 		return fmt.Errorf("%w: %w: %w", ErrNotSent, ErrReset, err)
 	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return fmt.Errorf("%w: %w: %w", ErrNotSent, ErrSilent, err)
+	}
 	return fmt.Errorf("%w: %w", ErrNotSent, err)
 }
 
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -38,7 +38,8 @@
 
 // countNotSent records in the load of the upstream that no byte of an attempt was sent, and returns whether the request must not
 // be sent there again. An upstream at the limit of its connections is treated like one without a free slot: it is not chosen for
-// a short time, and may be chosen again after it. It may be called from any goroutine.
+// a short time, and may be chosen again after it. One that has not taken a connection in time may be sound and silent for a moment: a
+// stream that has begun may try it again. It may be called from any goroutine.
 func (x *exchange) countNotSent(c *placement.Choice, err error) (exclude bool) {
 	switch {
 	case errors.Is(err, channel.ErrNoConnection):
@@ -46,6 +47,8 @@
 	case errors.Is(err, channel.ErrReset):
 		c.Load.Refused()
 		c.Load.Failed()
+	case errors.Is(err, channel.ErrSilent) && x.begun.Load():
+		c.Load.Failed()
 	default:
 		c.Load.Failed()
 		if errors.Is(err, syscall.ECONNREFUSED) {
