wire/listener: a request that has arrived on an idle connection is answered, not reset

Callers saw a reset instead of an answer at a planned stop: http.Server takes a connection for idle until it has parsed the header of the next request, and closes idle ones at once. A process that gets little time may close a connection on which a whole request has been waiting for longer than loss_slack_ms.

Closing such a connection is put off for up to a second if the operating system holds bytes of a request, or a part of a header has been read. The request is then read and answered, with Connection: close, and the stop waits for it as for all others.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -67,6 +67,8 @@
 	// broken is true once a write has failed, lingering once the connection is read only until its last response has arrived.
 	broken    atomic.Bool
 	lingering atomic.Bool
+	// pending is true once the connection was to be closed while a request arrived on it.
+	pending atomic.Bool
 }
 
 func newConn(l *Listener, inner net.Conn) *Conn {
@@ -82,9 +84,13 @@
 // Keep exempts the connection from being closed in favour of others, because its peer is known.
 func (c *Conn) Keep() { c.kept.Store(true) }
 
-// Close closes the connection, or its sending direction while its last response is on its way. What is held for it is released by
-// those who acquired it.
+// Close closes the connection, or its sending direction while its last response is on its way. If a request arrives on it, it stays
+// open for that. What is held for it is released by those who acquired it.
 func (c *Conn) Close() error {
+	if c.awaitsRequest() {
+		time.AfterFunc(pendingTime, c.closeUnlessActive)
+		return nil
+	}
 	if c.lingers() {
 		go c.linger()
 		return nil
--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -168,7 +168,7 @@
 	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(refusalTimeout)) == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardedBytes))
 	}
-	_ = c.Close()
+	_ = c.closeAndRemove()
 }
 
 // endRequest releases the memory for the header of a request that has ended. What may have been read of the next header stays
--- a/internal/wire/listener/linger.go
+++ b/internal/wire/listener/linger.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -34,22 +33,5 @@
 
 // inTransit reports whether the operating system holds data of a connection that have not been read or acknowledged.
 func inTransit(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	held := 0
-	// An error means that the connection has ended.
-	_ = raw.Control(func(fd uintptr) {
-		for _, request := range []uint{unix.TIOCINQ, unix.TIOCOUTQ} {
-			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
-				held += n
-			}
-		}
-	})
-	return held > 0
+	return bufferedBytes(c, unix.TIOCINQ, unix.TIOCOUTQ) > 0
 }
