--- a/cmd/oriolehub/changes_further_test.go
+++ b/cmd/oriolehub/changes_further_test.go
@@ -85,7 +85,7 @@
 	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: useKeys},
 	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []fault{nameVersion, evacuate}},
 	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{silence, unlist}},
-	{name: "requests sent ahead and slow readers", entries: 2, draw: drawAccounts, prepare: readSlowly, begin: lengthenResponses},
+	{name: "requests sent ahead and slow readers", entries: 2, draw: drawAccounts, prepare: makeSlowReader, begin: lengthenResponses},
 	{name: "processes", entries: 3, draw: drawAccounts, prepare: useKeys, faults: []fault{reload, cutFromStore, kill}},
 }
 
@@ -166,8 +166,8 @@
 // useKeys gives each caller one of the API keys.
 func useKeys(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }
 
-// readSlowly makes a caller send requests ahead, and every other one read long responses slowly.
-func readSlowly(i int, c *changingCaller) {
+// makeSlowReader makes a caller send requests ahead, and every other one read long responses slowly.
+func makeSlowReader(i int, c *changingCaller) {
 	useKeys(i, c)
 	c.ahead = sentAhead
 	if i%2 == 1 {
