route/placement: requests that choose an upstream at the same time do not share its last slot

Callers saw: refusals by an upstream that had got more requests than it has slots, and the retries that these take from the budget. Cause: Choose compared the load with the limits and counted its request afterwards, so that two could take the same slot. Now it reserves the slot by comparing and swapping the count that was compared, and searches again if another request was faster.

What the best and the limited upstream of a search consisted of stood twice; it is a candidate now.

--- a/internal/route/placement/choice.go
+++ b/internal/route/placement/choice.go
@@ -64,23 +64,35 @@
 	if service == nil || len(service.Upstreams) == 0 {
 		return Choice{}, false
 	}
-	search := p.search(snapshot, service, r)
-	if search.best == nil {
-		return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft}, false
+	for {
+		search := p.search(snapshot, service, r)
+		if search.best.upstream == nil {
+			return Choice{Candidates: search.candidates, PauseLeft: search.pauseLeft}, false
+		}
+		if search.best.reserve() {
+			return p.choose(search, r)
+		}
 	}
-	u, l := search.best, search.bestLoad
-	if search.isCold(u) && !l.cold.take(search.coldTurns(u), search.now) {
-		return Choice{Candidates: search.candidates}, false
-	}
-	if !p.takeRateLimit(u.Id, l, search.now) {
+}
+
+// reserve takes a slot at c. It returns false if the load has changed since it was compared: another request may have got the slot.
+func (c *candidate) reserve() bool {
+	return c.load.running.CompareAndSwap(c.running, c.running+1)
+}
+
+// choose returns the choice of the best upstream of a search, where a slot has been reserved. If a rate limit forbids it, it frees the
+// slot and returns false.
+func (p *Placement) choose(search *search, r *Requirements) (Choice, bool) {
+	u, l, service := search.best.upstream, search.best.load, search.service
+	if search.isCold(u) && !l.cold.take(search.coldTurns(u), search.now) || !p.takeRateLimit(u.Id, l, search.now) {
+		l.running.Add(-1)
+		p.wake(u.Service)
 		return Choice{Candidates: search.candidates}, false
 	}
-	running := l.total()
-	l.running.Add(1)
-	l.limiter.Started(running, search.now)
+	l.limiter.Started(search.best.total, search.now)
 	held := l.held(u)
 	c := Choice{
-		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: search.candidates, ReportAge: l.reportAge(), placement: p, chosenAt: search.now,
+		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: search.best.total, Candidates: search.candidates, ReportAge: l.reportAge(), placement: p, chosenAt: search.now,
 	}
 	if service.Engine != nil {
 		c.pendingTokens = int64(cmp.Or(r.PromptTokens, service.Engine.UsualPrompt, 1))
--- a/internal/route/placement/load.go
+++ b/internal/route/placement/load.go
@@ -93,8 +93,11 @@
 }
 
 // total returns the estimated number of requests at the upstream.
-func (l *Load) total() int {
-	n := int(l.running.Load())
+func (l *Load) total() int { return l.totalWith(l.running.Load()) }
+
+// totalWith is total for the given number of requests of this process.
+func (l *Load) totalWith(running int64) int {
+	n := int(running)
 	if l.recentReport() != nil {
 		n += int(l.others.Load())
 	}
@@ -156,12 +159,12 @@
 // has total according to this process. If the upstream sends reports, has used more than half of its slots and there are other
 // entry processes, the process keeps to its allotment. With fewer requests the slots suffice for all, and a process without a part
 // would wait for nothing.
-func (l *Load) hasSlot(t Turn, limit, total int) bool {
+func (l *Load) hasSlot(t Turn, limit int, running int64, total int) bool {
 	r := l.recentReport()
 	if r == nil || t.Entries <= 1 || 2*r.allotment.total <= int64(limit) {
 		return total < limit
 	}
-	return total < limit+allowedWaiting && !r.allotment.exhausted(t, limit, l.running.Load())
+	return total < limit+allowedWaiting && !r.allotment.exhausted(t, limit, running)
 }
 
 // loading reports whether, according to a recent report, the upstream is loading weights.
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -25,10 +25,8 @@
 	// turn is the place of this process in the order of all entry processes.
 	turn Turn
 
-	// best is the upstream with the lowest score among those with room, nil if none has room.
-	best      *directory.Upstream
-	bestLoad  *Load
-	bestScore time.Duration
+	// best is the one with the lowest score among those with room, without an upstream if none has room.
+	best candidate
 	// candidates is the number of compared upstreams that may run the request, with or without room, and that neither have
 	// asked for a pause nor have got what their rate limits allow.
 	candidates int
@@ -36,12 +34,25 @@
 	// allows, may run the request, 0 if there is none.
 	pauseLeft time.Duration
 
-	// limited is the upstream with the lowest score among those that have a free slot and have reached their limit of requests
-	// in flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
-	limited      *directory.Upstream
-	limitedLoad  *Load
-	limitedScore time.Duration
-	hasOthers    bool
+	// limited is the one with the lowest score among those that have a free slot and have reached their limit of requests in
+	// flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
+	limited   candidate
+	hasOthers bool
+}
+
+// candidate is an upstream that may run the request.
+type candidate struct {
+	upstream *directory.Upstream
+	load     *Load
+	score    time.Duration
+	// running is the number of requests of this process at the upstream for which it has room, total that of all processes.
+	running int64
+	total   int
+}
+
+// better reports whether c is to be preferred to other, which may have no upstream.
+func (c *candidate) better(other *candidate) bool {
+	return other.upstream == nil || c.score < other.score
 }
 
 // search compares a limited number of upstreams from a random one on, and further ones only until one with room is found.
@@ -56,7 +67,7 @@
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
 	for i := range service.Upstreams {
-		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyLimited()) {
+		if i >= sampled && (f.best.upstream != nil || i >= maxSampled && f.onlyLimited()) {
 			break
 		}
 		u := service.Upstreams[(first+i)%len(service.Upstreams)]
@@ -73,38 +84,39 @@
 		if p.connectionsUsed(service, u, l) {
 			continue
 		}
-		total := l.total()
-		if !l.hasSlot(f.turn, p.limit(service, u), total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
+		running := l.running.Load()
+		total := l.totalWith(running)
+		if !l.hasSlot(f.turn, p.limit(service, u), running, total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		f.add(u, l, p.score(service, u, l, total), total)
+		f.add(&candidate{upstream: u, load: l, score: p.score(service, u, l, total), running: running, total: total})
 	}
 	f.useLimited()
 	return f
 }
 
 // add adds a candidate with a free slot.
-func (f *search) add(u *directory.Upstream, l *Load, score time.Duration, total int) {
-	switch {
-	case !l.limiter.Room(total, f.now):
-		if f.limited == nil || score < f.limitedScore {
-			f.limited, f.limitedLoad, f.limitedScore = u, l, score
-		}
-	case f.best == nil || score < f.bestScore:
-		f.best, f.bestLoad, f.bestScore = u, l, score
+func (f *search) add(c *candidate) {
+	first := &f.best
+	if !c.load.limiter.Room(c.total, f.now) {
+		first = &f.limited
+	}
+	if c.better(first) {
+		*first = *c
 	}
 }
 
 // onlyLimited reports whether there is an upstream with a free slot, and all candidates have limits below their slots or have
 // failed recently.
-func (f *search) onlyLimited() bool { return f.limited != nil && !f.hasOthers }
+func (f *search) onlyLimited() bool { return f.limited.upstream != nil && !f.hasOthers }
 
 // useLimited chooses an upstream beyond its limit if otherwise only ones that have failed recently can serve, so that limits
 // don't refuse requests when all upstreams start at once.
 func (f *search) useLimited() {
-	bestFails := f.best != nil && f.bestScore >= avoidedCost
-	if f.best == nil && f.onlyLimited() || bestFails && f.limited != nil && f.limitedScore < f.bestScore {
-		f.best, f.bestLoad, f.bestScore = f.limited, f.limitedLoad, f.limitedScore
+	hasBest := f.best.upstream != nil
+	bestFails := hasBest && f.best.score >= avoidedCost
+	if !hasBest && f.onlyLimited() || bestFails && f.limited.upstream != nil && f.limited.better(&f.best) {
+		f.best = f.limited
 	}
 }
 
