state: upstreams stay also if their entries expire shortly after the return of the store

The grace applied only to entries that were missing from the first list.

A process now keeps an upstream that the list lacks for 1.8 s from the return, whenever its entry went. One that left is used for less than the 2 s for which it serves. TestUpstreamsWhoseEntriesExpiredStayForAWhile failed before: "3 (int) != 4 (int)". A return before the first list of a process counts for nothing (TestOutageBeforeTheStartKeepsNoUpstreams).

--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -137,7 +137,7 @@
 	directives, directivesRevision := d.options.Catalog.List(mirror.DocumentDirectives)
 	upstreams, upstreamsRevision := d.options.Catalog.List(mirror.DocumentUpstreams)
 	now := time.Now()
-	d.storeReturn.observe(d.options.Catalog.Document(mirror.DocumentReturn).Revision, now)
+	d.storeReturn.observe(d.options.Catalog.Document(mirror.DocumentReturn).Revision, now, d.upstreamsEra.known)
 	modified := !d.recheckAt.IsZero() && !now.Before(d.recheckAt)
 	for name, revision := range map[string]uint64{
 		mirror.DocumentConfiguration: configuration.Revision, mirror.DocumentDirectives: directivesRevision, mirror.DocumentUpstreams: upstreamsRevision,
--- a/internal/state/directory/restored.go
+++ b/internal/state/directory/restored.go
@@ -51,23 +51,27 @@
 
 // storeReturn is the last return of the store after an outage.
 type storeReturn struct {
-	// revision is that of the first list of upstreams after the outage.
+	// revision is that of mirror.DocumentReturn.
 	revision uint64
-	at       time.Time
+	// at is the time at which the return was told, zero if that was before the first list of upstreams.
+	at time.Time
 }
 
-// observe records a return that was told at the time now, if it is a later one.
-func (r *storeReturn) observe(revision uint64, now time.Time) {
-	if revision > r.revision {
-		r.revision, r.at = revision, now
+// observe records a return that is told at the time now, if it is a later one. listed is true once a list of upstreams has been
+// applied.
+func (r *storeReturn) observe(revision uint64, now time.Time, listed bool) {
+	if revision <= r.revision {
+		return
+	}
+	r.revision = revision
+	if listed {
+		r.at = now
 	}
 }
 
-// mayLack reports whether the entry of an upstream that was last seen at a revision may have expired during the outage, and may
-// still be written again.
-func (r *storeReturn) mayLack(seen uint64, now time.Time) bool {
-	return seen < r.revision && now.Sub(r.at) < expiryGrace
-}
+// mayLack reports whether the entry of an upstream may have expired because of the outage, and may still be written again. Entries
+// expire during the outage or shortly after it.
+func (r *storeReturn) mayLack(now time.Time) bool { return now.Sub(r.at) < expiryGrace }
 
 // lastRun is the newest known run of an upstream.
 type lastRun struct {
@@ -119,7 +123,7 @@
 }
 
 // notWrittenAgain returns the upstreams that the list of the given revision lacks and that the restored store may have
-// lost, or whose entries may have expired during an outage of it. All other missing ones are gone.
+// lost, or whose entries may have expired because of an outage of it. All other missing ones are gone.
 func (d *Directory) notWrittenAgain(revision uint64, now time.Time) []hub.Instance {
 	var out []hub.Instance
 	for id, r := range d.runs {
@@ -128,7 +132,7 @@
 		case !r.gone() && d.upstreamsEra.mayLack(r.seen, now):
 			out = append(out, r.instance)
 			d.recheckBy(d.upstreamsEra.since.Add(restoreGrace))
-		case !r.gone() && d.storeReturn.mayLack(r.seen, now):
+		case !r.gone() && d.storeReturn.mayLack(now):
 			out = append(out, r.instance)
 			d.recheckBy(d.storeReturn.at.Add(expiryGrace))
 		case !r.gone():
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -118,12 +118,13 @@
 
 // follow mirrors one prefix until ctx is done. After an error it lists all keys again.
 func (m *Mirror) follow(ctx context.Context, prefix string) {
-	k := &keys{items: map[string]hub.Item{}, contact: time.Now()}
+	k := &keys{items: map[string]hub.Item{}}
+	m.contacted(k)
 	var listed time.Time
 	asked, lost := false, false
 	for ctx.Err() == nil {
 		if asked && !m.reads() {
-			k.contact = time.Now()
+			m.contacted(k)
 			_ = hub.Sleep(ctx, dutyCheckInterval)
 			continue
 		}
@@ -139,7 +140,7 @@
 		}
 		m.updateReachable(prefix, err)
 		if err == nil {
-			k.contact = time.Now()
+			m.contacted(k)
 		} else {
 			listed = time.Time{}
 		}
@@ -201,17 +202,22 @@
 	return nil
 }
 
-// publishReturn publishes that l is the first listing of the upstreams after an outage of the store in which entries may have expired.
+// contacted records that a call has succeeded, or that none was due until now.
+func (m *Mirror) contacted(k *keys) {
+	k.contact, k.toldReturn = time.Now(), m.options.Catalog.Document(DocumentReturn).Revision
+}
+
+// publishReturn publishes that l is the first listing of the upstreams after an outage of the store because of which entries may
+// expire, unless another process has done so.
 func (m *Mirror) publishReturn(prefix string, l hub.Listing, k *keys) {
 	outage := time.Since(k.contact)
-	if prefix != m.upstreams || m.failingSince[prefix].Load() == 0 || outage < expiryTime {
+	told := m.options.Catalog.Document(DocumentReturn).Revision
+	if prefix != m.upstreams || m.failingSince[prefix].Load() == 0 || outage < expiryTime || told > k.toldReturn {
 		return
 	}
-	if m.options.Catalog.Document(DocumentReturn).Revision > k.revision {
-		return // Another process has published this return.
-	}
 	m.options.Log.Warn().Uint64("Revision", l.Revision).Dur("Outage", outage).Msg("store is back; entries of upstreams may have expired meanwhile")
-	m.options.Catalog.PutDocument(hub.Document{Name: DocumentReturn, Revision: l.Revision})
+	// The store may not have changed since the return before.
+	m.options.Catalog.PutDocument(hub.Document{Name: DocumentReturn, Revision: max(l.Revision, told+1)})
 }
 
 // logRestored logs that a listing is of a later era of the store than the keys.
--- a/internal/state/mirror/snapshot.go
+++ b/internal/state/mirror/snapshot.go
@@ -13,8 +13,8 @@
 	DocumentConfiguration = "Configuration"
 	DocumentDirectives    = "Directives"
 	DocumentUpstreams     = "Upstreams"
-	// DocumentReturn has no value. Its revision is that of the first list of upstreams after an outage of the store in which
-	// entries may have expired.
+	// DocumentReturn has no value. Its revision rises each time the store is back after an outage because of which entries of
+	// upstreams may expire.
 	DocumentReturn = "StoreReturn"
 )
 
@@ -30,8 +30,10 @@
 	items map[string]hub.Item
 	// revision is the store revision.
 	revision uint64
-	// contact is the time of the last call that succeeded, or until which no calls were due.
-	contact time.Time
+	// contact is the time of the last call that succeeded, or until which no calls were due, toldReturn the revision of
+	// DocumentReturn at that time.
+	contact    time.Time
+	toldReturn uint64
 	// skipped is the number of entries that could not be read in the last listing.
 	skipped int
 }
