route/placement, upstream/stager: requests avoid engines that load before their responses end

Cause: the turn of an engine was known to its side process only, and half a second before the load to the others. Now each report tells the time until the next load, from the naming of the version on (before the fetch has ended, as it usually goes), and a request or a continued stream goes to engines that load after its expected end, or, if there is none, to those that load last. A fetch that ends early is followed by no load for 0.5 s or until the time that was told.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -101,11 +101,14 @@
 	ReadPerSecond float64
 	// Pass is the time that an engine of normal speed takes from one event of its streams to the next while it reads no prompt.
 	Pass time.Duration
-	// UsualPrompt is the mean prompt length in tokens.
-	UsualPrompt int
-	Layers      int
-	Chunks      int
-	ChunkBytes  int
+	// TokensPerPass is the number of tokens that a pass adds to each response, and so of each event.
+	TokensPerPass int
+	// UsualPrompt and UsualResponse are the mean lengths of prompts and responses in tokens.
+	UsualPrompt   int
+	UsualResponse int
+	Layers        int
+	Chunks        int
+	ChunkBytes    int
 }
 
 // Account is a client account with its API keys.
@@ -178,6 +181,8 @@
 	Busy bool
 	// Leaving is true if the upstream states that it is leaving.
 	Leaving bool `json:",omitempty"`
+	// LoadIn is the time until the side process orders the next load, 0 if none is planned.
+	LoadIn time.Duration `json:",omitzero"`
 	// RateLimit is the rate limit that the upstream names.
 	RateLimit RateLimit `json:",omitzero"`
 	// Orders is the number of load orders accepted since Born.
--- a/internal/hub/platform.go
+++ b/internal/hub/platform.go
@@ -59,6 +59,8 @@
 	HasKey bool
 	// PromptTokens is the prompt length stated by the caller, 0 if not given.
 	PromptTokens int
+	// ResponseTokens is the length of the response that the caller expects, 0 if not given.
+	ResponseTokens int
 	// SharedParts are the IDs of the parts of the prompt that other requests may share, in the order of the prompt; nil for none.
 	// They may be thousands, so they are taken from the header only when they are needed.
 	SharedParts iter.Seq[string]
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -236,7 +236,7 @@
 
 // requirements returns the requirements of the request on its upstream.
 func (x *exchange) requirements() *placement.Requirements {
-	r := &placement.Requirements{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, Backlog: fraction(x.route.Objective, backlogFraction)}
+	r := &placement.Requirements{Service: x.service, Priority: x.route.Priority, Regions: [][]string{x.route.Regions}, Tried: x.tried, PromptTokens: x.caller.PromptTokens, ResponseTokens: x.caller.ResponseTokens, Backlog: fraction(x.route.Objective, backlogFraction)}
 	if x.account != nil {
 		r.Account = x.account.Name
 		r.Regions = append(r.Regions, x.account.Regions)
@@ -247,6 +247,7 @@
 	switch {
 	case x.relay != nil:
 		requireForResumed(r)
+		r.Events = x.relay.events
 	case x.missedObjective():
 		r.Priority += missedObjectivePriority
 	}
@@ -410,7 +411,7 @@
 // logChoice logs the upstream of the attempt with the given number.
 func (x *exchange) logChoice(c *placement.Choice, remaining time.Duration, sending int) {
 	line := x.handler.options.Log.Info().Str("RequestId", x.caller.RequestId).Str("Upstream", c.Upstream.Id).Str("Address", c.Upstream.Address).
-		Int("Running", c.Running).Int("Candidates", c.Candidates).Uint64("Held", c.Held).Dur("ReportAge", c.ReportAge).
+		Int("Running", c.Running).Dur("Overrun", c.Overrun).Int("Candidates", c.Candidates).Uint64("Held", c.Held).Dur("ReportAge", c.ReportAge).
 		Uint64("Upstreams", x.snapshot.UpstreamsRevision).Int("Sending", sending).Dur("Waited", time.Since(x.started)).Dur("Left", remaining)
 	if limit := c.Load.RateLimit(); limit.Named {
 		x.handler.sentToLimited.Inc()
--- a/internal/route/placement/choice.go
+++ b/internal/route/placement/choice.go
@@ -21,6 +21,10 @@
 	Backlog time.Duration
 	// PromptTokens is the length of the prompt, 0 if unknown.
 	PromptTokens int
+	// ResponseTokens is the expected length of the response, 0 if unknown, and Events the number of its events that the caller has
+	// received.
+	ResponseTokens int
+	Events         int
 	// Tried lists the upstreams that must not be chosen again.
 	Tried []directory.Key
 }
@@ -37,6 +41,8 @@
 	StartBy time.Time
 	// Running is the estimated number of requests at the upstream before this one.
 	Running int
+	// Overrun is the expected time between the planned load of the upstream and the end of the response, 0 if it ends before.
+	Overrun time.Duration
 	// Candidates is the number of compared upstreams that may run the request, with or without room.
 	Candidates int
 	// ReportAge is the age of the upstream's last report, -1 if it has sent none.
@@ -80,7 +86,7 @@
 	l.limiter.Started(running, search.now)
 	held := l.held(u)
 	c := Choice{
-		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Candidates: search.candidates, ReportAge: l.reportAge(), placement: p, chosenAt: search.now,
+		Upstream: u, Load: l, Held: held, StartBy: p.startBy(service, held), Running: running, Overrun: l.overrun(service, r), Candidates: search.candidates, ReportAge: l.reportAge(), placement: p, chosenAt: search.now,
 	}
 	if service.Engine != nil {
 		c.pendingTokens = int64(cmp.Or(r.PromptTokens, service.Engine.UsualPrompt, 1))
--- /dev/null
+++ b/internal/route/placement/nextload.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+)
+
+const (
+	// readingFactor multiplies the time of an engine's passes: in between it reads the prompts of other requests, and responses
+	// are often longer than expected.
+	readingFactor = 2.5
+	// minRestPart is the part of the expected length that is the least that remains of a response: it may be longer than expected.
+	minRestPart = 0.25
+	// overrunMargin is the difference between two overruns below which they count as equal.
+	overrunMargin = 100 * time.Millisecond
+)
+
+// allowedOverrun returns the longest overrun at which an upstream may be chosen. It is close to the shortest one of all upstreams
+// that may run the request, including those without room: slots that become free at an engine that is about to load go to requests
+// that end before, and the others wait for a slot at another one. first is the index at which the search begins.
+func (p *Placement) allowedOverrun(snapshot *directory.Snapshot, s *directory.Service, loads map[directory.Key]*Load, r *Requirements, oldest oldestVersions, first int) time.Duration {
+	if s.Engine == nil {
+		return 0
+	}
+	least, found := time.Duration(0), false
+	for i := range min(maxSampled, len(s.Upstreams)) {
+		u := s.Upstreams[(first+i)%len(s.Upstreams)]
+		l := loads[u.Key()]
+		if l == nil || l.avoided() || !p.usable(snapshot, s, u, l, r, oldest.at(l)) {
+			continue
+		}
+		overrun := l.overrun(s, r)
+		if !found || overrun < least {
+			least, found = overrun, true
+		}
+		if overrun == 0 {
+			break
+		}
+	}
+	return least + overrunMargin
+}
+
+// overrun returns the expected time between the planned load of the upstream and the end of the response to a request that is sent
+// now. It is 0 if the response ends before the load or if no load is planned.
+func (l *Load) overrun(s *directory.Service, r *Requirements) time.Duration {
+	report := l.recentReport()
+	if s.Engine == nil || report == nil || report.LoadIn <= 0 {
+		return 0
+	}
+	untilLoad := time.Until(report.at.Add(report.LoadIn))
+	return max(0, l.responseTime(s.Engine, r)-untilLoad)
+}
+
+// responseTime returns the expected time until the response to a request that is sent now is complete.
+func (l *Load) responseTime(e *hub.EngineModel, r *Requirements) time.Duration {
+	prompt := float64(cmp.Or(r.PromptTokens, e.UsualPrompt)) / e.ReadPerSecond
+	return l.prefillTime(e) + time.Duration(prompt*float64(time.Second)) + time.Duration(r.remainingPasses(e)*readingFactor*float64(e.Pass))
+}
+
+// remainingPasses returns the expected number of passes for the part of the response that the caller has not received.
+func (r *Requirements) remainingPasses(e *hub.EngineModel) float64 {
+	total := float64(cmp.Or(r.ResponseTokens, e.UsualResponse)) / float64(max(1, e.TokensPerPass))
+	return max(total-float64(r.Events), minRestPart*total)
+}
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -55,6 +55,7 @@
 	loads := *p.loads.Load()
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
+	allowed := p.allowedOverrun(snapshot, service, loads, r, oldest, first)
 	for i := range service.Upstreams {
 		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyLimited()) {
 			break
@@ -73,11 +74,15 @@
 		if p.connectionsUsed(service, u, l) {
 			continue
 		}
+		overrun := l.overrun(service, r)
+		if overrun > allowed {
+			continue
+		}
 		total := l.total()
 		if !l.hasSlot(f.turn, p.limit(service, u), total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		f.add(u, l, p.score(service, u, l, total), total)
+		f.add(u, l, p.score(service, u, l, total)+overrun, total)
 	}
 	f.useLimited()
 	return f
--- a/internal/state/beacon/beacon_test.go
+++ b/internal/state/beacon/beacon_test.go
@@ -94,7 +94,7 @@
 
 func testReport(i int) hub.SentReport {
 	return hub.SentReport{
-		UpstreamReport: hub.UpstreamReport{Held: 1, Fetched: uint64(i), Busy: i%2 == 0, Leaving: i%3 == 0, Waiting: i, Running: 2 * i, Pace: 1.5, Born: 1 << 40, RateLimit: testRateLimit(i)},
+		UpstreamReport: hub.UpstreamReport{Held: 1, Fetched: uint64(i), Busy: i%2 == 0, Leaving: i%3 == 0, Waiting: i, Running: 2 * i, Pace: 1.5, Born: 1 << 40, LoadIn: time.Duration(i%5) * 700 * time.Millisecond, RateLimit: testRateLimit(i)},
 		Address:        netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:8001", i/250, i%250)), Epoch: 1 << 41, Number: uint64(i),
 	}
 }
--- a/internal/state/beacon/codec.go
+++ b/internal/state/beacon/codec.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
 )
@@ -24,6 +25,8 @@
 	flagLeaving = 1 << 1
 	// flagLimited means that the rate limit follows the other values.
 	flagLimited = 1 << 2
+	// flagLoadPlanned means that the time until the next load follows the other values and the rate limit.
+	flagLoadPlanned = 1 << 3
 )
 
 const (
@@ -32,10 +35,13 @@
 	// maxPace limits the pace that is sent; it is far above any that the choice of an upstream tells apart.
 	maxPace = 1024
 	// maxReportBytes is the maximum size of an encoded report in bytes.
-	maxReportBytes = 1 + 16 + 2 + 9*binary.MaxVarintLen64 + 1
+	maxReportBytes = 1 + 16 + 2 + 10*binary.MaxVarintLen64 + 1
 	// rateLimitUnit is the resolution of RateLimit.PerSecond in a datagram, maxRateLimit the highest limit that is sent.
 	rateLimitUnit = 1.0 / 1024
 	maxRateLimit  = 1 << 30
+	// loadInUnit is the resolution of UpstreamReport.LoadIn in a datagram, maxLoadIn the longest time that is sent.
+	loadInUnit = time.Millisecond
+	maxLoadIn  = time.Hour
 )
 
 // errMalformed means that a datagram can't be decoded.
@@ -58,6 +64,9 @@
 	if r.RateLimit.Named {
 		flags |= flagLimited
 	}
+	if r.LoadIn > 0 {
+		flags |= flagLoadPlanned
+	}
 	b = append(b, flags)
 	pace := uint64(math.Round(max(0, min(maxPace, r.Pace)) / paceUnit))
 	for _, v := range []uint64{r.Epoch, r.Number, uint64(r.Born), r.Held, r.Fetched, uint64(max(0, r.Waiting)), uint64(max(0, r.Running)), pace} {
@@ -66,6 +75,9 @@
 	if r.RateLimit.Named {
 		b = binary.AppendUvarint(b, uint64(math.Round(max(0, min(maxRateLimit, r.RateLimit.PerSecond))/rateLimitUnit)))
 	}
+	if r.LoadIn > 0 {
+		b = binary.AppendUvarint(b, uint64((min(maxLoadIn, r.LoadIn)+loadInUnit-1)/loadInUnit))
+	}
 	return b
 }
 
@@ -84,11 +96,14 @@
 	flags := b[2]
 	r.Busy, r.Leaving, r.RateLimit.Named = flags&flagBusy != 0, flags&flagLeaving != 0, flags&flagLimited != 0
 	b = b[3:]
-	var born, waiting, running, pace, limit uint64
+	var born, waiting, running, pace, limit, loadIn uint64
 	values := []*uint64{&r.Epoch, &r.Number, &born, &r.Held, &r.Fetched, &waiting, &running, &pace}
 	if r.RateLimit.Named {
 		values = append(values, &limit)
 	}
+	if flags&flagLoadPlanned != 0 {
+		values = append(values, &loadIn)
+	}
 	for _, v := range values {
 		value, n := binary.Uvarint(b)
 		if n <= 0 {
@@ -96,11 +111,12 @@
 		}
 		*v, b = value, b[n:]
 	}
-	if born > math.MaxInt64 || waiting > math.MaxInt32 || running > math.MaxInt32 || pace > maxPace/paceUnit || limit > maxRateLimit/rateLimitUnit {
+	if born > math.MaxInt64 || waiting > math.MaxInt32 || running > math.MaxInt32 || pace > maxPace/paceUnit || limit > maxRateLimit/rateLimitUnit || loadIn > uint64(maxLoadIn/loadInUnit) {
 		return r, nil, fmt.Errorf("%w: number out of range", errMalformed)
 	}
 	r.Born, r.Waiting, r.Running, r.Pace = int64(born), int(waiting), int(running), float64(pace)*paceUnit
 	r.RateLimit.PerSecond = float64(limit) * rateLimitUnit
+	r.LoadIn = time.Duration(loadIn) * loadInUnit
 	return r, b, nil
 }
 
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -166,6 +166,7 @@
 	}
 	told := report
 	told.Busy = report.Busy || s.loadsSoon(service, report.Held)
+	told.LoadIn = s.loadIn(service, report.Held)
 	s.tell(told)
 	s.reconcile(ctx, service, report)
 }
--- a/internal/upstream/stager/turn.go
+++ b/internal/upstream/stager/turn.go
@@ -12,6 +12,11 @@
 	// the time over which the loads of a service are spread: that part of the engines is quiet at once.
 	quietTime    = 500 * time.Millisecond
 	maxQuietPart = 0.125
+	// noticeTime is the time for which a fetch that ends early is followed by no load, because the entry processes have been told a
+	// later one.
+	noticeTime = 500 * time.Millisecond
+	// minLoadIn is the time until a load that is told once it is due.
+	minLoadIn = time.Millisecond
 	// loadPart is the part of Options.SwitchBound that is reserved for the load of the last engine.
 	loadPart = 0.12
 	// latestFirstLoadPart is the part of Options.SwitchBound after which a version is loaded even if a newer one is the
@@ -36,13 +41,37 @@
 		return turn{load: best.heldAt}
 	}
 	bound := s.options.SwitchBound()
-	begin := firstLoadTime(target, oldest, best, bound)
+	told := earliest(usualFirstLoad(oldest, bound), best.heldAt.Add(noticeTime))
+	return s.turnFrom(oldest, latest(told, firstLoadTime(target, oldest, best, bound)), bound)
+}
+
+// turnFrom returns the turn of this engine to load the version oldest or a newer one if the first engine loads at begin.
+func (s *Stager) turnFrom(oldest directory.Named, begin time.Time, bound time.Duration) turn {
 	span := max(0, oldest.Since.Add(bound-fraction(bound, loadPart)).Sub(begin))
 	quiet := min(quietTime, fraction(span, maxQuietPart))
-	rank, total := s.hashRank("turn/" + strconv.FormatUint(best.version, 10))
+	rank, total := s.hashRank("turn/" + strconv.FormatUint(oldest.Version, 10))
 	return turn{load: begin.Add(quiet + (span-quiet)*time.Duration(rank)/time.Duration(max(1, total))), quiet: quiet}
 }
 
+// usualFirstLoad returns the time at which the first engine loads the version oldest if its fetch takes no longer than usual.
+func usualFirstLoad(oldest directory.Named, bound time.Duration) time.Time {
+	return oldest.Since.Add(fraction(bound, fetchPart))
+}
+
+// loadIn returns the time until this engine, which holds version held, is to load a newer one, 0 if that is not known: entry
+// processes choose it for requests that end before. Before the fetch has ended, it is expected to take no longer than usual.
+func (s *Stager) loadIn(service *directory.Service, held uint64) time.Duration {
+	oldest, ok := service.Target.After(held)
+	if held == 0 || !ok {
+		return 0
+	}
+	if best := s.newestComplete(held); best != nil {
+		return max(minLoadIn, time.Until(s.turn(service.Target, held, best).load))
+	}
+	bound := s.options.SwitchBound()
+	return max(0, time.Until(s.turnFrom(oldest, usualFirstLoad(oldest, bound), bound).load))
+}
+
 // loadsSoon reports whether this engine, which holds version held, is in the quiet time before its load. It is told to the
 // entry processes like a load: requests that begin now would only be cut off.
 func (s *Stager) loadsSoon(service *directory.Service, held uint64) bool {
@@ -84,5 +113,12 @@
 	return b
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // fraction returns the given fraction of d.
 func fraction(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
--- a/internal/upstream/stager/turn_test.go
+++ b/internal/upstream/stager/turn_test.go
@@ -61,3 +61,28 @@
 		})
 	}
 }
+
+// Guards against entry processes that learn of a load only when it begins: it is told from the time at which the version is named,
+// and does not come earlier once the version has been fetched.
+func TestNextLoadIsToldBeforeTheFetchEnds(t *testing.T) {
+	const engines, since = 20, 3 * time.Second
+	first := fraction(turnBound, fetchPart) - since
+	last := turnBound - fraction(turnBound, loadPart) - since
+	for i := range engines {
+		s, service := turnStager(engines, i, since)
+		told := s.loadIn(service, 1)
+		assert.Assert(t, told > first-100*time.Millisecond && told < last, "load in %s", told)
+		s.fetches[2] = &fetch{version: 2, heldAt: time.Now()}
+		assert.Assert(t, told-s.loadIn(service, 1) < 100*time.Millisecond)
+		assert.Equal(t, s.loadIn(service, 0), time.Duration(0), "the engine serves nothing")
+		assert.Equal(t, s.loadIn(service, 2), time.Duration(0), "the engine has the target")
+	}
+}
+
+// Guards against engines that get no more long responses because a version that can't be fetched was due to be loaded.
+func TestNoLoadIsToldWhileTheFetchIsLate(t *testing.T) {
+	s, service := turnStager(1, 0, turnBound)
+	assert.Equal(t, s.loadIn(service, 1), time.Duration(0))
+	s.fetches[2] = &fetch{version: 2, heldAt: time.Now()}
+	assert.Equal(t, s.loadIn(service, 1), minLoadIn)
+}
