--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -68,6 +68,7 @@
 	loads := *p.loads.Load()
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
+	allowed := p.allowedOverrun(snapshot, service, loads, r, oldest, first)
 	for i := range service.Upstreams {
 		if i >= sampled && (f.best.upstream != nil || i >= maxSampled && f.onlyLimited()) {
 			break
@@ -90,12 +91,16 @@
 		if p.connectionsUsed(service, u, l) {
 			continue
 		}
+		overrun := l.overrun(service, r)
+		if overrun > allowed {
+			continue
+		}
 		running := l.running.Load()
 		total := l.totalWith(running)
 		if !l.hasSlot(f.turn, p.limit(service, u), running, total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		f.add(&candidate{upstream: u, load: l, score: p.score(service, u, l, total), running: running, total: total})
+		f.add(&candidate{upstream: u, load: l, score: p.score(service, u, l, total) + overrun, running: running, total: total})
 	}
 	f.useLimited()
 	return f
