upstream/stager: a load waits for the requests in progress if they end within the bound

Cause: the side process ordered each load with the mode that aborts what runs as soon as all routes to the service may be repeated, whatever the running requests still needed. A stream that was cut twice had no attempt left.

An order now aborts running requests only if some route to the service lets them last longer than Bounds.Switch; else the engine, which accepts nothing new meanwhile, loads after them. No older version is begun by that: entry processes stop sending to it by their own clock. `load ordered` tells Running, Waiting and AbortRunning.

TestLoadOrderLetsRunningStreamsFinish failed before: order_test.go:39: true (s.engine.aborted bool) != false (tc.aborts bool).

--- a/internal/upstream/stager/engine_test.go
+++ b/internal/upstream/stager/engine_test.go
@@ -17,7 +17,9 @@
 	staged map[int][]byte
 	report hub.UpstreamReport
 	// loads are the versions loaded, 0 for a load of chunks that were not all of the ordered version.
-	loads   []uint64
+	loads []uint64
+	// aborted is true if the last order aborted the requests in progress.
+	aborted bool
 	changed chan struct{}
 	// conflicts is the number of orders still to reject.
 	conflicts int
@@ -85,6 +87,7 @@
 	e.report.Orders++
 	e.report.Held = version
 	e.loads = append(e.loads, version)
+	e.aborted = o.AbortRunning
 	e.changed <- struct{}{}
 	return nil
 }
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -285,31 +285,36 @@
 	}
 	s.orderedAt = time.Now()
 	s.fire(EventOrder)
-	err := s.options.Engine.Load(ctx, hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders, AbortRunning: s.resumable()})
+	order := hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders, AbortRunning: s.abortsRunning()}
+	err := s.options.Engine.Load(ctx, order)
 	line := s.options.Log.Info()
 	if err != nil {
 		line = s.options.Log.Warn().Err(err)
 	}
 	line.Str("Model", model).Uint64("Version", f.version).Uint64("Before", report.Held).Int64("Born", report.Born).
-		Uint64("Orders", report.Orders).Dur("Staging", took).Dur("SinceStaging", staging.elapsed()).Dur("SinceHeld", time.Since(f.heldAt)).Msg("load ordered")
+		Uint64("Orders", report.Orders).Int("Running", report.Running).Int("Waiting", report.Waiting).Bool("AbortRunning", order.AbortRunning).Dur("Staging", took).Dur("SinceStaging", staging.elapsed()).Dur("SinceHeld", time.Since(f.heldAt)).Msg("load ordered")
 	if errors.Is(err, hub.ErrConflict) {
 		s.orderedAt = time.Time{}
 		s.fire(EventFailed)
 	}
 }
 
-// resumable reports whether all requests to the service may be retried or resumed at another upstream, so that a load
-// may abort them.
-func (s *Stager) resumable() bool {
+// abortsRunning reports whether a load aborts the requests in progress instead of waiting for them: if some of them may last longer
+// than SwitchBound, and all of them may be retried or resumed at another upstream.
+func (s *Stager) abortsRunning() bool {
 	c := s.options.Directory.Current().Configuration
+	longest := time.Duration(0)
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		to := slices.ContainsFunc(r.Targets, func(t hub.Target) bool { return t.Service == s.options.Service })
-		if to && !r.Retryable() {
+		if !slices.ContainsFunc(r.Targets, func(t hub.Target) bool { return t.Service == s.options.Service }) {
+			continue
+		}
+		if !r.Retryable() {
 			return false
 		}
+		longest = max(longest, r.Timeout)
 	}
-	return true
+	return longest > s.options.SwitchBound()
 }
 
 // fire applies an event to the state machine; an event without a transition from the current state has no effect.
--- a/internal/upstream/stager/turn.go
+++ b/internal/upstream/stager/turn.go
@@ -73,7 +73,7 @@
 }
 
 // loadsSoon reports whether this engine, which holds version held, is in the quiet time before its load. It is told to the
-// entry processes like a load: requests that begin now would only be cut off.
+// entry processes like a load: requests that begin now would only delay it.
 func (s *Stager) loadsSoon(service *directory.Service, held uint64) bool {
 	best := s.newestComplete(held)
 	if held == 0 || held >= service.Target.Version || best == nil {
