route: requests wait for another upstream rather than choose one that refuses connections

Callers saw 503 at once beside crashing engines: a crashed engine stays listed for some seconds and looks idle, so that at a full service it was the one with room. Each request that chose it lost its four attempts there within milliseconds, without waiting in the queue.

Cause: an upstream that has failed is avoided only while another has room. Class: a decision by what was reported, beside newer knowledge of our own.

Now one whose address refused a connection is passed over, until its pause ends or it reports, while another one may run the request, with or without room; if all refuse, one is tried as before.

Also: an engine that failed and is about to load is chosen if there is no other (allowedOverrun found none and allowed 0.1 s).

--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -49,11 +49,12 @@
 		c.Load.Failed()
 	case errors.Is(err, channel.ErrSilent) && x.begun.Load():
 		c.Load.Failed()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.Load.Unreachable()
+		x.handler.options.Quarantine.Lost(c.Upstream.Key())
+		return true
 	default:
 		c.Load.Failed()
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.handler.options.Quarantine.Lost(c.Upstream.Key())
-		}
 		return true
 	}
 	return false
--- a/internal/route/placement/availability.go
+++ b/internal/route/placement/availability.go
@@ -28,6 +28,10 @@
 	avoidUntil atomic.Int64
 	// failures is the number of consecutive failures.
 	failures atomic.Int64
+	// unreachableAt is the time of the last failed attempt to connect to the upstream's address, unreachableUntil the end of the pause
+	// after it.
+	unreachableAt    atomic.Int64
+	unreachableUntil atomic.Int64
 	// refusalUntil is the end of the pause after a refusal.
 	refusalUntil atomic.Int64
 	// misdirectedAt is the time of the last response at the upstream's address that came from another instance or
@@ -72,6 +76,19 @@
 	a.avoidUntil.Store(a.now() + int64(min(pause, maxFailurePause)))
 }
 
+// Unreachable records that the upstream's address refused a connection. It is a failure after which requests wait for another upstream
+// rather than choose this one, until the pause after the failure ends or the upstream sends a report.
+func (a *availability) Unreachable() {
+	a.Failed()
+	a.unreachableAt.Store(a.now())
+	a.unreachableUntil.Store(a.avoidUntil.Load())
+}
+
+// unreachable reports whether the upstream's address has refused a connection, and it is not known to accept them again.
+func (a *availability) unreachable() bool {
+	return a.now() < a.unreachableUntil.Load() && a.reportedAt.Load() <= a.unreachableAt.Load()
+}
+
 // Succeeded resets the number of consecutive failures.
 func (a *availability) Succeeded() { a.failures.Store(0) }
 
--- a/internal/route/placement/concurrency.go
+++ b/internal/route/placement/concurrency.go
@@ -87,6 +87,13 @@
 	l.limiter.Failed()
 }
 
+// Unreachable records a failure like Failed, of an upstream whose address refused a connection: it is chosen only if the others, with
+// or without room, are so too.
+func (l *Load) Unreachable() {
+	l.availability.Unreachable()
+	l.limiter.Failed()
+}
+
 // reported passes the report that follows previous to the limiter.
 func (l *Load) reported(r, previous *timedReport) {
 	report := concurrency.Report{InFlight: r.Running + r.Waiting, Waiting: r.Waiting, Total: l.total(), Pace: r.Pace}
--- a/internal/route/placement/nextload.go
+++ b/internal/route/placement/nextload.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -40,6 +41,9 @@
 			break
 		}
 	}
+	if !found {
+		return math.MaxInt64
+	}
 	return least + overrunMargin
 }
 
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -40,6 +40,10 @@
 	// flight. hasOthers is true if some candidate gets all of its slots and has not failed recently.
 	limited   candidate
 	hasOthers bool
+	// unreachable is the one with the lowest score among those that have room and refused a connection a short time ago. reachable is
+	// true if some candidate did not, with or without room.
+	unreachable candidate
+	reachable   bool
 }
 
 // candidate is an upstream that may run the request.
@@ -50,6 +54,8 @@
 	// running is the number of requests of this process at the upstream for which it has room, total that of all processes.
 	running int64
 	total   int
+	// unreachable is true if its address refused a connection a short time ago.
+	unreachable bool
 }
 
 // better reports whether c is to be preferred to other, which may have no upstream.
@@ -88,6 +94,8 @@
 		}
 		f.candidates++
 		f.hasOthers = f.hasOthers || !l.limiter.Held() && !l.avoided()
+		unreachable := l.unreachable()
+		f.reachable = f.reachable || !unreachable
 		if p.connectionsUsed(service, u, l) {
 			continue
 		}
@@ -100,16 +108,20 @@
 		if !l.hasSlot(f.turn, p.limit(service, u), running, total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		f.add(&candidate{upstream: u, load: l, score: p.score(service, u, l, total) + overrun, running: running, total: total})
+		f.add(&candidate{upstream: u, load: l, score: p.score(service, u, l, total) + overrun, running: running, total: total, unreachable: unreachable})
 	}
 	f.useLimited()
+	f.useUnreachable()
 	return f
 }
 
 // add adds a candidate with a free slot.
 func (f *search) add(c *candidate) {
 	first := &f.best
-	if !c.load.limiter.Room(c.total, f.now) {
+	switch {
+	case c.unreachable:
+		first = &f.unreachable
+	case !c.load.limiter.Room(c.total, f.now):
 		first = &f.limited
 	}
 	if c.better(first) {
@@ -131,6 +143,14 @@
 	}
 }
 
+// useUnreachable chooses an upstream that refused a connection if all candidates did. While others have no room, a request waits for
+// one of them: connections that are refused would take its attempts in a moment.
+func (f *search) useUnreachable() {
+	if f.best.upstream == nil && !f.reachable {
+		f.best = f.unreachable
+	}
+}
+
 // addPaused counts an upstream that may run the request only after left.
 func (f *search) addPaused(left time.Duration) {
 	if f.pauseLeft == 0 || left < f.pauseLeft {
