--- a/cmd/oriolehub/stops_judge_test.go
+++ b/cmd/oriolehub/stops_judge_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/soak/cluster"
-	"github.com/oriolehub/oriolehub/platform/standin"
 )
 
 const (
@@ -33,13 +32,12 @@
 	// ended are the times at which upstreams ceased to work on requests, brokeOff the requests that they broke off.
 	ended    map[string]time.Time
 	brokeOff map[string]bool
-	// stalls are the times in which the process of the test did not run.
-	stalls []interval
+	stalls   stallWatch
 }
 
 func newStops() *stops {
 	return &stops{
-		changes:   &changes{version: 1, missing: map[string][]interval{}, arrivals: map[string][]standin.Arrival{}},
+		changes:   newChanges(),
 		byProcess: map[string][]cluster.Stopped{}, ended: map[string]time.Time{}, brokeOff: map[string]bool{},
 	}
 }
