wire/listener: a connection that ends within the first bytes of a request is closed

What callers saw: nothing at first. Each connection that was kept open after a request, received one to three bytes more (such as the line end that some clients send after a body) and then ended or reached the idle timeout stayed open for ever. It kept its place under the limits of connections, and was counted as one with a request in progress, which is never closed in favour of others.

Cause: http.Server gives up such a connection before it reports a request. Close took the bytes for the beginning of a request and put the closing off; the state 'closed' that followed was then taken for a request in progress, and the connection was not closed at the end of the delay either.

Evidence: TestConnectionThatEndsWithinTheFirstBytesOfARequestIsClosed failed before: 'assertion failed: 1 (int) != 0 (int): after "GET / HTTP/1.1\r\nHost: h\r\n\r\n\r\n"', a minute after the end.

http.Server reports 'closed' only from the goroutine that reads the connection, so nothing reads it from then on and it can be closed at once, unless it lingers for its last response.

--- a/internal/wire/listener/conn.go
+++ b/internal/wire/listener/conn.go
@@ -257,6 +257,7 @@
 		c.releaseHeader()
 		if !c.lingering.Load() {
 			c.current.Store(phaseActive)
+			c.closePending()
 		}
 	}
 }
--- a/internal/wire/listener/pending.go
+++ b/internal/wire/listener/pending.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// closePending closes a connection that is no longer read, if it was kept open for a request.
+func (c *Conn) closePending() {
+	if c.pending.Load() {
+		_ = c.closeAndRemove()
+	}
+}
+
 // bufferedBytes returns how many bytes of a connection the operating system holds, as each of the requests counts them.
 func bufferedBytes(c any, requests ...uint) int {
 	sc, ok := c.(syscall.Conn)
--- a/internal/wire/listener/pending_test.go
+++ b/internal/wire/listener/pending_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -88,3 +90,19 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against connections that stay open for ever: those that end within the first bytes of a request were taken for ones with a
+// request in progress.
+func TestConnectionThatEndsWithinTheFirstBytesOfARequestIsClosed(t *testing.T) {
+	for _, sent := range []string{"\r\n", "GET", request + "\r\n", request + "GET"} {
+		synctest.Test(t, func(t *testing.T) {
+			inner, l := serve(t, listener.Options{MaxConnections: 4}, ok)
+			c := inner.dial("::1")
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			send(t, c, sent)
+			assert.NilError(t, c.Close())
+			time.Sleep(time.Minute)
+			assert.Equal(t, l.Open(), 0, "after %q", sent)
+		})
+	}
+}
