route/placement: requests do not wait for upstreams that get none to avoid a planned load

What callers saw: 503 ('no upstream has room') while engines had free slots. If all engines that could run a request had failed a moment ago and were to load within its response, none was chosen; and a request was kept from the free engines that load soon for the sake of one that had asked for a pause, had used up its rate limit, or is cold and whose turn it is not.

Cause: the longest overrun that is allowed was taken from upstreams that may not be chosen now, whatever their slots, and was 0 with the margin if none counted.

Evidence: TestRequestGetsAnUpstreamThatLoadsSoonIfAllHaveFailed, ...IfOthersPause and ...IfOthersAreCold failed before: 'assertion failed: ok is false: no upstream has room'.

Only upstreams whose slots a request can wait for now set the bound, and without one any overrun is allowed: the score still prefers the least.

--- a/internal/route/placement/nextload.go
+++ b/internal/route/placement/nextload.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -20,8 +21,11 @@
 
 // allowedOverrun returns the longest overrun at which an upstream may be chosen. It is close to the shortest one of all upstreams
 // that may run the request, including those without room: slots that become free at an engine that is about to load go to requests
-// that end before, and the others wait for a slot at another one. first is the index at which the search begins.
-func (p *Placement) allowedOverrun(snapshot *directory.Snapshot, s *directory.Service, loads map[directory.Key]*Load, r *Requirements, oldest oldestVersions, first int) time.Duration {
+// that end before, and the others wait for a slot at another one. Upstreams that have failed recently, or that get no request for a
+// time whatever their slots, are not waited for: if there are no others, any overrun is allowed. first is the index at which the
+// search begins.
+func (p *Placement) allowedOverrun(snapshot *directory.Snapshot, f *search, loads map[directory.Key]*Load, r *Requirements, oldest oldestVersions, first int) time.Duration {
+	s := f.service
 	if s.Engine == nil {
 		return 0
 	}
@@ -32,6 +36,9 @@
 		if l == nil || l.avoided() || !p.mayRun(snapshot, u, l, r) || !l.serves(u, oldest.at(l)) {
 			continue
 		}
+		if l.pauseLeft() > 0 || p.rateLimitLeft(u.Id, l, f.now) > 0 || f.coldLimited(u, l) {
+			continue
+		}
 		overrun := l.overrun(s, r)
 		if !found || overrun < least {
 			least, found = overrun, true
@@ -40,6 +47,9 @@
 			break
 		}
 	}
+	if !found {
+		return math.MaxInt64
+	}
 	return least + overrunMargin
 }
 
--- a/internal/route/placement/nextload_test.go
+++ b/internal/route/placement/nextload_test.go
@@ -90,3 +90,54 @@
 		assert.Assert(t, f.chosen(t, 50, long, "i000") > 0)
 	})
 }
+
+// Guards against requests that get no upstream because all that may run them have failed recently and load soon.
+func TestRequestGetsAnUpstreamThatLoadsSoonIfAllHaveFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestPlacement(t)
+		f.engines(2, 0)
+		f.loadsIn(200*time.Millisecond, 400*time.Millisecond)
+		long := requirements()
+		long.ResponseTokens = 100
+		for range 2 {
+			c := f.choose(t, long)
+			c.Load.Failed()
+			c.Release()
+		}
+		f.choose(t, long)
+	})
+}
+
+// Guards against requests that wait for an upstream that has asked for a pause while others are free and load soon.
+func TestRequestGetsAnUpstreamThatLoadsSoonIfOthersPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestPlacement(t)
+		f.engines(2, 0)
+		f.loadsIn(200*time.Millisecond, 0)
+		long := requirements()
+		long.ResponseTokens = 100
+		c := f.choose(t, long)
+		assert.Equal(t, c.Upstream.Id, "i001")
+		c.Load.Pause(time.Minute)
+		c.Release()
+		assert.Equal(t, f.choose(t, long).Upstream.Id, "i000")
+	})
+}
+
+// Guards against requests that wait for the turn of their process at a cold upstream while others are free and load soon.
+func TestRequestGetsAnUpstreamThatLoadsSoonIfOthersAreCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestPlacement(t)
+		f.publisher.PublishUpstreams(
+			hub.Instance{Id: "cold", Service: "s", Address: address(0), Domain: "a", Slots: 4, Born: 1, Cold: time.Minute, Version: 1, Layers: 2},
+			hub.Instance{Id: "warm", Service: "s", Address: address(1), Domain: "a", Slots: 4, Born: 1, Version: 1, Layers: 2},
+		)
+		f.refresh()
+		f.loadsIn(0, 200*time.Millisecond)
+		long := requirements()
+		long.ResponseTokens = 100
+		for range 2 {
+			f.choose(t, long)
+		}
+	})
+}
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -68,7 +68,7 @@
 	loads := *p.loads.Load()
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
-	allowed := p.allowedOverrun(snapshot, service, loads, r, oldest, first)
+	allowed := p.allowedOverrun(snapshot, f, loads, r, oldest, first)
 	for i := range service.Upstreams {
 		if i >= sampled && (f.best.upstream != nil || i >= maxSampled && f.onlyLimited()) {
 			break
