wire/listener, route/forward: requests sent ahead wait for memory behind all others

Callers saw: beside a crowd that sends 4,000 requests ahead on each connection and reads nothing, an ordinary request was refused or answered 504 for up to half a minute. Traced from the process's log (TestCrowdOfSlowReaders, "pipelined, long responses"): the refusals are "no upstream has room". All 6 slots are held by requests whose responses of 3 MiB wait for memory, of which there is enough for three. An unread response is closed 2 s after its caller stopped reading, and whoever asked next in the 10 ms cycle got its memory; the others waited for another 2 s and ended at their time limit with the slot. The ordinary request goes first in the queue for upstreams, but had no better place than the crowd for memory.

Requests sent ahead now get memory for bodies and responses only while no other request waits for it, unless they already hold some of that budget: others may be waiting for just that.

TestRequestsSentAheadLetOthersHaveMemoryFirst: 4 of 5 failed without the guard ("504 (other.status int) != 200"), passes with -race -count=5.

--- a/internal/route/dispatch/body.go
+++ b/internal/route/dispatch/body.go
@@ -89,7 +89,7 @@
 		size = limit
 	}
 	held := bodyFactor * size
-	if b.budget != nil && !b.conn.Acquire(r.Context(), b.budget, held, bodyMemoryTimeout) {
+	if b.budget != nil && !b.conn.Acquire(r.Context(), b.budget, listener.InTurn, held, bodyMemoryTimeout) {
 		return false
 	}
 	grown := make([]byte, len(b.data), size)
--- a/internal/route/forward/limits_test.go
+++ b/internal/route/forward/limits_test.go
@@ -133,3 +133,29 @@
 	other := f.post(t, "/many/x")
 	assert.Equal(t, other.status, http.StatusOK, other.body)
 }
+
+// Guards against callers that send requests ahead and do not read, whose responses took the memory for which others waited.
+func TestRequestsSentAheadLetOthersHaveMemoryFirst(t *testing.T) {
+	const long = 3 << 20
+	const callers = 3
+	u := withTestUpstream(t, respond(http.StatusOK, strings.Repeat("x", long)))
+	f := withLimitedEntry(t, behindListener(t), func(o *forward.Options) {
+		o.Memory = forward.Memory{Responses: long + long/2}
+	}, u)
+	request := fmt.Sprintf("POST /many/x HTTP/1.1\r\nHost: h.test\r\n%s: k1\r\nContent-Length: 0\r\n\r\n", desired.HeaderKey)
+	stalled := dial(t, f)
+	_, err := io.WriteString(stalled, request)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(stalled, make([]byte, 1))
+	assert.NilError(t, err)
+	for range callers {
+		_, err = io.WriteString(dial(t, f), "GET /nowhere HTTP/1.1\r\nHost: h.test\r\n\r\n"+request)
+		assert.NilError(t, err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, u.count(), 1+callers)
+	other := f.post(t, "/many/x")
+	assert.Equal(t, other.status, http.StatusOK)
+	assert.Equal(t, len(other.body), long)
+	assert.Equal(t, u.count(), 1+callers+1, "the response was lost and the request sent again")
+}
--- a/internal/route/forward/memory.go
+++ b/internal/route/forward/memory.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -86,6 +87,11 @@
 	h.parts = append(h.parts, last)
 }
 
+// includes reports whether bytes of b are held.
+func (h *holding) includes(b *listener.Budget) bool {
+	return slices.ContainsFunc(h.parts, func(p part) bool { return p.budget == b })
+}
+
 // release releases everything.
 func (h *holding) release() {
 	for _, p := range h.parts {
@@ -118,13 +124,22 @@
 		b = short
 	}
 	conn := listener.FromContext(ctx)
-	if !conn.Acquire(ctx, b, n, wait) {
+	if !conn.Acquire(ctx, b, x.place(h, b), n, wait) {
 		return false
 	}
 	h.add(conn, b, n)
 	return true
 }
 
+// place returns the place of the request among those that wait for bytes of b. Requests sent ahead let all others go first, unless they
+// already hold some of b, which others may wait for.
+func (x *exchange) place(h *holding, b *listener.Budget) listener.Place {
+	if x.sentAhead && !h.includes(b) {
+		return listener.Behind
+	}
+	return listener.InTurn
+}
+
 // releaseMemory releases the memory for the bodies.
 func (x *exchange) releaseMemory() {
 	x.requestMemory.release()
--- a/internal/route/forward/retryafter_test.go
+++ b/internal/route/forward/retryafter_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/listener"
 )
 
 // Guards against refused callers that return all at once or, in a lasting overload, too soon to find room.
@@ -42,6 +43,16 @@
 	assert.Equal(t, resumed.requirements().Priority, resumedPriority)
 }
 
+// Guards against a request sent ahead that takes memory for which others wait, or lets them wait for what it holds.
+func TestRequestsSentAheadWaitForMemoryBehindAllOthers(t *testing.T) {
+	var held, other listener.Budget
+	h := &holding{parts: []part{{budget: &held, size: 1}}}
+	ahead, usual := &exchange{sentAhead: true}, &exchange{}
+	assert.Equal(t, ahead.place(h, &other), listener.Behind)
+	assert.Equal(t, ahead.place(h, &held), listener.InTurn)
+	assert.Equal(t, usual.place(h, &other), listener.InTurn)
+}
+
 // Guards against urgent requests that wait at an engine behind less urgent ones, and against resumed streams that wait behind
 // new requests.
 func TestPriorityAtTheUpstream(t *testing.T) {
--- a/internal/wire/listener/budget.go
+++ b/internal/wire/listener/budget.go
@@ -22,8 +22,20 @@
 	size    int64
 	used    atomic.Int64
 	refused atomic.Int64
+	// waiting is the number of calls that wait for bytes and go before those that wait behind them.
+	waiting atomic.Int64
 }
 
+// Place is the place of a call among those that wait for bytes of a Budget.
+type Place int
+
+const (
+	// InTurn is the place of usual calls. None of them goes before another one.
+	InTurn Place = iota
+	// Behind is the place of calls that get bytes only while no call waits in turn.
+	Behind
+)
+
 // NewBudget returns a budget of size bytes. It registers the bytes in use and the number of refusals in set, labelled with
 // name, unless set is nil.
 func NewBudget(name string, size int64, set *metrics.Set) (*Budget, error) {
@@ -70,19 +82,28 @@
 
 // Acquire waits for n bytes until ctx is done or wait has passed, and returns whether it has acquired them.
 func (b *Budget) Acquire(ctx context.Context, n int64, wait time.Duration) bool {
-	return b.acquire(ctx, n, wait, nil)
+	return b.acquire(ctx, InTurn, n, wait, nil)
+}
+
+// tryAcquire is TryAcquire for a call with the given place.
+func (b *Budget) tryAcquire(p Place, n int64) bool {
+	return (p == InTurn || b.waiting.Load() == 0) && b.TryAcquire(n)
 }
 
 // acquire waits for n bytes until ctx is done or wait has passed. It calls reclaim, if not nil, before each further attempt and
 // stops waiting if that returns false.
-func (b *Budget) acquire(ctx context.Context, n int64, wait time.Duration, reclaim func() bool) bool {
-	if b.TryAcquire(n) {
+func (b *Budget) acquire(ctx context.Context, p Place, n int64, wait time.Duration, reclaim func() bool) bool {
+	if b.tryAcquire(p, n) {
 		return true
 	}
 	if n > b.size {
 		b.refused.Add(1)
 		return false
 	}
+	if p == InTurn {
+		b.waiting.Add(1)
+		defer b.waiting.Add(-1)
+	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	retry := time.NewTicker(retryInterval)
@@ -99,7 +120,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		if b.TryAcquire(n) {
+		if b.tryAcquire(p, n) {
 			return true
 		}
 	}
--- a/internal/wire/listener/header.go
+++ b/internal/wire/listener/header.go
@@ -147,7 +147,7 @@
 		})
 		return !c.closed.Load()
 	}
-	if !b.acquire(context.Background(), n, headerMemoryTimeout, reclaim) {
+	if !b.acquire(context.Background(), InTurn, n, headerMemoryTimeout, reclaim) {
 		// It stays marked as waiting until it has been refused.
 		return false
 	}
--- a/internal/wire/listener/hold.go
+++ b/internal/wire/listener/hold.go
@@ -64,17 +64,17 @@
 // Displaced reports whether the listener has ended the connection to keep to its limits.
 func (c *Conn) Displaced() bool { return c != nil && c.displaced.Load() }
 
-// Acquire acquires n bytes of b that are held for the connection. If they are not free, it waits for up to wait and closes
-// stalled connections that hold memory.
-func (c *Conn) Acquire(ctx context.Context, b *Budget, n int64, wait time.Duration) bool {
+// Acquire acquires n bytes of b that are held for the connection. If they are not free, it waits for up to wait, at the place p, and
+// closes stalled connections that hold memory.
+func (c *Conn) Acquire(ctx context.Context, b *Budget, p Place, n int64, wait time.Duration) bool {
 	if c == nil {
-		return b.acquire(ctx, n, wait, nil)
+		return b.acquire(ctx, p, n, wait, nil)
 	}
 	reclaim := func() bool {
 		c.listener.reclaim(func(other *Conn) bool { return other != c && other.held.Load() > 0 })
 		return !c.closed.Load()
 	}
-	if !b.acquire(ctx, n, wait, reclaim) {
+	if !b.acquire(ctx, p, n, wait, reclaim) {
 		return false
 	}
 	c.held.Add(n)
