route/forward: a refusal at the header awaits the body no longer than the caller waits

Callers whose body was slow or never came got 404, 401, 413 or 503 up to 10 s after their request, whatever its time limit: in a real process 10.0 s for a caller that waits 0.8 s, in both forms of bodies, by the configuration that was in force at the header.

Cause: http.Server reads up to 256 KiB of a body that the handler has not read before it sends the response. The only limit for that was the read deadline of LimitBodies, the time for bodies in the settings. Requests that are admitted read their body until their own deadline, and get 408 then.

The read deadline is now that of the request, so that http.Server sends the response then and closes the connection, as after 408. A body that comes in time leaves the connection open (TestConnectionIsKeptAfterARefusalBeforeTheBody).

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -92,7 +92,9 @@
 	// account is the client account of the caller, nil if the request carries no valid API key.
 	account *hub.Account
 	body    []byte
-	service string
+	// bodyRead is true once all of the body has been read.
+	bodyRead bool
+	service  string
 
 	// sent is the number of attempts, runs the number of those that may have run at an upstream.
 	sent int
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -144,9 +145,9 @@
 // timeLimit returns the time from its arrival within which the request must be completed: the route's timeout or the
 // time for which the caller waits, whichever is shorter.
 func (x *exchange) timeLimit() time.Duration {
-	d := x.route.Timeout
-	if d == 0 {
-		d = defaultTimeout
+	d := defaultTimeout
+	if x.route != nil && x.route.Timeout != 0 {
+		d = x.route.Timeout
 	}
 	if x.caller.Wait > 0 {
 		d = min(d, x.caller.Wait)
@@ -197,7 +198,7 @@
 		x.fail(http.StatusInternalServerError, "cannot remove the time limit of the body: "+err.Error())
 		return false
 	}
-	x.body = body
+	x.body, x.bodyRead = body, true
 	return true
 }
 
@@ -217,8 +218,22 @@
 	x.fail(http.StatusServiceUnavailable, reason)
 }
 
+// limitUnreadBody limits the time for which http.Server awaits the rest of a body that was not read before it sends the response.
+func (x *exchange) limitUnreadBody() {
+	if x.bodyRead || x.r.ContentLength == 0 {
+		return
+	}
+	deadline := x.started.Add(min(x.timeLimit(), cmp.Or(x.handler.options.BodyTimeout, defaultBodyTimeout)))
+	if x.interrupted() {
+		deadline = time.Now()
+	}
+	// LimitBodies has closed connections that have no deadlines.
+	_ = http.NewResponseController(x.w).SetReadDeadline(deadline)
+}
+
 // fail responds with an error of this process, with the reason as the body.
 func (x *exchange) fail(status int, reason string) {
+	x.limitUnreadBody()
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	x.writeHeader(status)
 	_, _ = io.WriteString(x.w, reason+"\n")
