--- a/cmd/oriolehub/changes_further_test.go
+++ b/cmd/oriolehub/changes_further_test.go
@@ -44,6 +44,11 @@
 	// minStoreCut and maxStoreCut limit the time for which the link of a process to the store is silent.
 	minStoreCut = 200 * time.Millisecond
 	maxStoreCut = time.Second
+	// minRateLimit and maxRateLimit limit the rate limits that upstreams name, in requests per second, askedPause is the pause for which
+	// they ask.
+	minRateLimit = 5
+	maxRateLimit = 100
+	askedPause   = time.Second
 	// sentAhead is the number of requests that callers send ahead of the response to an earlier one.
 	sentAhead = 3
 	// longPadding is the length of long plain responses, maxReadPause the longest time before a part of one is read.
@@ -85,12 +90,12 @@
 	{name: "accounts and limits", entries: 2, draw: drawAccounts, prepare: useKeys},
 	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []fault{nameVersion, evacuate}},
 	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{silence, unlist}},
+	{name: "leaving and limited upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{leave, nameRateLimit, askForPause}},
 	{name: "requests sent ahead and slow readers", entries: 2, draw: drawAccounts, prepare: readSlowly, begin: lengthenResponses},
 	{name: "processes", entries: 3, draw: drawAccounts, prepare: useKeys, faults: []fault{reload, cutFromStore, kill}},
 }
 
-// Guards against requests that end without an answer or a refusal beside changes of accounts and limits, versions, evacuations,
-// several silent or unlisted upstreams, requests sent ahead, slow readers, reloads, and processes that start or miss the store.
+// Guards against requests that end without an answer or a refusal beside changes and faults that TestRequestsBesideChangesEnd lacks.
 func TestRequestsBesideFurtherChangesEnd(t *testing.T) {
 	for i := range furtherCases {
 		t.Run(furtherCases[i].name, furtherCases[i].run)
@@ -239,6 +244,36 @@
 	}
 }
 
+// drawUpstream draws an upstream of the first services.
+func drawUpstream(rng *rand.Rand) string {
+	upstreams := firstServices()[rng.IntN(2)]
+	return upstreams[rng.IntN(len(upstreams))]
+}
+
+// leave makes an upstream draining for a time.
+func leave(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	upstream := drawUpstream(rng)
+	d.site.WriteEntry(upstream, "draining")
+	_ = hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause))
+	d.site.WriteEntry(upstream, "ready")
+}
+
+// nameRateLimit makes an upstream name a rate limit for a time.
+func nameRateLimit(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	upstream := drawUpstream(rng)
+	d.site.SetRateLimit(upstream, minRateLimit+rng.Float64()*(maxRateLimit-minRateLimit))
+	_ = hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause))
+	d.site.SetRateLimit(upstream, 0)
+}
+
+// askForPause makes an upstream refuse requests and ask for a pause for a time.
+func askForPause(ctx context.Context, d *changingDeployment, rng *rand.Rand) {
+	upstream := drawUpstream(rng)
+	d.site.SetBehavior(upstream, standin.Behavior{Refuses: true, Pause: askedPause})
+	_ = hub.Sleep(ctx, drawTime(rng, minFaultPause, maxFaultPause))
+	d.site.SetBehavior(upstream, standin.Behavior{})
+}
+
 // The entry processes to which the faults of processes happen: the first reloads its settings, the second misses the store, the
 // third is killed.
 const (
