--- a/cmd/oriolehub/changes_test.go
+++ b/cmd/oriolehub/changes_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -341,7 +342,7 @@
 func TestEndsOfRequestsAreJudged(t *testing.T) {
 	sent := time.Now()
 	stream, once, lookup := &changingClasses[0], &changingClasses[1], &changingClasses[2]
-	partial := standin.StreamBody("x", 3)
+	partial, withdrawn := standin.StreamBody("x", 3), changingKeys[1]
 	for name, tc := range map[string]struct {
 		ending ending
 		runs   int
@@ -366,10 +367,24 @@
 		"cut stream":               {ending{class: stream, status: 200, signed: true, body: partial, err: io.ErrUnexpectedEOF}, 1, false},
 		"late stream":              {ending{class: stream, status: 200, signed: true, body: partial, err: io.ErrUnexpectedEOF, ended: sent.Add(5 * time.Second)}, 1, true},
 		"short stream":             {ending{class: stream, status: 200, signed: true, body: partial}, 1, false},
+		"continued stream":         {ending{class: stream, lastEvent: 3, status: 200, signed: true, body: standin.StreamBodyAfter("x", 3, stream.events)}, 1, true},
+		"stream from its start":    {ending{class: stream, lastEvent: 3, status: 200, signed: true, body: standin.StreamBody("x", stream.events)}, 1, false},
+		"unknown key":              {ending{class: once, key: withdrawn, status: 401}, 0, true},
+		"unknown key, which is":    {ending{class: once, status: 401}, 0, false},
+		"run for another account":  {ending{class: once, key: withdrawn, status: 200, signed: true, body: standin.PlainBody("x", http.MethodPost)}, 1, false},
+		"body too long":            {ending{class: once, bodyLength: lowerBodyLimit + 1, status: 413}, 0, true},
+		"body not too long":        {ending{class: once, bodyLength: lowerBodyLimit, status: 413}, 0, false},
+		"too long after a run":     {ending{class: once, bodyLength: lowerBodyLimit + 1, status: 413}, 1, false},
+		"killed":                   {ending{class: once, process: "killed", err: io.EOF}, 1, true},
+		"killed, run twice":        {ending{class: once, process: "killed", err: io.EOF}, 2, false},
+		"closed after the kill":    {ending{class: once, process: "killed", opened: sent, err: io.EOF}, 0, false},
+		"not read":                 {ending{class: once, unread: true, err: errClosedBefore}, 0, true},
+		"not read, but run":        {ending{class: once, unread: true, err: errClosedBefore}, 1, false},
+		"not read, no reason":      {ending{class: once, err: errClosedBefore}, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := tc.ending
-			e.id, e.key, e.sent, e.limit = "x", standin.Key, sent, e.class.limit
+			e.id, e.key, e.sent, e.limit = "x", cmp.Or(e.key, standin.Key), sent, e.class.limit
 			if e.ended.IsZero() {
 				e.ended = sent.Add(e.limit / 2)
 			}
@@ -377,6 +392,9 @@
 			c.conditions[withoutRoute(standin.AtMostOnceRoute)] = []interval{{from: sent.Add(-inForce), until: sent.Add(-inForce / 2)}}
 			c.conditions[withoutRoute(standin.LookupRoute)] = []interval{{from: sent.Add(-2 * inForce), until: sent.Add(-inForce - time.Second)}}
 			c.conditions[keyOfAccount(standin.Key, standin.Account)] = []interval{{from: sent.Add(-inForce)}}
+			c.conditions[withoutKey(withdrawn)] = []interval{{from: sent.Add(-inForce)}}
+			c.conditions[limitsBodies] = []interval{{from: sent.Add(-inForce), until: sent.Add(-inForce / 2)}}
+			c.kills["killed"] = []interval{{from: sent.Add(-time.Second), until: sent.Add(-time.Millisecond)}}
 			for range tc.runs {
 				c.observe(standin.Arrival{RequestId: "x", Account: standin.Account, Ran: true})
 			}
