state/delegate: leaving entry processes read the store if there are no others

What callers saw: with a restart of all entry processes in turn, a version named while all of them were stopping was noticed only when the first of them had started again. Changes of the configuration wait in the same way.

Cause: a process that leaves lost its duties, and with all of them leaving there was no delegate, though each still runs and serves its requests for seconds.

Evidence: TestLeavingProcessesReadTheStoreIfThereAreNoOthers failed before: 'assertion failed: 0 (int) != 2 (delegate.PerDomain int)'.

A leaving process comes after all others, and suspected ones are not chosen.

--- a/internal/state/delegate/delegate.go
+++ b/internal/state/delegate/delegate.go
@@ -27,12 +27,12 @@
 // Choose returns the delegates for a duty in a failure domain, at most PerDomain.
 //
 // The members are ranked by a hash, so that all processes that know the same members choose the same delegates and a
-// change of one member moves a duty only where that member was concerned. Processes that do not reach the store come
-// last for ReadStore.
+// change of one member moves a duty only where that member was concerned. For ReadStore, processes that do not reach the
+// store come after the others, and those that are leaving last: if all leave at the same time, they read it until they end.
 func Choose(duty Duty, domain string, members []hub.Member) []hub.Member {
 	var ranked []hub.Member
 	for _, m := range members {
-		if m.Role == hub.RoleEntry && m.Domain == domain && m.Alive() {
+		if m.Role == hub.RoleEntry && m.Domain == domain && eligible(duty, &m) {
 			ranked = append(ranked, m)
 		}
 	}
@@ -45,12 +45,23 @@
 	return ranked[:min(PerDomain, len(ranked))]
 }
 
-// rank returns 1 for members to which a duty is given only if there is no other, else 0.
+// eligible reports whether a member can be given a duty.
+func eligible(duty Duty, m *hub.Member) bool {
+	return m.Alive() || duty == ReadStore && m.State == hub.StateLeaving && !m.Suspected
+}
+
+// rank returns a number above 0 for members to which a duty is given only if there are too few of a lower rank.
 func rank(duty Duty, m *hub.Member) int {
-	if duty == ReadStore && m.State == hub.StateDetached {
+	switch {
+	case duty != ReadStore:
+		return 0
+	case m.State == hub.StateLeaving:
+		return 2
+	case m.State == hub.StateDetached:
 		return 1
+	default:
+		return 0
 	}
-	return 0
 }
 
 func hash(duty Duty, m *hub.Member) uint64 { return xxhash.Sum64String(string(duty) + "/" + m.Id) }
--- a/internal/state/delegate/delegate_test.go
+++ b/internal/state/delegate/delegate_test.go
@@ -78,3 +78,19 @@
 		}
 	})
 }
+
+// Guards against changes that no process reads from the store while all entry processes stop at the same time.
+func TestLeavingProcessesReadTheStoreIfThereAreNoOthers(t *testing.T) {
+	members := entries(8)
+	for i := range members {
+		members[i].State = hub.StateLeaving
+	}
+	assert.Equal(t, len(delegate.Choose(delegate.ReadStore, "a", members)), delegate.PerDomain)
+	assert.Equal(t, len(delegate.Choose(delegate.CollectReports, "a", members)), 0)
+	members[0].State, members[2].State = hub.StateServing, hub.StateDetached
+	assert.DeepEqual(t, ids(delegate.Choose(delegate.ReadStore, "a", members)), []string{"e0", "e2"})
+	for i := range members {
+		members[i].State, members[i].Suspected = hub.StateLeaving, true
+	}
+	assert.Equal(t, len(delegate.Choose(delegate.ReadStore, "a", members)), 0)
+}
