wire/listener: a stop waits for a request that began to arrive on an idle connection

What callers saw: a request whose first bytes arrive as the process closes its idle connections at a planned stop, and that takes over a second, was cut without an answer.

Cause: the closing of such a connection is put off, but http.Server has forgotten it. Drain waited a second for it and called Shutdown, which does not wait for the requests of forgotten connections.

Evidence: TestDrainWaitsForARequestThatHasBegunToArrive failed before: 'assertion failed: time.Since(began) is less than lasts: stopped after 1s', with a request of 3 s.

The requests are counted by the process itself, also those on forgotten connections, so Drain waits for them once more.

--- a/internal/wire/listener/drain.go
+++ b/internal/wire/listener/drain.go
@@ -52,6 +52,10 @@
 	}
 	server.SetKeepAlivesEnabled(false)
 	l.awaitUnused(ctx)
+	// Shutdown does not know the requests on connections that were to be closed while these arrived.
+	if err := requests.Wait(ctx); err != nil {
+		return err
+	}
 	return server.Shutdown(ctx)
 }
 
--- a/internal/wire/listener/pending_test.go
+++ b/internal/wire/listener/pending_test.go
@@ -106,3 +106,30 @@
 		})
 	}
 }
+
+// Guards against a stop that ends before a request that began to arrive on an idle connection has been answered.
+func TestDrainWaitsForARequestThatHasBegunToArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lasts = 3 * time.Second
+		inner := newPipeListener()
+		l, err := listener.New(inner, listener.Options{MaxConnections: 4, HTTP: true})
+		assert.NilError(t, err)
+		var requests listener.Requests
+		slow := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(lasts) })
+		server := &http.Server{Handler: requests.Count(slow), ConnState: l.ConnState, ConnContext: l.ConnContext}
+		go func() { _ = server.Serve(l) }()
+		defer server.Close()
+		c := inner.dial("::1")
+		send(t, c, request)
+		assert.Equal(t, status(t, c), http.StatusOK)
+		send(t, c, request[:3])
+		assert.NilError(t, l.Close())
+		began, drained := time.Now(), make(chan error)
+		go func() { drained <- l.Drain(t.Context(), server, &requests) }()
+		time.Sleep(100 * time.Millisecond)
+		send(t, c, request[3:])
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+		assert.NilError(t, <-drained)
+		assert.Assert(t, time.Since(began) >= lasts, "stopped after %s", time.Since(began))
+	})
+}
