route/placement: requests that end after all loads are shared by half of the engines

Cause: a request that no engine can complete before its load was sent only to the one that loads last, so that these crowded there, from the naming of the version on. Now half of the engines remain for each request, those with the shortest overrun, and the score prefers shorter ones a little; as the share of requests that find no room rises, fewer remain, because slots of an engine that is about to load are then taken at once. The search looks at the other engines only once one is about to load.

TestHalfOfTheUpstreamsShareLongResponsesWhileThereIsRoom fails without this (all at i003).

--- a/internal/route/placement/nextload.go
+++ b/internal/route/placement/nextload.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
@@ -14,33 +15,34 @@
 	readingFactor = 2.5
 	// minRestPart is the part of the expected length that is the least that remains of a response: it may be longer than expected.
 	minRestPart = 0.25
+	// allowedPart is the part of the upstreams among which a request may be sent while there is room for all requests.
+	allowedPart = 0.5
+	// overrunCost is the score of an overrun as a part of it.
+	overrunCost = 0.05
 	// overrunMargin is the difference between two overruns below which they count as equal.
 	overrunMargin = 100 * time.Millisecond
 )
 
-// allowedOverrun returns the longest overrun at which an upstream may be chosen. It is close to the shortest one of all upstreams
-// that may run the request, including those without room: slots that become free at an engine that is about to load go to requests
-// that end before, and the others wait for a slot at another one. first is the index at which the search begins.
+// allowedOverrun returns the longest overrun with which an upstream may be chosen. Slots that become free at an engine that is about to
+// load go to requests that end before, and the others wait for a slot elsewhere. While there is room, half of the upstreams that may
+// run the request remain, so that it meets no crowd; at a full service these are fewer, down to those with the shortest overrun. first
+// is the index at which the search begins.
 func (p *Placement) allowedOverrun(snapshot *directory.Snapshot, s *directory.Service, loads map[directory.Key]*Load, r *Requirements, oldest oldestVersions, first int) time.Duration {
-	if s.Engine == nil {
-		return 0
-	}
-	least, found := time.Duration(0), false
+	var known [maxSampled]time.Duration
+	overruns := known[:0]
 	for i := range min(maxSampled, len(s.Upstreams)) {
 		u := s.Upstreams[(first+i)%len(s.Upstreams)]
 		l := loads[u.Key()]
-		if l == nil || l.avoided() || !p.usable(snapshot, s, u, l, r, oldest.at(l)) {
-			continue
-		}
-		overrun := l.overrun(s, r)
-		if !found || overrun < least {
-			least, found = overrun, true
-		}
-		if overrun == 0 {
-			break
+		if l != nil && !l.avoided() && p.usable(snapshot, s, u, l, r, oldest.at(l)) {
+			overruns = append(overruns, l.overrun(s, r))
 		}
 	}
-	return least + overrunMargin
+	if len(overruns) == 0 {
+		return overrunMargin
+	}
+	slices.Sort(overruns)
+	part := max(0, allowedPart-p.Pressure(s.Name))
+	return overruns[int(part*float64(len(overruns)-1))] + overrunMargin
 }
 
 // overrun returns the expected time between the planned load of the upstream and the end of the response to a request that is sent
--- a/internal/route/placement/nextload_test.go
+++ b/internal/route/placement/nextload_test.go
@@ -90,3 +90,24 @@
 		assert.Assert(t, f.chosen(t, 50, long, "i000") > 0)
 	})
 }
+
+// Guards against long responses that crowd at the one engine that loads last while the others have room, and against a full service
+// in which they take the slots of engines that are about to load.
+func TestHalfOfTheUpstreamsShareLongResponsesWhileThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withTestPlacement(t)
+		f.engines(4, 0)
+		f.loadsIn(time.Second, 2*time.Second, 3*time.Second, 4*time.Second)
+		long := requirements()
+		long.ResponseTokens = 100
+		_, counts := f.chooseAll(100, long)
+		assert.DeepEqual(t, counts, map[string]int{"i002": 4, "i003": 4})
+		for range 100 {
+			_, err := f.placement.Acquire(t.Context(), long, time.Millisecond)
+			assert.ErrorIs(t, err, placement.ErrNoRoom)
+		}
+		f.loadsIn(4*time.Second, time.Second, 2*time.Second, 3*time.Second)
+		_, counts = f.chooseAll(100, long)
+		assert.DeepEqual(t, counts, map[string]int{"i000": 4})
+	})
+}
--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -55,7 +55,7 @@
 	loads := *p.loads.Load()
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
-	allowed := p.allowedOverrun(snapshot, service, loads, r, oldest, first)
+	allowed := time.Duration(0)
 	for i := range service.Upstreams {
 		if i >= sampled && (f.best != nil || i >= maxSampled && f.onlyLimited()) {
 			break
@@ -75,6 +75,9 @@
 			continue
 		}
 		overrun := l.overrun(service, r)
+		if overrun > 0 && allowed == 0 {
+			allowed = p.allowedOverrun(snapshot, service, loads, r, oldest, first)
+		}
 		if overrun > allowed {
 			continue
 		}
@@ -82,7 +85,7 @@
 		if !l.hasSlot(f.turn, p.limit(service, u), total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		f.add(u, l, p.score(service, u, l, total)+overrun, total)
+		f.add(u, l, p.score(service, u, l, total)+time.Duration(overrunCost*float64(overrun)), total)
 	}
 	f.useLimited()
 	return f
