--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/placement"
 )
 
 // hedgeInterval is the interval at which a hedge is tried again while an attempt is late.
@@ -20,9 +22,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// limitTimer ends the attempt whether or not another upstream can take the request, nil if there is no such limit or if it
-	// has been removed.
-	limitTimer *time.Timer
+	// startLimit ends the attempt whether or not another upstream can take the request, nil if there is no such limit.
+	startLimit *startLimit
 	// round changes with each start and stop, so that a hedge of an earlier round is not used.
 	round int
 	// delay is the time after which the response of the attempt or of a hedge is late.
@@ -61,23 +62,11 @@
 	return t
 }
 
-// limit ends the attempt at the given time unless the timer is stopped before; a zero time has no effect.
-func (t *attemptTimer) limit(at time.Time) {
-	if at.IsZero() {
-		return
-	}
+// limit ends the attempt at the upstream of c by the time at which its response must have started, unless the timer is stopped before.
+func (t *attemptTimer) limit(c *placement.Choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limitTimer = time.AfterFunc(time.Until(at), t.passLimit)
-}
-
-// passLimit ends the attempt unless the limit has been removed meanwhile.
-func (t *attemptTimer) passLimit() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.limitTimer != nil {
-		t.end(errReplaced)
-	}
+	t.startLimit = newStartLimit(c, func() { t.end(errReplaced) })
 }
 
 // start makes the response late after d. Hedges continue after lastEvent, or begin anew if that is empty.
@@ -206,10 +195,7 @@
 	if t.timer != nil {
 		t.timer.Stop()
 	}
-	if t.limitTimer != nil {
-		t.limitTimer.Stop()
-		t.limitTimer = nil
-	}
+	t.startLimit.stop()
 }
 
 // suspend makes no hedge begin, and removes the limit, until the attempt is finished.
