route/forward: an attempt is not ended for a version that its upstream has replaced

Cause: the time by which a response must start was taken when the upstream was chosen. An upstream that serves the newer version by then can begin nothing on the older one.

When the time has come, the limit is taken again from the version in the upstream's recent report. Attempts and hedges have it from one type.

--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -66,7 +66,7 @@
 // of the exchange, runs the number of attempts that may have run, including this one.
 func (x *exchange) startTimer(ctx context.Context, c *placement.Choice, cancel context.CancelCauseFunc, runs int) *attemptTimer {
 	t := newAttemptTimer(ctx, cancel, x.newHedger(c, runs))
-	t.limit(c.StartBy)
+	t.limit(c)
 	if x.route.Retryable() && runs < x.route.MaxAttempts {
 		t.start(max(minWait, attemptTimeoutFactor*x.route.Objective), x.lastEvent())
 	}
--- a/internal/route/forward/hedge.go
+++ b/internal/route/forward/hedge.go
@@ -40,15 +40,6 @@
 	h.cancel(nil)
 }
 
-// limit ends the attempt at the time by which its response must have started, if there is one, unless stop is called before.
-func (h *hedge) limit() (stop func() bool) {
-	at := h.choice.StartBy
-	if at.IsZero() {
-		return func() bool { return true }
-	}
-	return time.AfterFunc(time.Until(at), func() { h.cancel(errReplaced) }).Stop
-}
-
 // hedgeCounts are the hedges of an attempt and what they have shown.
 type hedgeCounts struct {
 	// sent is the number of hedges, runs the number of those that may have run.
@@ -173,8 +164,8 @@
 	call := x.call(c, hub.Attempt{Remaining: remaining, Priority: upstreamPriority(r.Priority), LastEvent: lastEvent}, &h.trace)
 	// The upstream may have refused the request before.
 	call.NewConnection = true
-	stop := h.limit()
-	defer stop()
+	limit := newStartLimit(c, func() { h.cancel(errReplaced) })
+	defer limit.stop()
 	response, err := x.handler.options.Pool.Send(h.ctx, c.Upstream.Address, call)
 	h.response = response
 	if err == nil {
--- a/internal/route/forward/timer.go
+++ b/internal/route/forward/timer.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/placement"
 )
 
 // hedgeInterval is the interval at which a hedge is tried again while an attempt is late.
@@ -19,9 +21,8 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// limitTimer ends the attempt whether or not another upstream can take the request, nil if there is no such limit or if it
-	// has been removed.
-	limitTimer *time.Timer
+	// startLimit ends the attempt whether or not another upstream can take the request, nil if there is no such limit.
+	startLimit *startLimit
 	// round changes with each start and stop, so that a hedge of an earlier round is not used.
 	round int
 	// lastEvent is the event after which a hedge continues.
@@ -48,23 +49,11 @@
 	return &attemptTimer{ctx: ctx, end: end, hedger: g}
 }
 
-// limit ends the attempt at the given time unless the timer is stopped before; a zero time has no effect.
-func (t *attemptTimer) limit(at time.Time) {
-	if at.IsZero() {
-		return
-	}
+// limit ends the attempt at the upstream of c by the time at which its response must have started, unless the timer is stopped before.
+func (t *attemptTimer) limit(c *placement.Choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limitTimer = time.AfterFunc(time.Until(at), t.passLimit)
-}
-
-// passLimit ends the attempt unless the limit has been removed meanwhile.
-func (t *attemptTimer) passLimit() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.limitTimer != nil {
-		t.end(errReplaced)
-	}
+	t.startLimit = newStartLimit(c, func() { t.end(errReplaced) })
 }
 
 // start makes the response late after d. A hedge continues after lastEvent, or begins anew if that is empty.
@@ -151,10 +140,7 @@
 	if t.timer != nil {
 		t.timer.Stop()
 	}
-	if t.limitTimer != nil {
-		t.limitTimer.Stop()
-		t.limitTimer = nil
-	}
+	t.startLimit.stop()
 }
 
 // finish ends the timer of an attempt that has ended. If it has failed, finish waits for the hedge that awaits its response, and
--- a/internal/route/forward/timer_test.go
+++ b/internal/route/forward/timer_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/route/placement"
 )
 
 // Guards against a stream that is ended after its first event because the time limit for that event passed at the same moment.
@@ -14,7 +16,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			var stopped, late atomic.Bool
 			timer := newAttemptTimer(t.Context(), func(error) { late.Store(stopped.Load()) }, nil)
-			timer.limit(time.Now().Add(time.Second))
+			timer.limit(&placement.Choice{StartBy: time.Now().Add(time.Second)})
 			time.Sleep(time.Second)
 			timer.stop()
 			stopped.Store(true)
--- a/internal/route/placement/choice.go
+++ b/internal/route/placement/choice.go
@@ -91,6 +91,18 @@
 	return c, true
 }
 
+// CurrentStartBy is StartBy for the version that the upstream serves now. It may be called in any goroutine.
+func (c *Choice) CurrentStartBy() time.Time {
+	if c.placement == nil {
+		return c.StartBy
+	}
+	service := c.placement.options.Directory.Current().Service(c.Upstream.Service)
+	if service == nil {
+		return c.StartBy
+	}
+	return c.placement.startBy(service, c.Load.held(c.Upstream))
+}
+
 // ResponseStarted must be called when the response has started: its prompt no longer counts as waiting. Further calls
 // have no effect.
 func (c *Choice) ResponseStarted() {
