--- a/cmd/oriolehub/changes_further_test.go
+++ b/cmd/oriolehub/changes_further_test.go
@@ -91,7 +91,7 @@
 	{name: "versions and evacuations", entries: 2, draw: drawFirstServices, faults: []fault{nameVersion, evacuate}},
 	{name: "silent and unlisted upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{silence, unlist}},
 	{name: "leaving and limited upstreams", entries: 2, draw: drawRouting, prepare: continueStreams, faults: []fault{leave, nameRateLimit, askForPause}},
-	{name: "requests sent ahead and slow readers", entries: 2, draw: drawAccounts, prepare: readSlowly, begin: lengthenResponses},
+	{name: "requests sent ahead and slow readers", entries: 2, draw: drawAccounts, prepare: sendAhead, begin: lengthenResponses},
 	{name: "processes", entries: 3, draw: drawAccounts, prepare: useKeys, faults: []fault{reload, cutFromStore, kill}},
 }
 
@@ -171,8 +171,8 @@
 // useKeys gives each caller one of the API keys.
 func useKeys(i int, c *changingCaller) { c.key = changingKeys[i%len(changingKeys)] }
 
-// readSlowly makes a caller send requests ahead, and every other one read long responses slowly.
-func readSlowly(i int, c *changingCaller) {
+// sendAhead makes a caller send requests ahead, and every other one read long responses slowly too.
+func sendAhead(i int, c *changingCaller) {
 	useKeys(i, c)
 	c.ahead = sentAhead
 	if i%2 == 1 {
