route/channel: a part of an answer before a reset does not pass for the whole

What callers saw: a worker answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written; the caller got that part as a complete answer.

Cause: the operating system reports a reset to one operation only. The write of the call got it ("connection reset by peer"), so that the next read, after what had been received, returned the end of the stream as after an orderly close. Shown by a trial with a bare socket: write ECONNRESET, read 23 bytes, read EOF; the same after a close with the upload unread. If the worker's end of its stream comes before the reset, the write gets EPIPE instead.

Change: socket.Conn keeps the error of a write that has failed, and a later end of the stream returns it. A body that ends by its own length or chunks never reads that end, so that early answers whose head and length are whole are delivered as before. A body without a length after a failed write counts as cut whichever of the two errors the write got: which of them comes of a close with the upload unread depends on when the upload arrives.

--- a/internal/route/channel/pool.go
+++ b/internal/route/channel/pool.go
@@ -67,7 +67,9 @@
 // conn is a connection to the upstream at address.
 type conn struct {
 	net.Conn
-	address  string
+	address string
+	// stream reads and writes the connection.
+	stream   *socket.Conn
 	receiver *receiver
 	limit    *limitedReader
 	// reader buffers what limit reads.
@@ -83,6 +85,16 @@
 	shared bool
 }
 
+func newConn(netConn net.Conn, address string) *conn {
+	stream := socket.NewConn(netConn)
+	received := &receiver{conn: stream}
+	limit := &limitedReader{source: received, left: noLimit}
+	return &conn{
+		Conn: netConn, address: address, stream: stream, receiver: received, limit: limit,
+		reader: bufio.NewReaderSize(limit, readBufferBytes), openedAt: time.Now(),
+	}
+}
+
 // pending reports whether bytes were received that nobody has read.
 func (c *conn) pending() bool { return c.reader.Buffered() > 0 || len(c.limit.rest) > 0 }
 
@@ -168,9 +180,7 @@
 		p.closed(address)
 		return nil, false, err
 	}
-	received := &receiver{conn: netConn}
-	limit := &limitedReader{source: received, left: noLimit}
-	c = &conn{Conn: netConn, address: address, receiver: received, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), openedAt: time.Now()}
+	c = newConn(netConn, address)
 	c.dialTime = c.openedAt.Sub(began)
 	if !call.NewConnection {
 		p.begin(c)
--- a/internal/route/channel/receiver.go
+++ b/internal/route/channel/receiver.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
 // maxUnreadBytes limits the bytes that are kept of what a connection has received when its call ends.
@@ -20,7 +22,7 @@
 // receiver reads from a connection. Once it has ended, only what the connection had received by then can be read: a response
 // that is there is not lost because its reader was busy. Only one goroutine may read at a time.
 type receiver struct {
-	conn net.Conn
+	conn *socket.Conn
 	// ending is true once end was called.
 	ending atomic.Bool
 
@@ -57,6 +59,9 @@
 
 func (r *receiver) readUnread(p []byte) (int, error) {
 	r.take()
+	if len(r.unread) == 0 && r.err == io.EOF {
+		return 0, r.conn.EndError()
+	}
 	if len(r.unread) == 0 {
 		return 0, r.err
 	}
@@ -71,7 +76,7 @@
 		return
 	}
 	r.ended, r.err = true, net.ErrClosed
-	sc, ok := r.conn.(syscall.Conn)
+	sc, ok := r.conn.Conn.(syscall.Conn)
 	if !ok {
 		return
 	}
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -39,7 +39,7 @@
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: r.Reused}
 	}
-	n, err := call.encode().WriteTo(r.conn.Conn)
+	n, err := r.conn.stream.WriteBuffers(call.encode())
 	switch {
 	case err == nil:
 		return nil
