route/channel: a status below all classes is no interim answer

What callers saw: a worker in trouble answered with status 000; the caller got what followed, the 000's own body included, as the answer, or waited until its time limit (504) while a sound upstream stood by.

Cause: readResponse took each status under 200 for an interim (1xx) response and went on with the next head. net/http accepts any three characters that are a number: 000, 007, 099, "+20", "-00". A 101 was skipped too, although it ends HTTP on its connection and no call asks for that.

Change: response.Check refuses statuses under 100, and 101, right at their head, before any use of the header. The attempt fails with ErrBroken as for other bytes that are no answer: it counts as a failure of the upstream, the request is retried elsewhere if its route allows it, else the caller gets 502, which promises nothing.

600 and 999 were handled already and stay: they are treated like 500, as RFC 9110, section 15, asks (retried if the route allows it, else passed on unchanged).

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 var (
@@ -193,6 +195,9 @@
 		if err != nil {
 			return nil, shorten(err)
 		}
+		if err := response.Check(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- a/internal/route/channel/head.go
+++ b/internal/route/channel/head.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/oriolehub/oriolehub/internal/wire/listener"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 const (
@@ -33,16 +34,13 @@
 // errNoHeadMemory means that there is no memory for the head of a response. The upstream is not at fault.
 var errNoHeadMemory = errors.New("no memory for the head of the answer")
 
-// errMalformed means that what an upstream sent is no head of a response.
-var errMalformed = errors.New("malformed head of the answer")
-
 // shorten returns err, or an error with its beginning if it quotes much of a head.
 func shorten(err error) error {
 	text := err.Error()
 	if len(text) <= maxQuotedBytes {
 		return err
 	}
-	return fmt.Errorf("%w: %q", errMalformed, text[:maxQuotedBytes])
+	return fmt.Errorf("%w: %q", response.ErrMalformed, text[:maxQuotedBytes])
 }
 
 // newHeadBudget returns the memory for the heads of all responses together, with the metrics of other budgets but for its size.
--- /dev/null
+++ b/internal/route/channel/malformed_test.go
@@ -0,0 +1,59 @@
+package channel_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/route/channel"
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
+)
+
+// wholeResponse is a well-formed response, for use behind a malformed one or as its body.
+const wholeResponse = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole"
+
+// testMalformed verifies that a call to an upstream that writes response fails at once, whether the upstream then closes the
+// connection or leaves it open, and that nobody is told of the response.
+func testMalformed(t *testing.T, response string) {
+	t.Helper()
+	closes := func(_ int, _ *http.Request, c net.Conn) bool { write(c, response); return false }
+	for how, script := range map[string]func(int, *http.Request, net.Conn) bool{"closed": closes, "open": stallAfter(response)} {
+		u := withTestUpstream(t, script)
+		call := testCall("a")
+		call.OnHeader = func(status int, _ http.Header) { t.Errorf("%s: response with status %d was observed", how, status) }
+		body, err := roundTrip(t, channel.NewPool(socket.Dialer(testTimeout)), u.address, call)
+		assert.Assert(t, errors.Is(err, channel.ErrBroken), "%s: body %q, error %v", how, body, err)
+		assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "%s: %v", how, err)
+	}
+}
+
+// Guards against a status that is none being skipped like that of an interim response, so that the bytes behind its head are taken
+// for the response, or the call lasts until its time is up.
+func TestStatusOutOfRangeIsBroken(t *testing.T) {
+	for _, status := range []string{"000", "001", "007", "099", "101", "+20", "-00"} {
+		for name, rest := range map[string]string{
+			"before another response": "Content-Length: 0\r\n\r\n" + wholeResponse,
+			"body like a response":    fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(wholeResponse), wholeResponse),
+			"no body":                 "Content-Length: 0\r\n\r\n",
+			"no length":               "\r\npart",
+		} {
+			t.Run(status+" "+name, func(t *testing.T) { testMalformed(t, "HTTP/1.1 "+status+" X\r\nId: a\r\n"+rest) })
+		}
+	}
+}
+
+// Guards against the loss of responses with statuses above 599, which their recipient treats like 500 (RFC 9110, section 15).
+func TestStatusAboveTheClassesIsPassedOn(t *testing.T) {
+	for _, status := range []int{600, 999} {
+		u := withTestUpstream(t, answerWith(fmt.Sprintf("HTTP/1.1 %d X\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole", status)))
+		response, err := channel.NewPool(socket.Dialer(testTimeout)).Send(t.Context(), u.address, testCall("a"))
+		assert.NilError(t, err)
+		assert.Equal(t, response.Status, status)
+		response.Close()
+	}
+}
--- a/internal/route/forward/upstream_test.go
+++ b/internal/route/forward/upstream_test.go
@@ -80,7 +80,7 @@
 func id(r *http.Request) string { return r.Header.Get(desired.HeaderRequestId) }
 
 func head(r *http.Request, status int, more string) string {
-	return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nSignature: s\r\n%s", status, id(r), more)
+	return fmt.Sprintf("HTTP/1.1 %03d X\r\nRequest-Id: %s\r\nSignature: s\r\n%s", status, id(r), more)
 }
 
 func respond(status int, body string) script {
--- /dev/null
+++ b/internal/wire/response/check.go
@@ -0,0 +1,23 @@
+package response
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformed means that what was received is no HTTP/1.1 response.
+var ErrMalformed = errors.New("malformed head of the answer")
+
+// Check returns an error that wraps ErrMalformed if the head of r, an interim or final response that was read by package net/http,
+// is no head of a response to a request that does not ask for another protocol (RFC 9110 and RFC 9112).
+func Check(r *http.Response) error { return checkStatus(r.StatusCode) }
+
+// checkStatus refuses codes below all classes, and a switch to another protocol. Codes above all classes are treated like 500 by
+// their recipients.
+func checkStatus(code int) error {
+	if code < http.StatusContinue || code == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %03d", ErrMalformed, code)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/response/check_test.go
@@ -0,0 +1,24 @@
+package response_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/oriolehub/oriolehub/internal/wire/response"
+)
+
+// Guards against statuses that no response may have being taken for those of interim or final ones.
+func TestStatusesOfResponses(t *testing.T) {
+	for status, valid := range map[int]bool{
+		0: false, 7: false, 99: false, 100: true, 101: false, 102: true, 103: true, 199: true, 200: true, 404: true, 599: true, 600: true, 999: true,
+	} {
+		err := response.Check(&http.Response{StatusCode: status})
+		if valid {
+			assert.NilError(t, err, "status %d", status)
+			continue
+		}
+		assert.ErrorIs(t, err, response.ErrMalformed, "status %d", status)
+	}
+}
