route/channel: an answer with a blank in the name of a field is broken

What callers saw: a worker in trouble sent a head with a blank in a field name. With "Content-Length : 4" the caller got all that followed until the close, with "Transfer-Encoding : chunked" the sizes of the chunks in its body, with "Ex tra: 1" an answer from which the line had been dropped; each as a 200. With the connection left open the request lasted until its time limit (504).

Cause: net/http keeps such names in the header as they are, and does not recognize those that frame the body. RFC 9112, section 5.1, has a proxy remove the blank before the colon or, as here, treat the message as what it is: no response that can be trusted. A header that was written wrongly says nothing on where the body ends.

--- a/internal/route/channel/malformed_test.go
+++ b/internal/route/channel/malformed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -57,3 +58,41 @@
 		response.Close()
 	}
 }
+
+// Guards against field names with a blank, of which the length or the chunks of the body depend, being passed over.
+func TestBlankInAFieldNameIsBroken(t *testing.T) {
+	const chunks = "5\r\nwhole\r\n0\r\n\r\n"
+	for name, fields := range map[string]string{
+		"before the colon":       "Extra : 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"inside":                 "Ex tra: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"several":                "Extra   : 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"length":                 "Content-Length : 5\r\n\r\nwhole",
+		"length and more":        "Content-Length : 5\r\n\r\nwholeextra",
+		"chunks":                 "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+		"chunks beside length":   "Transfer-Encoding : chunked\r\nContent-Length: 0\r\n\r\n" + chunks,
+		"without a value":        "Extra :\r\nContent-Length: 5\r\n\r\nwhole",
+		"value with a colon":     "Extra : a:b\r\nContent-Length: 5\r\n\r\nwhole",
+		"in an interim response": "",
+	} {
+		response := "HTTP/1.1 200 OK\r\nId: a\r\n" + fields
+		if fields == "" {
+			response = "HTTP/1.1 103 Early\r\nEx tra: 1\r\n\r\n" + wholeResponse
+		}
+		t.Run(name, func(t *testing.T) { testMalformed(t, response) })
+	}
+}
+
+// Guards against other bytes that field names must not contain. Package net/textproto refuses them.
+func TestControlByteInAFieldNameIsBroken(t *testing.T) {
+	for _, b := range []byte{0, 1, '\t', 0x0b, 0x1b, 0x1f, 0x7f, 0x80, 0xff, '(', '/', '@', '"'} {
+		for _, name := range []string{"Ex%ctra", "Extra%c", "%cExtra"} {
+			field := strings.Replace(name, "%c", string([]byte{b}), 1)
+			if field == "\tExtra" {
+				continue // A line that begins with a tab goes on with the field before it.
+			}
+			t.Run(fmt.Sprintf("%q", field), func(t *testing.T) {
+				testMalformed(t, "HTTP/1.1 200 OK\r\nId: a\r\n"+field+": 1\r\nContent-Length: 5\r\n\r\nwhole")
+			})
+		}
+	}
+}
--- a/internal/route/forward/malformed_test.go
+++ b/internal/route/forward/malformed_test.go
@@ -115,3 +115,23 @@
 		}
 	}
 }
+
+// Guards against field names with a blank or a control byte: the caller gets the answer without that line or, if the line is to
+// tell where the body ends, a body that is not the upstream's.
+func TestAnswerWithAMalformedFieldNameCostsItsAttempt(t *testing.T) {
+	for name, more := range map[string]string{
+		"blank before the colon":   "Extra : 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"blank inside":             "Ex tra: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"blank after length":       "Content-Length : 5\r\n\r\nwholeextra",
+		"blank after coding":       "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"blank after content type": "Content-Type : text/event-stream\r\n\r\nid: 1\ndata: 1\n\n",
+		"control byte":             "Ex\x01tra: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"NUL":                      "Extra\x00: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"tab":                      "Extra\t: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"DEL":                      "Ex\x7ftra: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			testMalformed(t, func(r *http.Request) string { return head(r, http.StatusOK, more) })
+		})
+	}
+}
--- a/internal/wire/response/check_test.go
+++ b/internal/wire/response/check_test.go
@@ -22,3 +22,15 @@
 		assert.ErrorIs(t, err, response.ErrMalformed, "status %d", status)
 	}
 }
+
+// Guards against names of fields that package net/http accepts although they are none.
+func TestNamesOfFields(t *testing.T) {
+	for name, valid := range map[string]bool{"Extra": true, "extra-1": true, "Extra ": false, "Ex tra": false, "Content-Length ": false} {
+		err := response.Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{name: {"1"}}})
+		if valid {
+			assert.NilError(t, err, name)
+			continue
+		}
+		assert.ErrorIs(t, err, response.ErrMalformed, name)
+	}
+}
