route/channel: an answer in another major version of HTTP is broken

Cause: net/http reads any version as 1.1. RFC 9110, section 2.5, promises nothing across major versions; minor ones (HTTP/1.0, HTTP/1.2) are read like 1.1, and stay so.

Change: response.Check refuses all major versions but 1.

Before the change: TestResponseInAnotherProtocolIsBroken fails for HTTP/0.0, 0.9, 2.0 and 9.9 (first lines of other forms were refused already), TestAnswerInAnotherProtocolCostsItsAttempt in all its 12 parts (status 200, "whole"). After it they pass with -race.

--- a/internal/route/channel/malformed_test.go
+++ b/internal/route/channel/malformed_test.go
@@ -96,3 +96,20 @@
 		}
 	}
 }
+
+// Guards against responses in other protocols, of which nothing is known but their first line, being read as HTTP/1.1.
+func TestResponseInAnotherProtocolIsBroken(t *testing.T) {
+	for _, protocol := range []string{"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/1.10", "HTTP/1", "HTTPS/1.1", "ICY"} {
+		t.Run(protocol, func(t *testing.T) { testMalformed(t, protocol+" 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole") })
+	}
+}
+
+// Guards against the loss of responses in other minor versions, which are read like HTTP/1.1 (RFC 9110, section 2.5).
+func TestResponseInAnotherMinorVersionIsRead(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.2"} {
+		u := withTestUpstream(t, answerWith(protocol+" 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\nwhole"))
+		body, err := roundTrip(t, channel.NewPool(socket.Dialer(testTimeout)), u.address, testCall("a"))
+		assert.NilError(t, err, protocol)
+		assert.Equal(t, body, "whole")
+	}
+}
--- a/internal/route/forward/malformed_test.go
+++ b/internal/route/forward/malformed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -135,3 +136,12 @@
 		})
 	}
 }
+
+// Guards against an answer of which nothing is known but its first line being read as one in HTTP/1.1.
+func TestAnswerInAnotherProtocolCostsItsAttempt(t *testing.T) {
+	for _, protocol := range []string{"HTTP/0.0", "HTTP/9.9"} {
+		t.Run(protocol, func(t *testing.T) {
+			testMalformed(t, func(r *http.Request) string { return strings.Replace(whole(r), "HTTP/1.1", protocol, 1) })
+		})
+	}
+}
--- a/internal/wire/response/check.go
+++ b/internal/wire/response/check.go
@@ -13,6 +13,9 @@
 // Check returns an error that wraps ErrMalformed if the head of r, an interim or final response that was read by package net/http,
 // is no head of a response to a request that does not ask for another protocol (RFC 9110 and RFC 9112).
 func Check(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %d.%d of HTTP", ErrMalformed, r.ProtoMajor, r.ProtoMinor)
+	}
 	if err := checkStatus(r.StatusCode); err != nil {
 		return err
 	}
