route/channel: an answer in HTTP/1.0 with a transfer coding is broken

Cause: net/http deletes the field Transfer-Encoding of an HTTP/1.0 message and passes over it, so that the body lasts until the close. RFC 9112, section 6.1, has such a message treated as one with faulty framing.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -210,7 +210,7 @@
 	if err := response.Check(resp); err != nil {
 		return err
 	}
-	return r.head.check()
+	return r.head.check(resp)
 }
 
 // Read reads the body. It returns io.EOF only after the complete body; other errors wrap ErrBroken.
--- a/internal/route/channel/head.go
+++ b/internal/route/channel/head.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -110,12 +111,17 @@
 	return nil
 }
 
-// check returns an error if the latest head has a folded line (RFC 9112, section 5.2), which may hide a field that frames the body.
-func (m *headMeter) check() error {
-	if m.scan.folded {
+// check returns an error if the latest head, which is that of resp, frames the body in a way that package net/http passes over: by
+// chunks in HTTP/1.0, which has none, or by a field in a folded line (RFC 9112, sections 6.1 and 5.2).
+func (m *headMeter) check(resp *http.Response) error {
+	switch {
+	case m.scan.folded:
 		return fmt.Errorf("%w: folded line", response.ErrMalformed)
+	case m.scan.coded && !resp.ProtoAtLeast(1, 1):
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", response.ErrMalformed)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // release returns what was acquired.
--- a/internal/route/channel/malformed_test.go
+++ b/internal/route/channel/malformed_test.go
@@ -123,3 +123,12 @@
 		t.Run(name, func(t *testing.T) { testMalformed(t, "HTTP/1.1 200 OK\r\nId: a\r\nOther: x\r\n"+fields) })
 	}
 }
+
+// Guards against the sizes of chunks in a body: HTTP/1.0 has no chunks, and net/http passes over the field that announces them.
+func TestChunksInHTTP10AreBroken(t *testing.T) {
+	for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: chunked\r\nContent-Length: 15"} {
+		t.Run(field, func(t *testing.T) {
+			testMalformed(t, "HTTP/1.0 200 OK\r\nId: a\r\n"+field+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+		})
+	}
+}
--- a/internal/route/forward/malformed_test.go
+++ b/internal/route/forward/malformed_test.go
@@ -157,3 +157,11 @@
 		})
 	}
 }
+
+// Guards against the sizes of chunks in the body of an answer in HTTP/1.0, which has no chunks.
+func TestAnswerWithChunksInHTTP10CostsItsAttempt(t *testing.T) {
+	testMalformed(t, func(r *http.Request) string {
+		chunked := head(r, http.StatusOK, "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+		return strings.Replace(chunked, "HTTP/1.1", "HTTP/1.0", 1)
+	})
+}
