wire/response: all readers of the standard transport refuse broken answers

Cause: the same as in route/channel, in net/http's transport. It reads while it writes, so that either side may get the error of a reset, and the reader the end of the stream instead; it takes any status under 100 for a final one, 101 too; and it keeps names with a blank as they are. Beside that, the connection of such an answer was used again if the head gave a length, and what followed on it was taken for the answer to another request.

The parameters that let the last three replace their transport were set nowhere and are gone, and so are StoreTransport and SourceTransport of the processes.

--- a/internal/bench/harness/harness.go
+++ b/internal/bench/harness/harness.go
@@ -66,6 +66,8 @@
 	TlsSettings func(id, role string) settings.Tls
 	// WrapWeights, if not nil, returns a wrapper for the chunk server of a VM.
 	WrapWeights func(vm int, s message.DRPCWeightsServer) message.DRPCWeightsServer
+	// WrapService, if not nil, returns a wrapper for the plain service of a VM.
+	WrapService func(vm int, s http.Handler) http.Handler
 }
 
 // Vm is a VM with its upstream, either Engine or Service, and its side process.
@@ -166,7 +168,7 @@
 	h.listURL = "http://" + listServer.listener.Addr().String()
 	h.storeURL = "http://" + kvServer.listener.Addr().String()
 	h.originURL = "http://" + originServer.listener.Addr().String()
-	h.Ledger = ledger.New(store.New(h.storeURL, nil))
+	h.Ledger = ledger.New(store.New(h.storeURL))
 	return nil
 }
 
@@ -255,6 +257,9 @@
 	} else {
 		vm.Service = service.New(h.Runs)
 		handler = vm.Service
+		if o.WrapService != nil {
+			handler = o.WrapService(i, vm.Service)
+		}
 		s.Upstream.Kind = "Service"
 		s.Upstream.StartConcurrent = o.MaxConcurrent
 	}
--- a/internal/bench/harness/rollout_test.go
+++ b/internal/bench/harness/rollout_test.go
@@ -268,7 +268,7 @@
 		assert.Equal(t, loads[len(loads)-1], third)
 		// A load order of an earlier rules revision arrives late, as from a process that was paused.
 		old := hub.EngineOrder{Version: "old", Digest: r.first, Source: vm.Side.ContentURL(r.first), Fence: revision - 1}
-		err := client.New(vm.settings.Upstream.Url, nil).Load(t.Context(), old)
+		err := client.New(vm.settings.Upstream.Url).Load(t.Context(), old)
 		assert.ErrorIs(t, err, hub.ErrFenced)
 	}
 }
@@ -282,7 +282,7 @@
 	r.awaitServed(second, vmCount)
 	vm := r.Vms[0]
 	order := hub.EngineOrder{Version: "old", Digest: r.first, Source: vm.Side.ContentURL(r.first)}
-	assert.NilError(t, client.New(vm.settings.Upstream.Url, nil).Load(t.Context(), order))
+	assert.NilError(t, client.New(vm.settings.Upstream.Url).Load(t.Context(), order))
 	r.await("engine did not carry out the obsolete order", func() bool { return len(vm.Engine.Observations().Loads) >= 3 })
 	r.await("engine did not load the target version again", func() bool {
 		loads := vm.Engine.Observations().Loads
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -59,10 +59,6 @@
 type Overrides struct {
 	Dial   link.DialFunc
 	Picker hub.Picker
-	// StoreTransport sends the requests to the configuration store and to the VM list, SourceTransport those to the
-	// weight sources.
-	StoreTransport  http.RoundTripper
-	SourceTransport http.RoundTripper
 	// Listen replaces net.Listen for the control listener and the caller listener.
 	Listen func(address string) (net.Listener, error)
 }
@@ -144,10 +140,10 @@
 // assemble creates the components that need no listener.
 func (p *Entry) assemble(overrides Overrides, bodies *listener.Budget) {
 	s := &p.settings
-	kv := store.New(s.Store.Url, overrides.StoreTransport)
+	kv := store.New(s.Store.Url)
 	var sources []hub.WeightSource
 	for _, u := range s.Weights.Urls {
-		sources = append(sources, source.New(u, overrides.SourceTransport))
+		sources = append(sources, source.New(u))
 	}
 	stateLog := p.journal.Logger(journal.State)
 	p.catalog = catalog.New(p.incarnation)
@@ -155,7 +151,7 @@
 	p.publisher = view.NewPublisher(p.catalog, stateLog)
 	var lister hub.VMLister
 	if s.VmList.Url != "" {
-		lister = roster.NewClient(s.VmList.Url, overrides.StoreTransport)
+		lister = roster.NewClient(s.VmList.Url)
 	}
 	p.roster = roster.New(lister, s.VmList.Interval.Std(), stateLog)
 	p.table = table.NewBuilder(s.Domain, s.Region, p.publisher, p.roster)
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -41,8 +41,6 @@
 	Topology hub.Topology
 	// WrapWeights returns the server to use in place of the chunk server, which is passed to it.
 	WrapWeights func(message.DRPCWeightsServer) message.DRPCWeightsServer
-	// SourceTransport sends the requests to the weight sources.
-	SourceTransport http.RoundTripper
 	// Listen replaces net.Listen for the control listener.
 	Listen func(address string) (net.Listener, error)
 }
@@ -153,7 +151,7 @@
 	}
 	var sources []hub.WeightSource
 	for _, u := range s.Weights.Urls {
-		sources = append(sources, source.New(u, overrides.SourceTransport))
+		sources = append(sources, source.New(u))
 	}
 	fetcher := transfer.NewFetcher(transfer.Options{
 		Self:                 s.Id,
@@ -171,7 +169,7 @@
 		Self:      s.Id,
 		Group:     s.Group,
 		Domain:    s.Domain,
-		Engine:    engine.New(s.Upstream.Url, nil),
+		Engine:    engine.New(s.Upstream.Url),
 		Guard:     p.guard,
 		Publisher: p.publisher,
 		Fetch:     fetcher,
--- a/internal/route/claim/registry_test.go
+++ b/internal/route/claim/registry_test.go
@@ -25,7 +25,7 @@
 	t.Cleanup(server.Close)
 	var out []*Registry
 	for range n {
-		out = append(out, NewRegistry(store.New(server.URL, nil)))
+		out = append(out, NewRegistry(store.New(server.URL)))
 	}
 	return out, s
 }
--- a/internal/rules/ledger/ledger_test.go
+++ b/internal/rules/ledger/ledger_test.go
@@ -22,7 +22,7 @@
 	s := kv.New()
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	return New(store.New(server.URL, nil)), s
+	return New(store.New(server.URL)), s
 }
 
 func rulesText(n int) string {
--- a/internal/state/roster/client.go
+++ b/internal/state/roster/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 const (
@@ -29,8 +30,8 @@
 var _ hub.VMLister = (*Client)(nil)
 
 // NewClient returns a client of the server with the given base URL, e.g. "http://10.0.0.7:2600".
-func NewClient(base string, transport http.RoundTripper) *Client {
-	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
+func NewClient(base string) *Client {
+	return &Client{base: base, http: &http.Client{Transport: response.DefaultTransport(), Timeout: callTimeout}}
 }
 
 // VMs returns the listed VMs. It returns hub.ErrUnavailable if the request fails or the response is invalid.
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -18,7 +18,7 @@
 	list := vmlist.New(0)
 	server := httptest.NewServer(list)
 	defer server.Close()
-	r := New(NewClient(server.URL, nil), time.Hour, journal.Discard().Logger(journal.State))
+	r := New(NewClient(server.URL), time.Hour, journal.Discard().Logger(journal.State))
 	list.Put(hub.VM{Id: "a"})
 	list.Put(hub.VM{Id: "b"})
 	r.Read(t.Context())
--- a/internal/state/store/client.go
+++ b/internal/state/store/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 // callTimeout is the timeout of a call, in addition to the time for which a watch waits for a change.
@@ -25,8 +26,8 @@
 var _ hub.Store = (*Client)(nil)
 
 // New returns a client of the store with the given base URL, e.g. "http://10.0.0.5:2400".
-func New(base string, transport http.RoundTripper) *Client {
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+func New(base string) *Client {
+	return &Client{base: base, http: &http.Client{Transport: response.DefaultTransport()}}
 }
 
 // Get returns the value of key, or hub.ErrNotFound or hub.ErrUnavailable.
--- a/internal/upstream/attempt/runner.go
+++ b/internal/upstream/attempt/runner.go
@@ -14,6 +14,7 @@
 	"github.com/oriolehub/oriolehub/internal/upstream/engine"
 	"github.com/oriolehub/oriolehub/internal/upstream/guard"
 	"github.com/oriolehub/oriolehub/internal/wire/message"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 const (
@@ -48,9 +49,9 @@
 	return &Runner{base: base, singleUse: newTransport(true), pooled: newTransport(false), onRead: onRead, pacePerByte: pacePerByte}
 }
 
-func newTransport(singleUse bool) *http.Transport {
+func newTransport(singleUse bool) http.RoundTripper {
 	const idlePerUpstream = 256
-	return &http.Transport{
+	return response.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		DisableKeepAlives:   singleUse,
 		DisableCompression:  true,
@@ -58,7 +59,7 @@
 		IdleConnTimeout:     30 * time.Second,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 }
 
 // Run executes an attempt, records its response and returns the sample for the guard.
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 const (
@@ -29,12 +30,9 @@
 
 var _ hub.Engine = (*Client)(nil)
 
-// New returns a client of the engine at base, e.g. "http://127.0.0.1:8000". If transport is nil, the client uses its
-// own transport.
-func New(base string, transport http.RoundTripper) *Client {
-	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes}
-	}
+// New returns a client of the engine at base, e.g. "http://127.0.0.1:8000".
+func New(base string) *Client {
+	transport := response.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeadBytes})
 	return &Client{base: base, http: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
--- a/internal/upstream/engine/client_test.go
+++ b/internal/upstream/engine/client_test.go
@@ -17,8 +17,17 @@
 	server, err := faulty.StartFlood("HTTP/1.1 200 OK\r\n", "A: "+strings.Repeat("b", 1000)+"\r\n")
 	assert.NilError(t, err)
 	defer server.Close()
-	_, err = engine.New("http://"+server.Address, nil).Status(t.Context())
+	_, err = engine.New("http://" + server.Address).Status(t.Context())
 	assert.ErrorIs(t, err, hub.ErrUnavailable)
 	total := <-server.Written
 	assert.Assert(t, total < enough, "%d bytes", total)
 }
+
+// Guards against believing the status in an answer whose head is malformed, and whose body may be another one.
+func TestStatusInAMalformedAnswerIsNotRead(t *testing.T) {
+	s, err := faulty.StartMalformed("", "{}")
+	assert.NilError(t, err)
+	defer s.Close()
+	_, err = engine.New("http://" + s.Address).Status(t.Context())
+	assert.ErrorIs(t, err, hub.ErrUnavailable)
+}
--- a/internal/weights/pin/registrar_test.go
+++ b/internal/weights/pin/registrar_test.go
@@ -52,7 +52,7 @@
 	s := kv.New()
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	return s, store.New(server.URL, nil)
+	return s, store.New(server.URL)
 }
 
 // TestEnsureAfterLostReply guards against a second write, or a result without the manifest, when the pin was written
--- a/internal/weights/source/client.go
+++ b/internal/weights/source/client.go
@@ -8,6 +8,7 @@
 	"net/url"
 
 	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 // maxManifestBytes limits the bytes read of an encoded manifest; a longer one is truncated.
@@ -29,8 +30,8 @@
 var _ hub.WeightSource = (*Client)(nil)
 
 // New returns a client for the source at the URL base, e.g. "http://10.0.0.9:8080".
-func New(base string, transport http.RoundTripper) *Client {
-	return &Client{base: base, http: &http.Client{Transport: transport}}
+func New(base string) *Client {
+	return &Client{base: base, http: &http.Client{Transport: response.DefaultTransport()}}
 }
 
 // Manifest returns the encoded manifest that is currently published as version. Failed requests return errors
--- /dev/null
+++ b/internal/wire/response/transport.go
@@ -0,0 +1,62 @@
+package response
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/oriolehub/oriolehub/internal/wire/socket"
+)
+
+// Transport is an http.RoundTripper that fails for responses that Check refuses, and whose bodies fail if their connection is lost
+// while the request is being sent.
+type Transport struct {
+	base *http.Transport
+}
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// NewTransport returns a Transport that sends its requests by base, which it takes over.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return socket.NewConn(c), nil
+	}
+	return &Transport{base: base}
+}
+
+// DefaultTransport returns a Transport with the settings of http.DefaultTransport and connections of its own.
+func DefaultTransport() *Transport {
+	return NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+}
+
+// RoundTrip implements http.RoundTripper. Its errors wrap ErrMalformed for responses that Check refuses. Their connections are
+// closed: what follows on them belongs to no request.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if resp.ProtoMajor == 2 && resp.TLS != nil && resp.TLS.NegotiatedProtocol == "h2" {
+		return resp, nil
+	}
+	if err := Check(resp); err != nil {
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
