route/dispatch: a request that an upstream has lost is retried at another one

What callers saw: with two VMs of a service, one of which sends broken answers, idempotent requests ended as unknown (502) although the other VM was free: 10 of 50 cases of TestRequestWithAMalformedAnswerIsAnsweredByAnotherService.

Cause: after a loss the upstream counts as suspect, but the picker compares random candidates, which in a small group may all be the same one; and another suspect one, or one whose only response so far was slow, may score worse.

Change: a retry chooses among the other upstreams first, and takes the one that lost the request only if none of them has room. A trial that drew the candidates without repetition was given up: in small groups an upstream with one slow response would then never be tried again.

Before the change: TestLostRequestIsRetriedAtAnotherUpstream fails.

--- a/internal/bench/harness/brokenanswer_test.go
+++ b/internal/bench/harness/brokenanswer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -64,16 +65,18 @@
 // reply is what a caller gets.
 type reply struct {
 	outcome string
-	status  int
-	body    string
+	// upstream is the ID of the VM that has answered.
+	upstream string
+	status   int
+	body     string
 	// err is not nil if the response is incomplete.
 	err error
 }
 
 // request sends a request with a body of a length.
-func request(t *testing.T, h *Harness, method string, length int) reply {
+func request(t *testing.T, harness *Harness, method string, length int) reply {
 	t.Helper()
-	target := "http://" + h.Entries[0].HttpAddress() + "/ticket-desk/tickets/1"
+	target := "http://" + harness.Entries[0].HttpAddress() + "/ticket-desk/tickets/1"
 	r, err := http.NewRequestWithContext(t.Context(), method, target, bytes.NewReader(make([]byte, length)))
 	assert.NilError(t, err)
 	resp, err := http.DefaultClient.Do(r)
@@ -82,7 +85,8 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return reply{outcome: resp.Header.Get(dispatch.HeaderOutcome), status: resp.StatusCode, body: string(body), err: err}
+	h := resp.Header
+	return reply{outcome: h.Get(dispatch.HeaderOutcome), upstream: h.Get(dispatch.HeaderUpstream), status: resp.StatusCode, body: string(body), err: err}
 }
 
 // cutAnswer is the part of an answer.
@@ -122,3 +126,28 @@
 		assert.Assert(t, got.err != nil || got.outcome == "unknown" && got.status == http.StatusBadGateway, "%+v", got)
 	}
 }
+
+// Guards against a malformed answer that costs an idempotent request although another VM can answer it.
+func TestRequestWithAMalformedAnswerIsAnsweredByAnotherService(t *testing.T) {
+	// The retry budget allows one retry for ten requests.
+	const requestsPerRetry = 20
+	h, broken := withTestBrokenService(t, 2)
+	assert.NilError(t, Await(t.Context(), testTimeout, func() bool {
+		return request(t, h, http.MethodGet, 1).upstream == h.Vms[1].Id
+	}))
+	for name, answer := range malformedAnswers {
+		t.Run(name, func(t *testing.T) {
+			broken.answer.Store(nil)
+			for range requestsPerRetry {
+				assert.Equal(t, request(t, h, http.MethodGet, 1).outcome, "answered")
+			}
+			broken.answer.Store(&answer)
+			for broken.answered.Store(0); broken.answered.Load() == 0; {
+				got := request(t, h, http.MethodGet, 1)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.outcome, "answered", "%+v", got)
+				assert.Assert(t, strings.HasPrefix(got.body, "{"), "%q", got.body)
+			}
+		})
+	}
+}
--- a/internal/route/dispatch/dispatcher.go
+++ b/internal/route/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -157,7 +158,9 @@
 	// attempts is the number of attempts made.
 	attempts int
 	// runs is the number of attempts that may have run and whose response is lost.
-	runs       int
+	runs int
+	// lost is the upstream of the last such attempt, nil if there is none.
+	lost       *table.Upstream
 	idempotent bool
 	// lastReason is the reason for which the last attempt or the queue rejected the request.
 	lastReason string
@@ -271,32 +274,48 @@
 	return s.refuse(http.StatusServiceUnavailable, reason, time.Second)
 }
 
-// choose picks an upstream with free capacity and logs the choice; it returns nil if there is none.
+// choose picks an upstream with free capacity, which is the one that lost an earlier attempt only if there is no other.
 func (s *requestState) choose(g *table.Group) *table.Upstream {
+	if s.lost == nil {
+		return s.chooseFrom(g, g.Upstreams)
+	}
+	if u := s.chooseFrom(g, without(g.Upstreams, s.lost)); u != nil {
+		return u
+	}
+	return s.chooseFrom(g, g.Upstreams)
+}
+
+// without returns the upstreams other than u.
+func without(upstreams []*table.Upstream, u *table.Upstream) []*table.Upstream {
+	return slices.DeleteFunc(slices.Clone(upstreams), func(other *table.Upstream) bool { return other == u })
+}
+
+// chooseFrom picks an upstream with free capacity among those given and logs the choice; it returns nil if there is none.
+func (s *requestState) chooseFrom(g *table.Group, upstreams []*table.Upstream) *table.Upstream {
 	o := &s.dispatcher.options
-	choice := table.GroupCandidates{Group: g, Now: time.Now().UnixNano()}
+	choice := table.Candidates{Upstreams: upstreams, Now: time.Now().UnixNano()}
 	i, other := o.Picker.Pick(&choice, s.affinity(g))
 	if i < 0 {
 		return nil
 	}
-	u := g.Upstreams[i]
+	u := upstreams[i]
 	s.logChoice(&choice, i, other)
 	s.record.Add(trace.Step{Event: "chosen", Upstream: u.Id, Detail: u.Domain})
 	return u
 }
 
-func (s *requestState) logChoice(choice *table.GroupCandidates, i, other int) {
+func (s *requestState) logChoice(choice *table.Candidates, i, other int) {
 	line := s.dispatcher.options.Log.Info()
 	if line == nil {
 		return
 	}
 	score, _ := picker.Score(choice.At(i))
-	u := choice.Group.Upstreams[i]
+	u := choice.Upstreams[i]
 	line = line.Str("Request", s.request.id).Str("Account", s.request.account).Str("Group", s.request.group).
 		Str("Upstream", u.Id).Str("Domain", u.Domain).Float64("Score", score).Int("Attempt", s.attempts+1)
 	if other >= 0 {
 		otherScore, _ := picker.Score(choice.At(other))
-		line = line.Str("Other", choice.Group.Upstreams[other].Id).Float64("OtherScore", otherScore)
+		line = line.Str("Other", choice.Upstreams[other].Id).Float64("OtherScore", otherScore)
 	}
 	if s.lastReason != "" {
 		line = line.Str("Reason", "after: "+s.lastReason)
@@ -371,6 +390,7 @@
 	case call.Unknown:
 		u.ObserveFailure()
 		s.runs++
+		s.lost = u
 		if s.idempotent && s.runs < maxRuns && ctx.Err() == nil && s.dispatcher.retries.withdraw() {
 			s.dispatcher.counters.retried.Inc()
 			return false, call.Unknown
--- a/internal/route/dispatch/result_test.go
+++ b/internal/route/dispatch/result_test.go
@@ -9,8 +9,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/oriolehub/oriolehub/internal/process/journal"
 	"github.com/oriolehub/oriolehub/internal/route/call"
+	"github.com/oriolehub/oriolehub/internal/route/picker"
 	"github.com/oriolehub/oriolehub/internal/route/table"
+	"github.com/oriolehub/oriolehub/internal/route/trace"
 )
 
 // withTestState returns the state of an idempotent request and the recorder of its response. The retry budget is full.
@@ -48,3 +51,23 @@
 	}
 	assert.Equal(t, runs, 2)
 }
+
+// Guards against a retry at the upstream that has just lost the request, although another one has room.
+func TestLostRequestIsRetriedAtAnotherUpstream(t *testing.T) {
+	lost, other := &table.Upstream{Id: "lost"}, &table.Upstream{Id: "other"}
+	lost.ObserveLoad(8, 0)
+	other.ObserveLoad(8, 0)
+	other.ObserveFailure()
+	other.ObserveLatency(time.Second)
+	g := &table.Group{Upstreams: []*table.Upstream{lost, other}}
+	for range 100 {
+		s, _ := withTestState(t)
+		s.record = trace.NewBuffer(1).Open("r")
+		s.dispatcher.options.Picker = picker.TwoChoices{}
+		s.dispatcher.options.Log = journal.Discard().Logger(journal.Routing)
+		done, _ := s.handleResult(t.Context(), lost, call.Result{Outcome: call.Unknown})
+		assert.Assert(t, !done)
+		assert.Equal(t, s.choose(g), other)
+		assert.Equal(t, s.choose(&table.Group{Upstreams: g.Upstreams[:1]}), lost)
+	}
+}
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -21,20 +21,20 @@
 	MemberCount int
 }
 
-// GroupCandidates implements hub.Candidates for the upstreams of a group.
-type GroupCandidates struct {
-	Group *Group
+// Candidates implements hub.Candidates for upstreams.
+type Candidates struct {
+	Upstreams []*Upstream
 	// Now is the time of the choice in Unix nanoseconds.
 	Now int64
 }
 
-var _ hub.Candidates = (*GroupCandidates)(nil)
+var _ hub.Candidates = (*Candidates)(nil)
 
 // Len returns the number of upstreams.
-func (c *GroupCandidates) Len() int { return len(c.Group.Upstreams) }
+func (c *Candidates) Len() int { return len(c.Upstreams) }
 
 // At returns the state of upstream i at the time Now.
-func (c *GroupCandidates) At(i int) hub.Candidate { return c.Group.Upstreams[i].candidate(c.Now) }
+func (c *Candidates) At(i int) hub.Candidate { return c.Upstreams[i].candidate(c.Now) }
 
 // Table is a routing table. It is immutable once published.
 type Table struct {
