wire/response: reasons for callers don't quote a malformed answer

What callers saw: our own 502 quoted up to 200 bytes of what an upstream had sent in place of an answer ("malformed HTTP response \"lies\""). Such bytes may belong to another caller's answer. On both paths.

Cause: the text of net/http's error went into the body of the failure.

Change: errors for bytes that are no response wrap ErrMalformed (route/channel, and what Check refuses) or ErrUnreadable (the standard transport), and response.Reason leaves out the rest for callers. The log keeps the text, of which at most 200 bytes quote the head: `attempt failed` of the entry process as before, and a line of that name in the log of the side process, whose attempts had none.

--- a/internal/bench/harness/brokenanswer_test.go
+++ b/internal/bench/harness/brokenanswer_test.go
@@ -111,6 +111,7 @@
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.outcome, "unknown", "%s, %s: %+v", name, method, got)
 			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Assert(t, !strings.Contains(got.body, "Ex"), "%s: the reason quotes the answer: %s", name, got.body)
 		}
 	}
 }
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -194,7 +194,7 @@
 		r.head.scan = lineScan{}
 		resp, err := http.ReadResponse(r.conn.reader, request)
 		if err != nil {
-			return nil, shorten(err)
+			return nil, r.headError(err)
 		}
 		if err := r.checkHead(resp); err != nil {
 			return nil, err
@@ -205,6 +205,14 @@
 	}
 }
 
+// headError returns the error for the failure err to read a head, which wraps response.ErrMalformed if the connection has not failed.
+func (r *Response) headError(err error) error {
+	if r.conn.limit.err != nil {
+		return err
+	}
+	return response.Malformed(err)
+}
+
 // checkHead returns an error if the head of resp, the latest that was read, is malformed.
 func (r *Response) checkHead(resp *http.Response) error {
 	if err := response.Check(resp); err != nil {
--- a/internal/route/channel/head.go
+++ b/internal/route/channel/head.go
@@ -26,8 +26,6 @@
 	freeHeadCost = 8 << 10
 	// headMemoryTimeout is the time for which the reading of a head waits for memory.
 	headMemoryTimeout = 500 * time.Millisecond
-	// maxQuotedBytes limits how much of an error is kept that quotes a head.
-	maxQuotedBytes = 200
 	// defaultHeadMemory is Options.HeadMemory if that is 0.
 	defaultHeadMemory = 8 << 20
 )
@@ -35,15 +33,6 @@
 // errNoHeadMemory means that there is no memory for the head of a response. The upstream is not at fault.
 var errNoHeadMemory = errors.New("no memory for the head of the answer")
 
-// shorten returns err, or an error with its beginning if it quotes much of a head.
-func shorten(err error) error {
-	text := err.Error()
-	if len(text) <= maxQuotedBytes {
-		return err
-	}
-	return fmt.Errorf("%w: %q", response.ErrMalformed, text[:maxQuotedBytes])
-}
-
 // newHeadBudget returns the memory for the heads of all responses together, with the metrics of other budgets but for its size.
 func newHeadBudget(size int64, set *metrics.Set) *listener.Budget {
 	if size == 0 {
--- a/internal/route/channel/limit.go
+++ b/internal/route/channel/limit.go
@@ -24,9 +24,18 @@
 	head *headMeter
 	// rest is what was received after the end of a head.
 	rest []byte
+	// err is the error of the last Read.
+	err error
 }
 
+// Read implements io.Reader.
 func (r *limitedReader) Read(p []byte) (int, error) {
+	n, err := r.read(p)
+	r.err = err
+	return n, err
+}
+
+func (r *limitedReader) read(p []byte) (int, error) {
 	n, err := r.receive(p)
 	if r.head == nil || n == 0 {
 		return n, err
--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 	"github.com/oriolehub/oriolehub/internal/route/quarantine"
 	"github.com/oriolehub/oriolehub/internal/state/directory"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 const (
@@ -407,12 +408,12 @@
 // fraction returns d multiplied by f.
 func fraction(d time.Duration, f float64) time.Duration { return time.Duration(f * float64(d)) }
 
-// reasonOf returns the text of the cause of ctx if it is done, else that of err.
+// reasonOf returns the text for the caller of the cause of ctx if it is done, else that of err.
 func reasonOf(ctx context.Context, err error) string {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause.Error()
 	}
-	return err.Error()
+	return response.Reason(err)
 }
 
 // logChoice logs the upstream of the attempt with the given number.
--- a/internal/route/forward/malformed_test.go
+++ b/internal/route/forward/malformed_test.go
@@ -165,3 +165,27 @@
 		return strings.Replace(chunked, "HTTP/1.1", "HTTP/1.0", 1)
 	})
 }
+
+// Guards against bytes of an answer that belongs to nobody reaching a caller in the reason of a failure.
+func TestFailureDoesNotQuoteAMalformedAnswer(t *testing.T) {
+	const secret = "s3cret"
+	for name, a := range map[string]answer{
+		"no protocol": func(*http.Request) string { return secret + "\r\n\r\n" },
+		"no status":   func(*http.Request) string { return "HTTP/1.1 " + secret + " X\r\n\r\n" },
+		"no field":    func(r *http.Request) string { return head(r, http.StatusOK, secret+"\r\n\r\n") },
+		"name":        func(r *http.Request) string { return head(r, http.StatusOK, "\x01"+secret+": 1\r\n\r\n") },
+		"length":      func(r *http.Request) string { return head(r, http.StatusOK, "Content-Length: "+secret+"\r\n\r\n") },
+		"coding":      func(r *http.Request) string { return head(r, http.StatusOK, "Transfer-Encoding: "+secret+"\r\n\r\n") },
+		"long":        func(*http.Request) string { return strings.Repeat(secret, 1000) + "\r\n\r\n" },
+		"chunk of body": func(r *http.Request) string {
+			return head(r, http.StatusOK, "Transfer-Encoding: chunked\r\n\r\n"+secret+"\r\n")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := withTestEntry(t, withTestUpstream(t, a.end))
+			got := f.post(t, "/once/")
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Assert(t, !strings.Contains(got.body, secret), "%q", got.body)
+		})
+	}
+}
--- a/internal/upstream/attempt/attempt.go
+++ b/internal/upstream/attempt/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/looplab/fsm"
 
 	"github.com/oriolehub/oriolehub/internal/wire/message"
+	"github.com/oriolehub/oriolehub/internal/wire/response"
 )
 
 // States and events of an attempt, named as in the Promela model spec/attempts.pml.
@@ -62,8 +63,8 @@
 	status  int
 	headers []*message.Header
 	body    []byte
-	// reason is the reason for which the attempt failed.
-	reason string
+	// err is the error with which the attempt failed, nil if it has not.
+	err error
 	// finished is the time at which the attempt ended, zero while it is running.
 	finished time.Time
 	// detached is the time at which a reader last detached, initially the start of the attempt.
@@ -162,14 +163,21 @@
 	return nil
 }
 
-// Break marks the response as failed with the given reason. It has no effect on a finished attempt.
-func (a *Attempt) Break(reason string) {
+// Err returns the error with which the attempt failed, nil if it has not.
+func (a *Attempt) Err() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.err
+}
+
+// Break marks the response as failed with err. It has no effect on a finished attempt.
+func (a *Attempt) Break(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.fire(EventBreak) != nil {
 		return
 	}
-	a.reason = reason
+	a.err = err
 	a.finished = time.Now()
 	a.broadcast()
 }
@@ -269,7 +277,7 @@
 		end := &message.AnswerFrame{AttemptId: a.Id, Kind: message.FrameKind_FRAME_KIND_END, Length: uint64(len(a.body))}
 		return append(frames, end), true, nil, nil
 	case StateBroken:
-		end := &message.AnswerFrame{AttemptId: a.Id, Kind: message.FrameKind_FRAME_KIND_BROKEN, Reason: a.reason}
+		end := &message.AnswerFrame{AttemptId: a.Id, Kind: message.FrameKind_FRAME_KIND_BROKEN, Reason: response.Reason(a.err)}
 		return append(frames, end), true, nil, nil
 	}
 	return frames, false, a.changed, nil
--- a/internal/upstream/attempt/outside_test.go
+++ b/internal/upstream/attempt/outside_test.go
@@ -59,7 +59,7 @@
 	assert.Assert(t, running <= maxBufferedBytes, "%d bytes", running)
 	for _, id := range []string{"a", "b", "c"} {
 		a, _ := l.FindOrReject(id)
-		a.Break("too long")
+		a.Break(ErrTooLong)
 	}
 	assert.Equal(t, fill("d"), maxResponseBytes)
 	_, ran := l.FindOrReject("a")
--- a/internal/upstream/attempt/runner.go
+++ b/internal/upstream/attempt/runner.go
@@ -67,7 +67,7 @@
 	started := time.Now()
 	bytes, err := r.run(ctx, a, call)
 	if err != nil {
-		a.Break(err.Error())
+		a.Break(err)
 		if errors.Is(err, ErrCancelled) {
 			return guard.Sample{}
 		}
--- a/internal/upstream/attempt/server.go
+++ b/internal/upstream/attempt/server.go
@@ -64,6 +64,7 @@
 	go func() {
 		defer cancel(nil)
 		s.guard.Done(s.runner.Run(ctx, a, r))
+		s.logFailure(a)
 	}()
 	if err := stream.Send(s.accepted(a.Id)); err != nil {
 		return err
@@ -76,6 +77,13 @@
 	})
 }
 
+// logFailure logs the error of an attempt that has failed. Callers get less of it.
+func (s *Server) logFailure(a *Attempt) {
+	if err := a.Err(); err != nil {
+		s.log.Info().Str("Attempt", a.Id).Str("Request", a.RequestId).Err(err).Msg("attempt failed")
+	}
+}
+
 // admit returns the recorded attempt, counted by the guard as in progress, or the refusal.
 func (s *Server) admit(r *message.RunRequest, cancel context.CancelCauseFunc) (*Attempt, *guard.Refusal) {
 	if r.GetIncarnation() != s.incarnation {
--- a/internal/wire/response/transport.go
+++ b/internal/wire/response/transport.go
@@ -38,12 +38,15 @@
 	return NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 }
 
-// RoundTrip implements http.RoundTripper. Its errors wrap ErrMalformed for responses that Check refuses. Their connections are
-// closed: what follows on them belongs to no request.
+// RoundTrip implements http.RoundTripper. Its errors wrap ErrMalformed for responses that Check refuses, and ErrUnreadable for
+// other bytes that are no response. The connections of such responses are closed: what follows on them belongs to no request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil && conn != nil {
+		return nil, unreadable(r.Context(), err)
+	}
 	if err != nil {
 		return nil, err
 	}
