wire/response: the standard transport scans the lines of heads too

What callers saw: on the path of `dispatch`, the chunk sizes of an answer in HTTP/1.0 in its body, and what followed the body of an answer whose length stood in a folded line, as a 200.

Change: the scan of channel moves to response.Scan, and the connections of response.Transport scan the head of the response to each request, also behind interim responses. Bodies are not scanned. Over TLS the connection shows no lines, and this check is left out.

Control bytes in values, which net/textproto refuses, get a test in route/channel.

--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -191,7 +191,7 @@
 	r.conn.limit.head = &r.head
 	defer func() { r.conn.limit.head = nil }()
 	for {
-		r.head.scan = lineScan{}
+		r.head.scan = response.Scan{}
 		resp, err := http.ReadResponse(r.conn.reader, request)
 		if err != nil {
 			return nil, r.headError(err)
@@ -218,7 +218,7 @@
 	if err := response.Check(resp); err != nil {
 		return err
 	}
-	return r.head.check(resp)
+	return r.head.scan.Check(resp)
 }
 
 // Read reads the body. It returns io.EOF only after the complete body; other errors wrap ErrBroken.
--- a/internal/route/channel/head.go
+++ b/internal/route/channel/head.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,13 +60,13 @@
 	// blank is true if the bytes so far end with an end of line, which another one makes the end of the head.
 	blank bool
 	// scan records what the lines of the latest head show.
-	scan lineScan
+	scan response.Scan
 }
 
 // end returns the length of the part of data up to the end of the head, or of all of data.
 func (m *headMeter) end(data []byte) int {
 	for i, b := range data {
-		m.scan.add(b)
+		m.scan.Add(b)
 		switch {
 		case b == '\n' && m.blank:
 			m.blank = false
@@ -100,19 +98,6 @@
 	return nil
 }
 
-// check returns an error if the latest head, which is that of resp, frames the body in a way that package net/http passes over: by
-// chunks in HTTP/1.0, which has none, or by a field in a folded line (RFC 9112, sections 6.1 and 5.2).
-func (m *headMeter) check(resp *http.Response) error {
-	switch {
-	case m.scan.folded:
-		return fmt.Errorf("%w: folded line", response.ErrMalformed)
-	case m.scan.coded && !resp.ProtoAtLeast(1, 1):
-		return fmt.Errorf("%w: transfer coding in HTTP/1.0", response.ErrMalformed)
-	default:
-		return nil
-	}
-}
-
 // release returns what was acquired.
 func (m *headMeter) release() {
 	m.budget.Release(m.charged)
--- a/internal/route/channel/malformed_test.go
+++ b/internal/route/channel/malformed_test.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// Guards against control bytes in the values of fields, which end the value or the head for other readers. Package net/textproto
+// refuses them.
+func TestControlByteInAFieldValueIsBroken(t *testing.T) {
+	for _, b := range []byte{0, 1, 0x0b, '\r', 0x1b, 0x1f, 0x7f} {
+		t.Run(fmt.Sprintf("%#02x", b), func(t *testing.T) {
+			testMalformed(t, "HTTP/1.1 200 OK\r\nId: a\r\nExtra: a"+string([]byte{b})+"b\r\nContent-Length: 5\r\n\r\nwhole")
+		})
+	}
+}
+
 // Guards against responses in other protocols, of which nothing is known but their first line, being read as HTTP/1.1.
 func TestResponseInAnotherProtocolIsBroken(t *testing.T) {
 	for _, protocol := range []string{"HTTP/0.0", "HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/1.10", "HTTP/1", "HTTPS/1.1", "ICY"} {
--- a/internal/upstream/attempt/brokenanswer_test.go
+++ b/internal/upstream/attempt/brokenanswer_test.go
@@ -54,9 +54,16 @@
 
 // Guards against the loss of an early response that is whole by its length.
 func TestWholeResponseBeforeAResetUnderALongRequestIsRead(t *testing.T) {
-	r := withTestEarlyUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", faulty.ResetAfter(200*time.Millisecond))
 	for _, idempotent := range []bool{false, true} {
-		a := runTest(t, r, longBody, idempotent)
+		a := newAttempt("a", "r", idempotent, func(error) {})
+		resetAfterHead := func(c net.Conn) {
+			for a.State() == StateRunning {
+				time.Sleep(time.Millisecond)
+			}
+			faulty.ResetAfter(0)(c)
+		}
+		r := withTestEarlyUpstream(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", resetAfterHead)
+		r.Run(t.Context(), a, &message.RunRequest{Method: http.MethodPost, Target: "/", Body: make([]byte, longBody), Idempotent: idempotent})
 		assert.Equal(t, a.State(), StateAnswered)
 		assert.Equal(t, string(a.body), "whole")
 	}
@@ -72,6 +79,9 @@
 		"blank after a coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 		"blank inside a name":  "HTTP/1.1 200 OK\r\nEx tra: 1\r\nContent-Length: 5\r\n\r\nwhole",
 		"control byte":         "HTTP/1.1 200 OK\r\nEx\x01tra: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		"folded line":          "HTTP/1.1 200 OK\r\nOther: x\r\n Content-Length: 5\r\n\r\nwholeextra",
+		"chunks in HTTP/1.0":   "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"interim, then folded": "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nOther: x\r\n Content-Length: 5\r\n\r\nwholeextra",
 		"version":              "HTTP/9.9 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		for _, idempotent := range []bool{false, true} {
--- a/internal/route/channel/lines.go
+++ b/internal/wire/response/scan.go
@@ -1,10 +1,15 @@
-package channel
+package response
+
+import (
+	"fmt"
+	"net/http"
+)
 
 // codingField begins the line of a head that names the codings of the body, in lower case.
 const codingField = "transfer-encoding:"
 
-// lineScan records what the lines of a head show that package net/http hides.
-type lineScan struct {
+// Scan records what the lines of a head show that package net/http hides. Its zero value is ready for use.
+type Scan struct {
 	// folded is true if a line begins with a blank or a tab. It goes on with the line before it, or its field name is malformed.
 	folded bool
 	// coded is true if a line begins with codingField.
@@ -13,8 +18,8 @@
 	length, matched int
 }
 
-// add scans the next byte of the head.
-func (s *lineScan) add(b byte) {
+// Add scans the next byte of the head.
+func (s *Scan) Add(b byte) {
 	if b == '\n' {
 		s.length, s.matched = 0, 0
 		return
@@ -29,6 +34,19 @@
 	s.length++
 }
 
+// Check returns an error that wraps ErrMalformed if the head, which is that of r, frames the body in a way that package net/http
+// passes over: by chunks in HTTP/1.0, which has none, or by a field in a folded line (RFC 9112, sections 6.1 and 5.2).
+func (s *Scan) Check(r *http.Response) error {
+	switch {
+	case s.folded:
+		return fmt.Errorf("%w: folded line", ErrMalformed)
+	case s.coded && !r.ProtoAtLeast(1, 1):
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
+	default:
+		return nil
+	}
+}
+
 // lower returns an ASCII letter in lower case, and any other byte as it is.
 func lower(b byte) byte {
 	if b >= 'A' && b <= 'Z' {
--- a/internal/wire/response/transport.go
+++ b/internal/wire/response/transport.go
@@ -5,11 +5,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-
-	"github.com/oriolehub/oriolehub/internal/wire/socket"
 )
 
-// Transport is an http.RoundTripper that fails for responses that Check refuses, and whose bodies fail if their connection is lost
+// Transport is an http.RoundTripper that fails for responses that Check or Scan refuses, and whose bodies fail if their connection is lost
 // while the request is being sent.
 type Transport struct {
 	base *http.Transport
@@ -28,7 +26,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return socket.NewConn(c), nil
+		return newHeadConn(c), nil
 	}
 	return &Transport{base: base}
 }
@@ -38,11 +36,16 @@
 	return NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 }
 
-// RoundTrip implements http.RoundTripper. Its errors wrap ErrMalformed for responses that Check refuses, and ErrUnreadable for
+// RoundTrip implements http.RoundTripper. Its errors wrap ErrMalformed for responses that are refused, and ErrUnreadable for
 // other bytes that are no response. The connections of such responses are closed: what follows on them belongs to no request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn
+		if c, ok := conn.(*headConn); ok {
+			c.begin()
+		}
+	}}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil && conn != nil {
 		return nil, unreadable(r.Context(), err)
@@ -53,7 +56,7 @@
 	if resp.ProtoMajor == 2 && resp.TLS != nil && resp.TLS.NegotiatedProtocol == "h2" {
 		return resp, nil
 	}
-	if err := Check(resp); err != nil {
+	if err := checkHead(conn, resp); err != nil {
 		_ = conn.Close()
 		_ = resp.Body.Close()
 		return nil, err
@@ -61,5 +64,16 @@
 	return resp, nil
 }
 
+// checkHead returns an error if the head of r, which was read from c, is malformed. Over TLS its lines are not scanned.
+func checkHead(c net.Conn, r *http.Response) error {
+	if err := Check(r); err != nil {
+		return err
+	}
+	if c, ok := c.(*headConn); ok {
+		return c.check(r)
+	}
+	return nil
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/wire/response/transport_test.go
+++ b/internal/wire/response/transport_test.go
@@ -1,6 +1,7 @@
 package response_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -75,3 +76,39 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "HTTP/2.0")
 }
+
+// Guards against scanning the first head of a connection only, and against scanning bodies.
+func TestTransportScansTheHeadsOfEachResponse(t *testing.T) {
+	const (
+		sound  = "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n\n Extra: 1\n\n 2\n\n"
+		folded = "HTTP/1.1 200 OK\r\nOther: x\r\n Extra: 1\r\nContent-Length: 0\r\n\r\n"
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for _, answer := range []string{sound, sound, folded} {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer)
+		}
+	}()
+	client := &http.Client{Transport: response.DefaultTransport()}
+	for range 2 {
+		resp, err := client.Get("http://" + l.Addr().String())
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), 16)
+		assert.NilError(t, resp.Body.Close())
+	}
+	_, err = client.Get("http://" + l.Addr().String())
+	assert.ErrorIs(t, err, response.ErrMalformed)
+}
