wire/response: one scan finds the end of a head for both of its readers

The rule for the end of a head stood in route/channel's headMeter and in headConn; Scan has it now. The transport's tests have heads with folded lines, chunks in HTTP/1.0 and a malformed interim one too. Tests of the three packages pass with -race.

--- a/internal/route/channel/head.go
+++ b/internal/route/channel/head.go
@@ -57,24 +57,15 @@
 	// cost is the memory that the heads so far are taken to need, charged the part of it that was acquired.
 	cost    int64
 	charged int64
-	// blank is true if the bytes so far end with an end of line, which another one makes the end of the head.
-	blank bool
-	// scan records what the lines of the latest head show.
+	// scan is that of the latest head.
 	scan response.Scan
 }
 
 // end returns the length of the part of data up to the end of the head, or of all of data.
 func (m *headMeter) end(data []byte) int {
 	for i, b := range data {
-		m.scan.Add(b)
-		switch {
-		case b == '\n' && m.blank:
-			m.blank = false
+		if m.scan.Add(b) {
 			return i + 1
-		case b == '\n':
-			m.blank = true
-		case b != '\r':
-			m.blank = false
 		}
 	}
 	return len(data)
--- a/internal/wire/response/headconn.go
+++ b/internal/wire/response/headconn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/oriolehub/oriolehub/internal/wire/socket"
@@ -50,8 +51,6 @@
 	// begin holds the first bytes of the head, length of them.
 	begin  [statusAt + 3]byte
 	length int
-	// blank is true if the bytes so far end with an end of line, which another one makes the end of the head.
-	blank bool
 	// done is true once the head of a final response has ended.
 	done bool
 }
@@ -67,25 +66,20 @@
 }
 
 func (r *headReader) addByte(b byte) {
-	r.scan.Add(b)
 	if r.length < len(r.begin) {
 		r.begin[r.length] = b
 		r.length++
 	}
-	switch {
-	case b == '\n' && r.blank && r.interim():
-		r.length, r.blank = 0, false
-	case b == '\n' && r.blank:
+	switch end := r.scan.Add(b); {
+	case end && r.interim():
+		r.length, r.scan = 0, Scan{folded: r.scan.folded}
+	case end:
 		r.done = true
-	case b == '\n':
-		r.blank = true
-	case b != '\r':
-		r.blank = false
 	}
 }
 
 // interim reports whether the head is that of an interim response.
 func (r *headReader) interim() bool {
 	status := string(r.begin[statusAt:])
-	return status[0] == '1' && status != "101"
+	return strings.HasPrefix(status, "1") && status != "101"
 }
--- a/internal/wire/response/scan.go
+++ b/internal/wire/response/scan.go
@@ -8,8 +8,10 @@
 // codingField begins the line of a head that names the codings of the body, in lower case.
 const codingField = "transfer-encoding:"
 
-// Scan records what the lines of a head show that package net/http hides. Its zero value is ready for use.
+// Scan finds the end of a head and records what its lines show that package net/http hides. Its zero value is ready for use.
 type Scan struct {
+	// blank is true if the bytes so far end with an end of line, which another one makes the end of the head.
+	blank bool
 	// folded is true if a line begins with a blank or a tab. It goes on with the line before it, or its field name is malformed.
 	folded bool
 	// coded is true if a line begins with codingField.
@@ -18,11 +20,15 @@
 	length, matched int
 }
 
-// Add scans the next byte of the head.
-func (s *Scan) Add(b byte) {
+// Add scans the next byte of the head and reports whether it is the last one.
+func (s *Scan) Add(b byte) bool {
 	if b == '\n' {
-		s.length, s.matched = 0, 0
-		return
+		end := s.blank
+		s.blank, s.length, s.matched = true, 0, 0
+		return end
+	}
+	if b != '\r' {
+		s.blank = false
 	}
 	if s.length == 0 && (b == ' ' || b == '\t') {
 		s.folded = true
@@ -32,6 +38,7 @@
 		s.coded = s.coded || s.matched == len(codingField)
 	}
 	s.length++
+	return false
 }
 
 // Check returns an error that wraps ErrMalformed if the head, which is that of r, frames the body in a way that package net/http
--- a/internal/wire/response/transport_test.go
+++ b/internal/wire/response/transport_test.go
@@ -54,7 +54,10 @@
 
 // Guards against heads that the transport of net/http accepts.
 func TestTransportFailsForMalformedHeads(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 200 OK\r\nEx tra: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", "HTTP/9.9 200 OK\r\n"} {
+	for _, head := range []string{
+		"HTTP/1.1 000 X\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 200 OK\r\nEx tra: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", "HTTP/9.9 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nOther: x\r\n Extra: 1\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 103 X\r\nOther: x\r\n Extra: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
 		body, err := post(t, head+"Content-Length: 5\r\n\r\nwhole", faulty.CloseAfter(0), 1)
 		assert.ErrorIs(t, err, response.ErrMalformed, "%q: body %q", head, body)
 	}
