wire/socket: the end of a stream waits for a write in progress for a second at most

At the end of the stream, Conn.Read waits for the write in progress, whose error tells whether the connection was lost; a write to a peer that only stopped reading does not end, and attempts of side processes have no time limit. In route/channel the read begins after the write, which has a limit.

Change: at the end of the stream a write in progress gets a deadline of a second. After the loss of a connection it fails at once, as before.

--- a/internal/wire/socket/conn.go
+++ b/internal/wire/socket/conn.go
@@ -4,8 +4,13 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
+// endTimeout is the time within which a write must end that is in progress at the end of the stream. After the loss of a connection it
+// fails at once; a peer that has ended its stream may go on without reading.
+const endTimeout = time.Second
+
 // Conn is a connection whose stream has no orderly end once a write has failed.
 //
 // The operating system reports the loss of a connection to one operation only. If that is a write, the next read of a
@@ -21,7 +26,7 @@
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Read reads from the connection. It returns the error of a failed write in place of io.EOF, for which it waits until a write in
-// progress has ended.
+// progress has ended, up to endTimeout.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
@@ -30,9 +35,13 @@
 	return n, err
 }
 
-// EndError returns the error for the end of the stream: io.EOF, or the error of a write that has failed before.
+// EndError returns the error for the end of the stream: io.EOF, or the error of a write that has failed before. A write in progress
+// fails after endTimeout.
 func (c *Conn) EndError() error {
-	c.mu.Lock()
+	if !c.mu.TryLock() {
+		_ = c.SetWriteDeadline(time.Now().Add(endTimeout))
+		c.mu.Lock()
+	}
 	defer c.mu.Unlock()
 	if c.writeErr != nil {
 		return c.writeErr
