state/directory: a version counts from the earliest sighting of any process

Callers saw responses of an older version later than the bound. Cause: the bound runs from the store's answer to the operator, but each process counted it from the moment at which it heard of the version itself, and an age that another process told replaced only an assumed one. A process that heard late, or that stood still after it had heard, served the older version for as much longer.

Every exchange now tells the ages of the versions named within four bounds, and a told age corrects a known one if it is greater even if the message took no time, so that ages told in circles do not grow. Ages that arrive before their version wait for it.

--- a/internal/hub/interfaces.go
+++ b/internal/hub/interfaces.go
@@ -74,12 +74,14 @@
 
 // TargetAges holds the ages of target versions, which processes tell each other. Implementations are safe for concurrent use.
 type TargetAges interface {
-	// Ages returns the ages to tell another process.
+	// Ages returns the ages to tell a process that has just started or needs them.
 	Ages() []TargetAge
+	// RecentAges returns the ages to tell any process: those of the versions that may not have replaced all older ones yet.
+	RecentAges() []TargetAge
 	// NeedsAges reports whether other processes may know ages that this process has assumed.
 	NeedsAges() bool
-	// LearnAges takes ages that another process has told at a time not before asOf.
-	LearnAges(ages []TargetAge, asOf time.Time)
+	// LearnAges takes ages that another process has told, as of a time between notBefore and notAfter.
+	LearnAges(ages []TargetAge, notBefore, notAfter time.Time)
 }
 
 // Topology determines from which members each member fetches which chunks of the weights.
--- a/internal/state/directory/ages.go
+++ b/internal/state/directory/ages.go
@@ -10,6 +10,15 @@
 	"github.com/oriolehub/oriolehub/internal/hub"
 )
 
+const (
+	// minCorrection is the least time by which a told age corrects one that this process knows, so that the differences between
+	// messages cause no new snapshots.
+	minCorrection = 20 * time.Millisecond
+	// recentBounds is the age, as a multiple of SwitchBound, up to which the age of a version is told to all processes. It exceeds the
+	// bound because the clock of a process whose VM was suspended may be late by seconds.
+	recentBounds = 4
+)
+
 // ageSource is the source of the age of a target version.
 type ageSource int
 
@@ -29,30 +38,43 @@
 	assumed bool
 }
 
+// toldSince is the time since which a version is set by an age that was told: between earliest, if the message with the age took all of
+// the time of its call, and latest, if it took no time.
+type toldSince struct {
+	earliest time.Time
+	latest   time.Time
+}
+
+// merge replaces the times of s by earlier ones.
+func (s *toldSince) merge(other toldSince) {
+	s.earliest = earlier(s.earliest, other.earliest)
+	s.latest = earlier(s.latest, other.latest)
+}
+
 // toldAges holds the ages that other processes have told since they were last applied. It is safe for concurrent use.
 type toldAges struct {
 	// arrived receives a value after ages were added.
 	arrived chan struct{}
 
-	mu sync.Mutex
-	// since holds the earliest time that was told for each version.
-	since map[toldVersion]time.Time
+	mu    sync.Mutex
+	since map[toldVersion]toldSince
 }
 
 func newToldAges() *toldAges {
-	return &toldAges{arrived: make(chan struct{}, 1), since: map[toldVersion]time.Time{}}
+	return &toldAges{arrived: make(chan struct{}, 1), since: map[toldVersion]toldSince{}}
 }
 
-// add adds ages as of a time.
-func (a *toldAges) add(ages []hub.TargetAge, asOf time.Time) {
+// add adds ages as of a time between two others.
+func (a *toldAges) add(ages []hub.TargetAge, notBefore, notAfter time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, t := range ages {
 		key := toldVersion{model: t.Model, version: t.Version, assumed: t.Assumed}
-		since := asOf.Add(-t.Age)
-		if earliest, ok := a.since[key]; !ok || since.Before(earliest) {
-			a.since[key] = since
+		told := toldSince{earliest: notBefore.Add(-t.Age), latest: notAfter.Add(-t.Age)}
+		if known, ok := a.since[key]; ok {
+			told.merge(known)
 		}
+		a.since[key] = told
 	}
 	select {
 	case a.arrived <- struct{}{}:
@@ -60,24 +82,49 @@
 	}
 }
 
-// take returns the ages and removes them.
-func (a *toldAges) take() map[toldVersion]time.Time {
+// take returns the ages of the versions up to those in targets, and removes them. The others are kept until their versions arrive.
+func (a *toldAges) take(targets map[string]Target) map[toldVersion]toldSince {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := a.since
-	a.since = map[toldVersion]time.Time{}
+	out := map[toldVersion]toldSince{}
+	for v, since := range a.since {
+		if v.version <= targets[v.model].Version {
+			out[v] = since
+			delete(a.since, v)
+		}
+	}
 	return out
 }
 
+// earlier returns the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Ages returns the ages of the target versions that may not have replaced all older ones yet. It leaves out models
 // of which this process knows no age.
 func (d *Directory) Ages() []hub.TargetAge {
+	return d.agesSince(time.Time{})
+}
+
+// RecentAges is Ages for the models whose newest target version was set a short time ago.
+func (d *Directory) RecentAges() []hub.TargetAge {
+	return d.agesSince(time.Now().Add(-recentBounds * d.options.SwitchBound))
+}
+
+// agesSince is Ages for the models whose newest target version was set after the given time.
+func (d *Directory) agesSince(begin time.Time) []hub.TargetAge {
 	now := time.Now()
 	targets := d.Current().targets
 	var out []hub.TargetAge
 	for _, model := range slices.Sorted(maps.Keys(targets)) {
 		target := targets[model]
-		out = append(out, target.ages(model, now, d.options.SwitchBound)...)
+		if n := len(target.Named); n > 0 && target.Named[n-1].Since.After(begin) {
+			out = append(out, target.ages(model, now, d.options.SwitchBound)...)
+		}
 	}
 	return out
 }
@@ -114,8 +161,10 @@
 	return false
 }
 
-// LearnAges takes ages that another process has told at a time not before asOf.
-func (d *Directory) LearnAges(ages []hub.TargetAge, asOf time.Time) { d.told.add(ages, asOf) }
+// LearnAges takes ages that another process has told, as of a time between notBefore and notAfter.
+func (d *Directory) LearnAges(ages []hub.TargetAge, notBefore, notAfter time.Time) {
+	d.told.add(ages, notBefore, notAfter)
+}
 
 // applyToldAges updates the target versions by the ages that were told, and reports whether that has changed any. Until
 // the first directives are applied they are kept.
@@ -124,42 +173,53 @@
 		return false
 	}
 	targets := maps.Clone(d.targets)
-	for v, since := range d.told.take() {
-		target, ok := targets[v.model].withTold(v, since)
+	for v, told := range d.told.take(targets) {
+		target, ok := targets[v.model].withTold(v, told)
 		if !ok {
 			continue
 		}
 		changed = true
 		targets[v.model] = target
-		d.options.Log.Info().Str("Model", v.model).Uint64("Version", v.version).Dur("Age", time.Since(since)).Bool("Assumed", v.assumed).
+		d.options.Log.Info().Str("Model", v.model).Uint64("Version", v.version).Dur("Age", time.Since(told.latest)).Bool("Assumed", v.assumed).
 			Msg("age of target version learned")
 	}
 	d.targets = targets
 	return changed
 }
 
-// withTold returns t with a version that another process has told to be set since a time, or false if t stays as it is. A
+// withTold returns t with the time since which another process says that a version is set, or false if t stays as it is. A
 // version that was replaced before this process started is added: its own deadline must not be extended to that of the
 // version found at the start. An assumed age replaces none.
-func (t Target) withTold(v toldVersion, since time.Time) (Target, bool) {
+func (t Target) withTold(v toldVersion, told toldSince) (Target, bool) {
 	i, found := slices.BinarySearchFunc(t.Named, v.version, func(n Named, version uint64) int { return cmp.Compare(n.Version, version) })
-	told := Named{Version: v.version, Since: since, source: ageTold}
-	if v.assumed {
-		told.source = ageAssumed
-	}
 	named := Target{Version: t.Version, Named: slices.Clone(t.Named)}
 	switch {
-	case found && !v.assumed && replaces(&t.Named[i], since):
-		named.Named[i] = told
+	case found && !v.assumed:
+		corrected, ok := t.Named[i].corrected(told)
+		named.Named[i] = corrected
+		return named, ok
 	case !found && i < len(t.Named) && t.Named[i].source != ageSeen && len(t.Named) < maxNamedVersions:
-		named.Named = slices.Insert(named.Named, i, told)
+		added := Named{Version: v.version, Since: told.earliest, source: ageTold}
+		if v.assumed {
+			added.source = ageAssumed
+		}
+		named.Named = slices.Insert(named.Named, i, added)
+		return named, true
 	default:
 		return t, false
 	}
-	return named, true
 }
 
-// replaces reports whether a told time is to replace that of n: an assumed one, or one that was told and is later.
-func replaces(n *Named, since time.Time) bool {
-	return n.source == ageAssumed || n.source == ageTold && since.Before(n.Since)
+// corrected returns n with the time that another process has told, or false if n stays as it is. An assumed time is replaced by the
+// earliest possible one. A known time is replaced only by one that is earlier even if the message took no time: if processes that tell
+// each other ages added the times of their messages, these would grow with each exchange.
+func (n Named) corrected(told toldSince) (Named, bool) {
+	switch {
+	case n.source == ageAssumed:
+		return Named{Version: n.Version, Since: told.earliest, source: ageTold}, true
+	case n.Since.Sub(told.latest) >= minCorrection:
+		return Named{Version: n.Version, Since: told.latest, source: n.source}, true
+	default:
+		return n, false
+	}
 }
