upstream/stager: an engine gives up an older version before its bound

Callers saw responses of an older version past the bound, from engines that had not fetched the newer one: requests sent in time were still on their way behind a busy link, or in the engine's queue, and closing their connections reached the engine together with them or later. All guards stood at the entry processes, whose clock, processor time and link decide when their request or its end arrives.

The side process now orders its engine, 600 ms before the bound, to load a single layer of a newer version of which it has all chunks, else of the one that the engine holds. An engine that lacks layers refuses requests as not run, wherever they come from; entry processes send it none by then. An engine with some layers is reported as holding no version. The content is loaded whole once it is complete.

--- a/internal/hub/fleet.go
+++ b/internal/hub/fleet.go
@@ -215,4 +215,16 @@
 	Orders uint64
 	// AbortRunning aborts the requests in progress instead of waiting for them to finish.
 	AbortRunning bool
+	// Layers are the layers to load, all if it is empty.
+	Layers LayerRange
 }
+
+// LayerRange is a range of the layers of a model.
+type LayerRange struct {
+	First int
+	// End is the first layer after the range.
+	End int
+}
+
+// Empty reports whether the range contains no layers.
+func (r LayerRange) Empty() bool { return r.End <= r.First }
--- a/internal/upstream/stager/engine_test.go
+++ b/internal/upstream/stager/engine_test.go
@@ -18,6 +18,8 @@
 	report hub.UpstreamReport
 	// loads are the versions loaded, 0 for a load of chunks that were not all of the ordered version.
 	loads []uint64
+	// partial are the orders to load some of the layers.
+	partial []hub.LoadOrder
 	// aborted is true if the last order aborted the requests in progress.
 	aborted bool
 	changed chan struct{}
@@ -78,14 +80,20 @@
 		e.conflicts--
 		return hub.ErrConflict
 	}
+	e.report.Orders++
+	if !o.Layers.Empty() {
+		e.report.Held, e.report.Layers = o.Version, o.Layers.End-o.Layers.First
+		e.partial = append(e.partial, o)
+		e.changed <- struct{}{}
+		return nil
+	}
 	version := o.Version
 	for i := range chunks {
 		if !bytes.Equal(e.staged[i], chunkOf(o.Version, i)) {
 			version = 0
 		}
 	}
-	e.report.Orders++
-	e.report.Held = version
+	e.report.Held, e.report.Layers = version, -1
 	e.loads = append(e.loads, version)
 	e.aborted = o.AbortRunning
 	e.changed <- struct{}{}
--- a/internal/upstream/stager/origin_test.go
+++ b/internal/upstream/stager/origin_test.go
@@ -24,6 +24,8 @@
 	mu           sync.Mutex
 	down         bool
 	corruptReads int
+	// missing are the chunks that can't be read.
+	missing []int
 	// reads is the number of chunks read of each version.
 	reads map[uint64]int
 }
@@ -56,7 +58,7 @@
 func (o *origin) Read(_ context.Context, version string, offset, length int64) (io.ReadCloser, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.down {
+	if o.down || slices.Contains(o.missing, int(offset/chunkBytes)) {
 		return nil, hub.ErrUnavailable
 	}
 	v, err := strconv.ParseUint(version, 10, 64)
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -164,6 +164,9 @@
 		s.tell(report)
 		return
 	}
+	if !allLayersLoaded(service, report) {
+		report.Held = 0
+	}
 	told := report
 	told.Busy = report.Busy || s.loadsSoon(service, report.Held)
 	told.LoadIn = s.loadIn(service, report.Held)
@@ -213,9 +216,6 @@
 		return
 	}
 	held := report.Held
-	if !allLayersLoaded(service, report) {
-		held = 0
-	}
 	s.startFetch(ctx, service, held)
 	if held >= service.Target.Version {
 		s.fire(EventServe)
@@ -229,6 +229,7 @@
 	}
 	best := s.newestComplete(held)
 	if best == nil {
+		s.withdrawOlder(ctx, service, report)
 		return
 	}
 	s.fire(EventHeld)
--- /dev/null
+++ b/internal/upstream/stager/withdraw.go
@@ -0,0 +1,101 @@
+package stager
+
+import (
+	"context"
+	"time"
+
+	"github.com/oriolehub/oriolehub/internal/hub"
+	"github.com/oriolehub/oriolehub/internal/state/directory"
+	"github.com/oriolehub/oriolehub/internal/weights/replica"
+)
+
+const (
+	// withdrawMargin is the time before the end of SwitchBound at which an engine gives up an older version if it can't load a newer
+	// one by then, maxWithdrawPart its maximum as a part of SwitchBound. The requests that have got a slot by then begin within this
+	// time.
+	withdrawMargin  = 600 * time.Millisecond
+	maxWithdrawPart = 0.1
+)
+
+// withdrawOlder makes the engine give up the older version that it holds if that is due to be replaced and no newer one is complete:
+// it orders the engine to load a single layer of a newer version. An engine that lacks layers runs no requests, so that none begins on the
+// older version that was sent too late, is still on its way or waits in the engine's queue.
+func (s *Stager) withdrawOlder(ctx context.Context, service *directory.Service, report hub.UpstreamReport) {
+	if report.Busy || time.Since(s.orderedAt) < orderGrace || !s.mustWithdraw(service, report.Held) {
+		return
+	}
+	order := hub.LoadOrder{Model: service.Engine.Model, Version: report.Held, Orders: report.Orders, Layers: hub.LayerRange{End: 1}}
+	if f, layer, ok := s.completeLayer(service.Engine, report.Held); ok {
+		if !s.stageLayer(ctx, service.Engine, f, layer) {
+			return
+		}
+		order.Version, order.Layers = f.version, hub.LayerRange{First: layer, End: layer + 1}
+	}
+	s.orderedAt = time.Now()
+	err := s.options.Engine.Load(ctx, order)
+	line := s.options.Log.Warn()
+	if err != nil {
+		line = line.Err(err)
+	}
+	line.Uint64("Held", report.Held).Uint64("Version", order.Version).Int("Layer", order.Layers.First).Int("Running", report.Running).
+		Int("Waiting", report.Waiting).Msg("older version withdrawn from the engine; no newer one is complete")
+}
+
+// mustWithdraw reports whether the version that the engine holds is about to be due for replacement.
+func (s *Stager) mustWithdraw(service *directory.Service, held uint64) bool {
+	next, ok := service.Target.After(held)
+	bound := s.options.SwitchBound()
+	margin := min(withdrawMargin, fraction(bound, maxWithdrawPart))
+	return held != 0 && ok && time.Since(next.Since) >= bound-margin
+}
+
+// completeLayer returns the newest version above held of which all chunks of some layer have been fetched, and that layer.
+func (s *Stager) completeLayer(e *hub.EngineModel, held uint64) (newest *fetch, layer int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for version, f := range s.fetches {
+		if version <= held || f.replica == nil || newest != nil && version < newest.version {
+			continue
+		}
+		if l, found := firstCompleteLayer(e, f.replica); found {
+			newest, layer, ok = f, l, true
+		}
+	}
+	return newest, layer, ok
+}
+
+// firstCompleteLayer returns the first layer of which r has all chunks.
+func firstCompleteLayer(e *hub.EngineModel, r *replica.Replica) (int, bool) {
+	for layer := range e.Layers {
+		first, end := layerChunks(e, layer)
+		complete := true
+		for i := first; i < end; i++ {
+			complete = complete && r.Has(i)
+		}
+		if complete {
+			return layer, true
+		}
+	}
+	return 0, false
+}
+
+// layerChunks returns the range of the chunks that contain a layer.
+func layerChunks(e *hub.EngineModel, layer int) (first, end int) {
+	return layer * e.Chunks / e.Layers, ((layer+1)*e.Chunks + e.Layers - 1) / e.Layers
+}
+
+// stageLayer stages the chunks of a layer. It returns false if one of them can't be staged.
+func (s *Stager) stageLayer(ctx context.Context, e *hub.EngineModel, f *fetch, layer int) bool {
+	first, end := layerChunks(e, layer)
+	for i := first; i < end; i++ {
+		chunk, err := f.replica.Chunk(i)
+		if err == nil {
+			err = s.options.Engine.Stage(ctx, e.Model, i, chunk)
+		}
+		if err != nil {
+			s.options.Log.Warn().Int("Chunk", i).Err(err).Msg("chunk could not be staged; older version not withdrawn")
+			return false
+		}
+	}
+	return true
+}
