--- a/internal/soak/cluster/cluster.go
+++ b/internal/soak/cluster/cluster.go
@@ -56,6 +56,8 @@
 	// Observe is called with each request at an upstream, OnExit with each process that ends by itself.
 	Observe func(standin.Arrival)
 	OnExit  func(error)
+	// Began is called with each request that an engine begins to answer.
+	Began func(standin.Beginning)
 	// BrokeOff is called with the ID of each request whose response an upstream breaks off.
 	BrokeOff func(requestId string)
 	// Ended is called with the ID of each request on which an upstream has ceased to work.
@@ -97,7 +99,7 @@
 }
 
 func (c *Cluster) start() error {
-	site, err := standin.NewSite(standin.SiteOptions{Faults: c.options.Faults, Observe: c.options.Observe, BrokeOff: c.options.BrokeOff, Ended: c.options.Ended, Front: c.front})
+	site, err := standin.NewSite(standin.SiteOptions{Faults: c.options.Faults, Observe: c.options.Observe, Began: c.options.Began, BrokeOff: c.options.BrokeOff, Ended: c.options.Ended, Front: c.front})
 	if err != nil {
 		return err
 	}
