route/forward: the limit of an attempt follows versions that are named later

Callers saw responses of an older version that had waited in an engine's queue since before the newer one was named: the limit of an attempt was set once, by what was known at the choice. An attempt without a limit never got one, and one with a limit kept it when the age of the version was corrected. The limit is looked at again at least every 250 ms until the response starts.

--- a/internal/route/forward/startlimit.go
+++ b/internal/route/forward/startlimit.go
@@ -7,6 +7,10 @@
 	"github.com/oriolehub/oriolehub/internal/route/placement"
 )
 
+// recheckInterval is the maximum time after which a limit follows a version that was named, or an age that was corrected, after its
+// attempt began.
+const recheckInterval = 250 * time.Millisecond
+
 // startLimit ends an attempt whose response has not started by the time at which the version of its upstream is due to be replaced,
 // unless the upstream serves a newer version by then. It is safe for concurrent use.
 type startLimit struct {
@@ -14,28 +18,33 @@
 	end    func()
 
 	mu sync.Mutex
-	// timer is nil if there is no limit or once it has been removed.
+	// timer is nil for an upstream without versions, and once the limit has been removed.
 	timer *time.Timer
 }
 
 // newStartLimit returns the limit of an attempt at the upstream of c, which end ends.
 func newStartLimit(c *placement.Choice, end func()) *startLimit {
 	l := &startLimit{choice: c, end: end}
+	if c.Held == 0 {
+		return l
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.schedule(c.StartBy)
 	return l
 }
 
-// schedule makes pass be called at the given time, or removes the limit if that is zero. The caller holds mu.
+// schedule makes pass be called at the given time, zero if there is no limit yet, or to look for another limit before. The caller holds
+// mu.
 func (l *startLimit) schedule(at time.Time) {
-	l.timer = nil
+	wait := recheckInterval
 	if !at.IsZero() {
-		l.timer = time.AfterFunc(time.Until(at), l.pass)
+		wait = min(wait, time.Until(at))
 	}
+	l.timer = time.AfterFunc(wait, l.pass)
 }
 
-// pass ends the attempt unless the limit has been removed meanwhile or is later for the version that the upstream serves now.
+// pass ends the attempt unless the limit has been removed meanwhile or is later, by what is known now of the versions.
 func (l *startLimit) pass() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/route/placement/version.go
+++ b/internal/route/placement/version.go
@@ -18,10 +18,10 @@
 )
 
 // startBy returns the time by which the response of an upstream that serves the version held must have started, or zero
-// if there is no such limit.
+// if there is no such limit. An upstream that serves no version refuses its requests itself.
 func (p *Placement) startBy(s *directory.Service, held uint64) time.Time {
 	next, ok := s.Target.After(held)
-	if s.Engine == nil || !ok {
+	if s.Engine == nil || held == 0 || !ok {
 		return time.Time{}
 	}
 	return next.Since.Add(p.options.SwitchBound() - startMargin)
