state/directory: the log tells from where a change of the desired state came

Cause: "target version changed", "desired state in force" and "failure domain out of service" told neither whether this process read the change in the store or was sent it, nor whether it acted on it at once.

Change: the catalog keeps for the current revision of each document the process that sent it, and when it came; merge passes on the sender that it knows. The lines above, and "failure domain back in service", have From (a process, or "store") and Queued (ms from the arrival in the catalog until in force). If a newer revision has come meanwhile the fields are left out. No logic reads the arrival.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -76,25 +76,15 @@
 }
 
 // PutDocument stores d and returns true if its revision is higher than the stored one.
-func (c *Catalog) PutDocument(d hub.Document) bool {
-	if c.Document(d.Name).Revision >= d.Revision {
-		return false
-	}
-	// A document that is not a list has no changed entries.
-	l, err := listing.Parse(d.Value)
-	if err != nil {
-		l = nil
-	}
-	return c.put(d, l)
-}
+func (c *Catalog) PutDocument(d hub.Document) bool { return c.ReceiveDocument(d, "") }
 
 // PutList stores a document that is a list and returns true if its revision is higher than the stored one.
 func (c *Catalog) PutList(name string, revision uint64, l *listing.List) bool {
-	return c.put(hub.Document{Name: name, Revision: revision, Value: l.Value()}, l)
+	return c.ReceiveList(name, revision, l, "")
 }
 
-// put stores d; l is its list, nil if it is not a list.
-func (c *Catalog) put(d hub.Document, l *listing.List) bool {
+// put stores d, which came from the given process; l is its list, nil if it is not a list.
+func (c *Catalog) put(d hub.Document, l *listing.List, from string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.documents[d.Name]
@@ -106,6 +96,7 @@
 	}
 	c.documents[d.Name] = h
 	h.put(d, l)
+	h.arrival = Arrival{Revision: d.Revision, From: from, At: time.Now()}
 	close(c.documentsChanged)
 	c.documentsChanged = make(chan struct{})
 	c.notify()
--- a/internal/state/catalog/history.go
+++ b/internal/state/catalog/history.go
@@ -15,6 +15,8 @@
 // history is a document with what is kept of its earlier revisions.
 type history struct {
 	current hub.Document
+	// arrival tells how current came to this process.
+	arrival Arrival
 	// earlier holds up to maxBaseRevisions revisions, the oldest first; it is empty for lists.
 	earlier []hub.Document
 	// list is the history of a document that is a list.
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -185,7 +185,8 @@
 		return
 	}
 	next.Configuration, next.Revision = c, doc.Revision
-	d.options.Log.Info().Uint64("Version", c.Version).Uint64("Revision", doc.Revision).Int("Routes", len(c.Routes)).Int("Accounts", len(c.Accounts)).Msg("desired state in force")
+	line := d.options.Log.Info().Uint64("Version", c.Version).Uint64("Revision", doc.Revision).Int("Routes", len(c.Routes)).Int("Accounts", len(c.Accounts))
+	d.withArrival(line, mirror.DocumentConfiguration, doc.Revision).Msg("desired state in force")
 }
 
 // applyDirectives sets the evacuated failure domains in next and updates the target versions. Entries that cannot be
@@ -259,7 +260,8 @@
 			source = ageAssumed
 		}
 		targets[t.Model] = known.withVersion(t.Version, since, source)
-		d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", revision).Msg("target version changed")
+		line := d.options.Log.Info().Str("Model", t.Model).Uint64("Version", t.Version).Uint64("Before", known.Version).Uint64("Revision", revision)
+		d.withArrival(line, mirror.DocumentDirectives, revision).Msg("target version changed")
 	}
 	d.targets = targets
 }
@@ -268,12 +270,14 @@
 func (d *Directory) logEvacuations(now map[string]uint64, revision uint64) {
 	for domain := range now {
 		if _, ok := d.evacuated[domain]; !ok {
-			d.options.Log.Info().Str("Domain", domain).Uint64("Revision", revision).Msg("failure domain out of service")
+			line := d.options.Log.Info().Str("Domain", domain).Uint64("Revision", revision)
+			d.withArrival(line, mirror.DocumentDirectives, revision).Msg("failure domain out of service")
 		}
 	}
 	for domain := range d.evacuated {
 		if _, ok := now[domain]; !ok {
-			d.options.Log.Info().Str("Domain", domain).Uint64("Revision", revision).Msg("failure domain back in service")
+			line := d.options.Log.Info().Str("Domain", domain).Uint64("Revision", revision)
+			d.withArrival(line, mirror.DocumentDirectives, revision).Msg("failure domain back in service")
 		}
 	}
 }
--- a/internal/state/exchange/documents.go
+++ b/internal/state/exchange/documents.go
@@ -53,11 +53,11 @@
 func merge(c *catalog.Catalog, from string, documents []*message.Document, members []*message.Member) {
 	for _, d := range documents {
 		if d.GetEntries() {
-			applyEntries(c, d)
+			applyEntries(c, d, from)
 			continue
 		}
 		if value, ok := fullValue(c, d); ok {
-			c.PutDocument(hub.Document{Name: d.GetName(), Revision: d.GetRevision(), Value: value})
+			c.ReceiveDocument(hub.Document{Name: d.GetName(), Revision: d.GetRevision(), Value: value}, from)
 		}
 	}
 	for _, m := range members {
@@ -81,9 +81,9 @@
 	return value, err == nil
 }
 
-// applyEntries stores the list after the received changes if they lead to a newer one. If they do not fit, the list is
-// requested whole.
-func applyEntries(c *catalog.Catalog, d *message.Document) {
+// applyEntries stores the list after the changes received from a process if they lead to a newer one. If they do not fit,
+// the list is requested whole.
+func applyEntries(c *catalog.Catalog, d *message.Document, from string) {
 	known, revision := c.List(d.GetName())
 	if known == nil || d.GetRevision() <= revision || revision < d.GetBaseRevision() {
 		return
@@ -93,5 +93,5 @@
 		c.SetInconsistent(d.GetName())
 		return
 	}
-	c.PutList(d.GetName(), d.GetRevision(), l)
+	c.ReceiveList(d.GetName(), d.GetRevision(), l, from)
 }
