route/forward: lines and metrics of attempts at versions that are due to be replaced

Change: "upstream chosen" has ReplacedIn (ms until the response must have started), only if the version of the upstream is due to be replaced; "attempt failed" has it if EndedBy is "version", besides SinceSent. Counters: oriolehub_attempts_at_older_versions_total{left="over_1s", "under_1s", "none"} and oriolehub_attempts_ended_for_version_total. No choice depends on them.

--- a/internal/route/forward/exchange.go
+++ b/internal/route/forward/exchange.go
@@ -425,7 +425,7 @@
 		x.handler.sentToLimited.Inc()
 		line = line.Float64("RateLimit", limit.PerSecond)
 	}
-	line.Msg("upstream chosen")
+	x.handler.replacements.sent(c, line).Msg("upstream chosen")
 }
 
 // logLeaving logs the first response in which the upstream says that it is leaving.
@@ -461,5 +461,9 @@
 	if !trace.SentAt.IsZero() {
 		line = line.Dur("SinceSent", time.Since(trace.SentAt)).Bool("Reused", trace.Reused)
 	}
-	line.Str("EndedBy", endedBy(err)).Err(err).Msg("attempt failed")
+	by := endedBy(err)
+	if by == endedByVersion {
+		line = x.handler.replacements.endedAttempt(c, line)
+	}
+	line.Str("EndedBy", by).Err(err).Msg("attempt failed")
 }
--- a/internal/route/forward/handler.go
+++ b/internal/route/forward/handler.go
@@ -72,7 +72,9 @@
 	sentToLimited *metrics.Counter
 	// panics counts the requests whose handling panicked.
 	panics *metrics.Counter
-	memory budgets
+	// replacements counts the attempts at upstreams whose versions are due to be replaced.
+	replacements replacements
+	memory       budgets
 	// times are the times that responses take.
 	times responseTimes
 }
@@ -88,6 +90,7 @@
 		times:         newResponseTimes(o.Metrics),
 		sentToLimited: o.Metrics.NewCounter("oriolehub_attempts_at_limited_upstreams_total"),
 		panics:        o.Metrics.NewCounter("oriolehub_request_panics_total"),
+		replacements:  newReplacements(o.Metrics),
 	}
 }
 
--- a/internal/route/forward/hedgeversion_test.go
+++ b/internal/route/forward/hedgeversion_test.go
@@ -80,6 +80,12 @@
 
 // withVersionedEntry starts an entry process with a route for streams to engines whose versions are replaced within bound.
 func withVersionedEntry(t *testing.T, p *pipes, bound time.Duration) (*fixture, *placement.Placement, http.Handler) {
+	t.Helper()
+	return withVersionedEntryOptions(t, p, bound, func(*forward.Options) {})
+}
+
+// withVersionedEntryOptions is withVersionedEntry with options that change changes.
+func withVersionedEntryOptions(t *testing.T, p *pipes, bound time.Duration, change func(*forward.Options)) (*fixture, *placement.Placement, http.Handler) {
 	t.Helper()
 	var placed *placement.Placement
 	var h http.Handler
@@ -92,6 +98,7 @@
 			Concurrency: concurrency.Settings{Enabled: true, InitialShare: 0.25},
 		})
 		o.Placement = placed
+		change(o)
 	}})
 	engine := &hub.EngineModel{Model: "m", Slots: 4, ReadPerSecond: 10000, Pass: 50 * time.Millisecond, UsualPrompt: 1000, Layers: 2, Chunks: 2}
 	f.publisher.PublishConfiguration(hub.Configuration{
