upstream/stager, process/node: how late orders and engines are with a version

Change: "load ordered" has Due, the ms until the bound of the oldest newer version, negative if late. New line "engine holds version", one for each version, with SinceNamed and SinceOrdered. Gauges: oriolehub_engine_version_overdue_seconds at side processes, and oriolehub_target_version_age_seconds (-1 without a target) at all processes of this kind. Computed at the order, at the change of the version and at a scrape only.

Measured: TestOverdueIsTheTimeSinceTheBoundOfTheNextVersion, TestLogTellsHowLateAnOrderAndALoadAre, TestNewestTargetIsTheOneNamedLast and TestAgeOfTheTargetVersionIsKnownOnlyOnceOneIsNamed pass; state/catalog, state/directory and upstream/stager pass with -race; of process/node also TestRestartedEntryServesOlderVersionWhileTheNamedOneIsFetched, which registers the gauges of both roles; the rest of process/node was not run. make lint clean.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -228,6 +228,7 @@
 	n.metrics.NewGauge("oriolehub_log_lines_dropped", func() float64 { return float64(n.journal.Dropped()) })
 	n.countTraffic()
 	n.metrics.NewGauge("oriolehub_configuration_revision", func() float64 { return float64(n.directory.Current().Revision) })
+	n.metrics.NewGauge("oriolehub_target_version_age_seconds", n.targetVersionAge)
 	n.metrics.NewGauge("oriolehub_listed_upstreams", func() float64 { return float64(n.ListedUpstreams()) })
 	n.metrics.NewGauge("oriolehub_store_reachable", func() float64 {
 		if n.mirror.Reachable() {
--- a/internal/process/node/side.go
+++ b/internal/process/node/side.go
@@ -78,6 +78,7 @@
 		return nil, err
 	}
 	e.metrics.NewGauge("oriolehub_chunk_bytes_sent_total", func() float64 { return float64(e.ChunkBytesSent()) })
+	e.metrics.NewGauge("oriolehub_engine_version_overdue_seconds", func() float64 { return e.stager.Overdue().Seconds() })
 	upstream, err := netip.ParseAddrPort(s.Upstream)
 	if err != nil {
 		return nil, fmt.Errorf("parse address of the upstream: %w", err)
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -78,6 +78,8 @@
 
 	// orderedAt is the time of the last load order, zero if none is pending.
 	orderedAt time.Time
+	// held is the version that the engine held completely at the last poll.
+	held uint64
 	// lastReport is the last report, unchanged the number of polls since it changed.
 	lastReport hub.UpstreamReport
 	unchanged  int
@@ -216,6 +218,7 @@
 	if !allLayersLoaded(service, report) {
 		held = 0
 	}
+	s.logHeld(service, held, &report)
 	s.startFetch(ctx, service, held)
 	if held >= service.Target.Version {
 		s.fire(EventServe)
@@ -284,6 +287,7 @@
 		return
 	}
 	s.orderedAt = time.Now()
+	due, hasDue := s.due(service, held)
 	s.fire(EventOrder)
 	order := hub.LoadOrder{Model: model, Version: f.version, Orders: report.Orders, AbortRunning: s.abortsRunning()}
 	err := s.options.Engine.Load(ctx, order)
@@ -291,6 +295,9 @@
 	if err != nil {
 		line = s.options.Log.Warn().Err(err)
 	}
+	if hasDue {
+		line = line.Dur("Due", due)
+	}
 	line.Str("Model", model).Uint64("Version", f.version).Uint64("Before", report.Held).Int64("Born", report.Born).
 		Uint64("Orders", report.Orders).Int("Running", report.Running).Int("Waiting", report.Waiting).Bool("AbortRunning", order.AbortRunning).Dur("Staging", took).Dur("SinceStaging", staging.elapsed()).Dur("SinceHeld", time.Since(f.heldAt)).Msg("load ordered")
 	if errors.Is(err, hub.ErrConflict) {
