--- a/internal/upstream/stager/due.go
+++ b/internal/upstream/stager/due.go
@@ -33,8 +33,11 @@
 }
 
 // logHeld logs the first report by which the engine holds all layers of a version.
-func (s *Stager) logHeld(service *directory.Service, held uint64, report *hub.UpstreamReport) {
-	before := s.held
+func (s *Stager) logHeld(service *directory.Service, report *hub.UpstreamReport) {
+	before, held := s.held, report.Held
+	if !allLayersLoaded(service, *report) {
+		held = 0
+	}
 	s.held = held
 	if held == 0 || held == before {
 		return
--- a/internal/upstream/stager/due_test.go
+++ b/internal/upstream/stager/due_test.go
@@ -59,13 +59,13 @@
 		f := &fetch{version: 2, heldAt: time.Now(), replica: &replica.Replica{}}
 		s.fetches[2] = f
 		before := hub.UpstreamReport{Held: 1, Layers: -1, Born: 1}
-		s.logHeld(service, 1, &before)
+		s.logHeld(service, &before)
 		time.Sleep(turnBound + late)
 		s.orderLoad(t.Context(), service, f, 1, before)
 		time.Sleep(loads)
 		after := hub.UpstreamReport{Held: 2, Layers: -1, Born: 1}
-		s.logHeld(service, 2, &after)
-		s.logHeld(service, 2, &after)
+		s.logHeld(service, &after)
+		s.logHeld(service, &after)
 		assertLine(t, logged, "load ordered", `"Due":-1000,`)
 		assertLine(t, logged, "engine holds version", `"Version":2,"Before":1,`, `"SinceNamed":9250,"SinceOrdered":250,`)
 	})
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -170,6 +170,7 @@
 	told.Busy = report.Busy || s.loadsSoon(service, report.Held)
 	told.LoadIn = s.loadIn(service, report.Held)
 	s.tell(told)
+	s.logHeld(service, &report)
 	s.reconcile(ctx, service, report)
 }
 
@@ -218,7 +219,6 @@
 	if !allLayersLoaded(service, report) {
 		held = 0
 	}
-	s.logHeld(service, held, &report)
 	s.startFetch(ctx, service, held)
 	if held >= service.Target.Version {
 		s.fire(EventServe)
