route/forward: a choice is looked at again before its request is sent

Cause: an upstream was chosen, and its request sent once a connection was open, up to 0.3 s later, or later still if the process was stopped in between. What had become known meanwhile did not count: the upstream was leaving, gone, out of service, had asked for a pause, or its version had become due to be replaced.

Change: channel.Call.Allowed is asked right before the first byte; Choice.MayStillStart looks at the list, the failure domain, what the upstream has said and the oldest version that may serve. A call that is not allowed any more counts as not sent, and neither as a failure of its upstream nor as a reset by its limit of connections. The next choice leaves that upstream out. It applies to first attempts, hedges and resumed streams alike.

--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -36,6 +36,9 @@
 	if err := r.conn.allowLateRead(len(call.Body) > longBodyBytes); err != nil {
 		return err
 	}
+	if call.Allowed != nil && !call.Allowed() {
+		return ErrWithdrawn
+	}
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: r.Reused}
 	}
@@ -114,7 +117,7 @@
 		}
 		return fmt.Errorf("%w: %w", state, cause)
 	}
-	if call.MaxConnections > 0 && !reused && (!ok || c.lostByLimit(err)) {
+	if call.MaxConnections > 0 && !reused && err != ErrWithdrawn && (!ok || c.lostByLimit(err)) {
 		p.resetByLimit(c.address, ok)
 		return fmt.Errorf("%w: %w: %w", state, ErrReset, err)
 	}
--- a/internal/route/forward/attempt.go
+++ b/internal/route/forward/attempt.go
@@ -117,6 +117,7 @@
 		Service:        x.service,
 		MaxConnections: x.maxConnections(),
 		Trace:          trace,
+		Allowed:        c.MayStillStart,
 	}
 }
 
--- a/internal/route/forward/pipe_test.go
+++ b/internal/route/forward/pipe_test.go
@@ -23,6 +23,8 @@
 	accepted  chan net.Conn
 	closed    chan struct{}
 	closeOnce sync.Once
+	// dialTime is the time that a connection to an upstream takes.
+	dialTime time.Duration
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -65,6 +67,7 @@
 }
 
 func (p *pipes) dial(_ context.Context, address string) (net.Conn, error) {
+	time.Sleep(p.dialTime)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u := p.upstreams[address]
