wire/response: the scan of heads passes over further blanks before a status

Cause: net/http accepts any number of blanks between the version and the status. The scan of the standard transport looked for the status behind the first blank, took an interim head with two for the final one, and ended there: a folded line in the final head was not seen, and the body could be another one than the server's.

Change: further blanks before the status are left out of what is compared.

Measured: TestTransportScansBehindAnInterimHeadWithMoreBlanks fails before (2 blanks: no error, body "whole") and passes after. TestTransportFailsForTextThatIsNoStatus passed before as well: 14 texts, four forms each. go test of wire/response, upstream/attempt and platform passes; lint is clean.

--- a/internal/wire/response/headconn.go
+++ b/internal/wire/response/headconn.go
@@ -48,7 +48,7 @@
 // headReader scans the head of a final response and those of the interim ones before it.
 type headReader struct {
 	scan Scan
-	// begin holds the first bytes of the head, length of them.
+	// begin holds the first bytes of the head without further blanks before the status, length of them.
 	begin  [statusAt + 3]byte
 	length int
 	// done is true once the head of a final response has ended.
@@ -66,7 +66,7 @@
 }
 
 func (r *headReader) addByte(b byte) {
-	if r.length < len(r.begin) {
+	if r.length < len(r.begin) && !r.beforeStatus(b) {
 		r.begin[r.length] = b
 		r.length++
 	}
@@ -78,6 +78,9 @@
 	}
 }
 
+// beforeStatus reports whether b is a further blank before the status, which package net/http passes over.
+func (r *headReader) beforeStatus(b byte) bool { return r.length == statusAt && b == ' ' }
+
 // interim reports whether the head is that of an interim response.
 func (r *headReader) interim() bool {
 	status := string(r.begin[statusAt:])
