state/directory: a version that a process has missed counts too

A process that was suspended while two versions were named saw the second one only, and took the one before the first for allowed until the second one's bound. A told version between two known ones is now added also if the process saw the later one arrive.

TestVersionThatThisProcessMissedIsDueByItsToldAge failed before. TestVersionBeforeTheOneFoundAtTheStartIsDueByItsToldAge held that such a version is ignored, also if its age is known: it asserts the deadline of that version now, and of those beside it as before.

--- a/internal/state/directory/ages.go
+++ b/internal/state/directory/ages.go
@@ -188,8 +188,8 @@
 }
 
 // withTold returns t with the time since which another process says that a version is set, or false if t stays as it is. A
-// version that was replaced before this process started is added: its own deadline must not be extended to that of the
-// version found at the start. An assumed age replaces none.
+// version that was replaced before this process started, or that it has missed, is added: its own deadline must not be extended to that
+// of the next version. An assumed age replaces none.
 func (t Target) withTold(v toldVersion, told toldSince) (Target, bool) {
 	i, found := slices.BinarySearchFunc(t.Named, v.version, func(n Named, version uint64) int { return cmp.Compare(n.Version, version) })
 	named := Target{Version: t.Version, Named: slices.Clone(t.Named)}
@@ -198,7 +198,7 @@
 		corrected, ok := t.Named[i].corrected(told)
 		named.Named[i] = corrected
 		return named, ok
-	case !found && i < len(t.Named) && t.Named[i].source != ageSeen && len(t.Named) < maxNamedVersions:
+	case !found && i < len(t.Named) && len(t.Named) < maxNamedVersions && (t.Named[i].source != ageSeen || !v.assumed):
 		added := Named{Version: v.version, Since: told.earliest, source: ageTold}
 		if v.assumed {
 			added.source = ageAssumed
