state/directory: the time of a message is not passed on as age

A process that starts takes the earliest possible time of a version from the first age that it is told, by the whole time of the call. It then told that age to all others, and since told ages correct known ones, a slow call would have made the version due too early everywhere. It passes on the latest possible time now.

--- a/internal/state/directory/ages.go
+++ b/internal/state/directory/ages.go
@@ -135,7 +135,7 @@
 	var out []hub.TargetAge
 	anyKnown := false
 	for _, n := range slices.Backward(t.Named) {
-		a := hub.TargetAge{Model: model, Version: n.Version, Age: now.Sub(n.Since), Assumed: n.source == ageAssumed}
+		a := hub.TargetAge{Model: model, Version: n.Version, Age: n.ageAt(now), Assumed: n.source == ageAssumed}
 		out = append(out, a)
 		anyKnown = anyKnown || !a.Assumed
 		if a.Age >= bound {
@@ -199,7 +199,7 @@
 		named.Named[i] = corrected
 		return named, ok
 	case !found && i < len(t.Named) && len(t.Named) < maxNamedVersions && (t.Named[i].source != ageSeen || !v.assumed):
-		added := Named{Version: v.version, Since: told.earliest, source: ageTold}
+		added := Named{Version: v.version, Since: told.earliest, latest: told.latest, source: ageTold}
 		if v.assumed {
 			added.source = ageAssumed
 		}
@@ -216,7 +216,7 @@
 func (n Named) corrected(told toldSince) (Named, bool) {
 	switch {
 	case n.source == ageAssumed:
-		return Named{Version: n.Version, Since: told.earliest, source: ageTold}, true
+		return Named{Version: n.Version, Since: told.earliest, latest: told.latest, source: ageTold}, true
 	case n.Since.Sub(told.latest) >= minCorrection:
 		return Named{Version: n.Version, Since: told.latest, source: n.source}, true
 	default:
--- a/internal/state/directory/ages_test.go
+++ b/internal/state/directory/ages_test.go
@@ -107,6 +107,19 @@
 	})
 }
 
+// Guards against a version that is due too early everywhere because a slow message told its age to a process that had started.
+func TestTimeOfAMessageIsNotPassedOnAsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := withVersionFoundAtTheStart(t, 2)
+		sent := time.Now()
+		time.Sleep(time.Second)
+		f.directory.LearnAges([]hub.TargetAge{{Model: "m", Version: 2, Age: 3 * time.Second}}, sent, time.Now())
+		f.directory.Rebuild()
+		f.assertDue(2, switchBound-4*time.Second)
+		assert.DeepEqual(t, f.directory.RecentAges(), []hub.TargetAge{{Model: "m", Version: 2, Age: 3 * time.Second}})
+	})
+}
+
 // Guards against a process whose clock stood still while its VM was suspended: the others must tell it for longer than the bound.
 func TestAgesOfVersionsAreToldForSomeTimeAfterTheBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -82,10 +82,21 @@
 type Named struct {
 	Version uint64
 	Since   time.Time
+	// latest is the latest possible time if Since is only the earliest possible one, else zero. Other processes are told the age since
+	// latest: the time of a message must not spread as age.
+	latest time.Time
 	// source is the source of Since.
 	source ageSource
 }
 
+// ageAt returns the age to tell other processes at the time now.
+func (n *Named) ageAt(now time.Time) time.Duration {
+	if !n.latest.IsZero() {
+		return now.Sub(n.latest)
+	}
+	return now.Sub(n.Since)
+}
+
 // Due returns the newest version that was set at least bound before now, or 0 if there is none. Upstreams with older
 // versions must not serve requests.
 func (t *Target) Due(now time.Time, bound time.Duration) uint64 {
