upstream/stager: no version that is due is loaded, and staging that fails does not keep an older one

An engine whose chunks can't be staged kept the older version past the bound, as did one whose whole load failed each time. The staging of a single layer had no limit of time, and the order let requests of any length run on before the load, other than the order of a whole load.

newestLoadable leaves out versions that are about to be due; withdrawOlder follows a load that was not ordered, needs no staging if that fails, and aborts requests in the cases in which a load does; stageLayer keeps to maxStagingTime.

--- a/internal/upstream/stager/engine_test.go
+++ b/internal/upstream/stager/engine_test.go
@@ -25,6 +25,8 @@
 	changed chan struct{}
 	// conflicts is the number of orders still to reject.
 	conflicts int
+	// refusesChunks is true if no chunk can be staged.
+	refusesChunks bool
 	// beforeStage is called once, before a chunk is staged, afterStage with each chunk that has been staged.
 	beforeStage func()
 	afterStage  func(chunk int)
@@ -55,6 +57,10 @@
 		before()
 	}
 	e.mu.Lock()
+	if e.refusesChunks {
+		e.mu.Unlock()
+		return hub.ErrUnavailable
+	}
 	e.staged[chunk] = slices.Clone(data)
 	after := e.afterStage
 	e.mu.Unlock()
--- a/internal/upstream/stager/origin_test.go
+++ b/internal/upstream/stager/origin_test.go
@@ -26,6 +26,8 @@
 	corruptReads int
 	// missing are the chunks that can't be read.
 	missing []int
+	// lacks reports whether a chunk of a version can't be read; nil if all can be.
+	lacks func(version uint64, chunk int) bool
 	// reads is the number of chunks read of each version.
 	reads map[uint64]int
 }
@@ -65,6 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.lacks != nil && o.lacks(v, int(offset/chunkBytes)) {
+		return nil, hub.ErrUnavailable
+	}
 	if o.reads == nil {
 		o.reads = map[uint64]int{}
 	}
--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -230,21 +230,24 @@
 	if s.machine.Current() == StateIdle {
 		s.fire(EventFetch)
 	}
-	best := s.newestComplete(held)
-	if best == nil {
+	if best := s.newestLoadable(service, held); best == nil || !s.load(ctx, service, best, report) {
 		s.withdrawOlder(ctx, service, report)
-		return
 	}
+}
+
+// load orders the load of the fetched version once it is the turn of this engine. It returns false if it orders nothing.
+func (s *Stager) load(ctx context.Context, service *directory.Service, best *fetch, report hub.UpstreamReport) bool {
 	s.fire(EventHeld)
 	if report.Busy || time.Since(s.orderedAt) < orderGrace {
-		return
+		return false
 	}
 	if s.machine.Current() == StateLoading {
 		s.fire(EventFailed)
 	}
-	if !time.Now().Before(s.turn(service.Target, held, best).load) {
-		s.orderLoad(ctx, service, best, held, report)
+	if time.Now().Before(s.turn(service.Target, report.Held, best).load) {
+		return false
 	}
+	return s.orderLoad(ctx, service, best, report.Held, report)
 }
 
 // leaves reports whether the engine leaves, by its own report or by the list of upstreams.
@@ -264,8 +267,9 @@
 }
 
 // orderLoad stages all chunks again, because staged ones may have become corrupt, and orders the load. It orders nothing if
-// that takes longer than maxStagingTime, as when the process or the VM is paused meanwhile: the next poll begins anew.
-func (s *Stager) orderLoad(ctx context.Context, service *directory.Service, f *fetch, held uint64, report hub.UpstreamReport) {
+// that takes longer than maxStagingTime, as when the process or the VM is paused meanwhile: the next poll begins anew. It returns
+// false if it orders nothing.
+func (s *Stager) orderLoad(ctx context.Context, service *directory.Service, f *fetch, held uint64, report hub.UpstreamReport) bool {
 	model := service.Engine.Model
 	staging := startStopwatch()
 	for i := range f.replica.Manifest.Chunks {
@@ -275,17 +279,17 @@
 		}
 		if err != nil {
 			s.options.Log.Warn().Int("Chunk", i).Err(err).Msg("chunk could not be staged; load not ordered")
-			return
+			return false
 		}
 	}
 	if !s.mayStillLoad(f, held) {
 		s.options.Log.Info().Uint64("Version", f.version).Dur("Staging", staging.elapsed()).Msg("target changed while chunks were staged; load not ordered")
-		return
+		return false
 	}
 	took := staging.elapsed()
 	if took > maxStagingTime {
 		s.options.Log.Warn().Uint64("Version", f.version).Dur("Staging", took).Msg("staging took too long; load not ordered, chunks are staged again")
-		return
+		return false
 	}
 	s.orderedAt = time.Now()
 	due, hasDue := s.due(service, held)
@@ -305,6 +309,7 @@
 		s.orderedAt = time.Time{}
 		s.fire(EventFailed)
 	}
+	return true
 }
 
 // abortsRunning reports whether a load aborts the requests in progress instead of waiting for them: if some of them may last longer
--- a/internal/upstream/stager/turn.go
+++ b/internal/upstream/stager/turn.go
@@ -65,7 +65,7 @@
 	if held == 0 || !ok {
 		return 0
 	}
-	if best := s.newestComplete(held); best != nil {
+	if best := s.newestLoadable(service, held); best != nil {
 		return max(minLoadIn, time.Until(s.turn(service.Target, held, best).load))
 	}
 	bound := s.options.SwitchBound()
@@ -75,7 +75,7 @@
 // loadsSoon reports whether this engine, which holds version held, is in the quiet time before its load. It is told to the
 // entry processes like a load: requests that begin now would only delay it.
 func (s *Stager) loadsSoon(service *directory.Service, held uint64) bool {
-	best := s.newestComplete(held)
+	best := s.newestLoadable(service, held)
 	if held == 0 || held >= service.Target.Version || best == nil {
 		return false
 	}
@@ -87,7 +87,7 @@
 // the process may have been paused meanwhile.
 func (s *Stager) mayStillLoad(f *fetch, held uint64) bool {
 	service := s.options.Directory.Current().Service(s.options.Service)
-	if service == nil || s.newestComplete(held) != f {
+	if service == nil || s.newestLoadable(service, held) != f {
 		return false
 	}
 	return !time.Now().Before(s.turn(service.Target, held, f).load)
--- a/internal/upstream/stager/withdraw.go
+++ b/internal/upstream/stager/withdraw.go
@@ -17,18 +17,18 @@
 	maxWithdrawPart = 0.1
 )
 
-// withdrawOlder makes the engine give up the older version that it holds if that is due to be replaced and no newer one is complete:
-// it orders the engine to load a single layer of a newer version. An engine that lacks layers runs no requests, so that none begins on the
-// older version that was sent too late, is still on its way or waits in the engine's queue.
+// withdrawOlder makes the engine give up the older version that it holds if that is due to be replaced and no newer one can be loaded:
+// it orders the engine to load a single layer of a newer version, or of the same if no layer of a newer one can be staged. An engine that
+// lacks layers runs no requests, so that none begins on the older version that was sent too late, is still on its way or waits in the
+// engine's queue.
 func (s *Stager) withdrawOlder(ctx context.Context, service *directory.Service, report hub.UpstreamReport) {
 	if report.Busy || time.Since(s.orderedAt) < orderGrace || !s.mustWithdraw(service, report.Held) {
 		return
 	}
-	order := hub.LoadOrder{Model: service.Engine.Model, Version: report.Held, Orders: report.Orders, Layers: hub.LayerRange{End: 1}}
-	if f, layer, ok := s.completeLayer(service.Engine, report.Held); ok {
-		if !s.stageLayer(ctx, service.Engine, f, layer) {
-			return
-		}
+	order := hub.LoadOrder{
+		Model: service.Engine.Model, Version: report.Held, Orders: report.Orders, AbortRunning: s.abortsRunning(), Layers: hub.LayerRange{End: 1},
+	}
+	if f, layer, ok := s.completeLayer(service.Engine, report.Held); ok && s.stageLayer(ctx, service.Engine, f, layer) {
 		order.Version, order.Layers = f.version, hub.LayerRange{First: layer, End: layer + 1}
 	}
 	s.orderedAt = time.Now()
@@ -38,7 +38,7 @@
 		line = line.Err(err)
 	}
 	line.Uint64("Held", report.Held).Uint64("Version", order.Version).Int("Layer", order.Layers.First).Int("Running", report.Running).
-		Int("Waiting", report.Waiting).Msg("older version withdrawn from the engine; no newer one is complete")
+		Int("Waiting", report.Waiting).Msg("older version withdrawn from the engine; no newer one can be loaded")
 }
 
 // mustWithdraw reports whether the version that the engine holds is about to be due for replacement.
@@ -84,8 +84,20 @@
 	return layer * e.Chunks / e.Layers, ((layer+1)*e.Chunks + e.Layers - 1) / e.Layers
 }
 
-// stageLayer stages the chunks of a layer. It returns false if one of them can't be staged.
+// newestLoadable returns the newest version above held whose content is complete, or nil if there is none or it is about to be due for
+// replacement itself: entry processes send it no requests, and the engine would have to give it up at once.
+func (s *Stager) newestLoadable(service *directory.Service, held uint64) *fetch {
+	best := s.newestComplete(held)
+	if best != nil && s.mustWithdraw(service, best.version) {
+		return nil
+	}
+	return best
+}
+
+// stageLayer stages the chunks of a layer. It returns false if one of them can't be staged, or if that takes longer than
+// maxStagingTime: chunks that were staged first may have become corrupt meanwhile.
 func (s *Stager) stageLayer(ctx context.Context, e *hub.EngineModel, f *fetch, layer int) bool {
+	staging := startStopwatch()
 	first, end := layerChunks(e, layer)
 	for i := first; i < end; i++ {
 		chunk, err := f.replica.Chunk(i)
@@ -93,9 +105,9 @@
 			err = s.options.Engine.Stage(ctx, e.Model, i, chunk)
 		}
 		if err != nil {
-			s.options.Log.Warn().Int("Chunk", i).Err(err).Msg("chunk could not be staged; older version not withdrawn")
+			s.options.Log.Warn().Int("Chunk", i).Err(err).Msg("chunk could not be staged; older version withdrawn without it")
 			return false
 		}
 	}
-	return true
+	return staging.elapsed() <= maxStagingTime
 }
