--- a/cmd/oriolehub/versions_test.go
+++ b/cmd/oriolehub/versions_test.go
@@ -32,6 +32,8 @@
 	// warmUpTime is the time for which requests are sent first, beforeNaming that between the first requests and the naming.
 	warmUpTime   = 2 * time.Second
 	beforeNaming = 2 * time.Second
+	// pauseBefore is the time before the bound at which a process is paused, until as long after it.
+	pauseBefore = 800 * time.Millisecond
 	// turnPaused and turnRunning are the times for which a process with little processor time stands still and runs in turns.
 	turnPaused  = 80 * time.Millisecond
 	turnRunning = 40 * time.Millisecond
@@ -40,8 +42,9 @@
 	longWait          = 20 * time.Second
 	longConfiguration = 2
 	configurationTime = 2 * time.Second
-	// queueWait is the time for which requests wait in the queue of an engine.
-	queueWait = 1500 * time.Millisecond
+	// queueWait and longQueueWait are times for which requests wait in the queue of an engine.
+	queueWait     = 1500 * time.Millisecond
+	longQueueWait = 2500 * time.Millisecond
 	// versionCallers is the number of callers at each entry process, versionPause the time between two requests of one.
 	// The first requests of the callers are versionStagger apart, so that some are sent shortly before the bound.
 	versionCallers = 4
@@ -265,3 +268,16 @@
 	n.setQueueing(standin.Queueing{Wait: versionBound + beforeNaming + queueWait})
 	n.callBeside(func(context.Context) { n.name() })
 }
+
+// Guards against queued requests that begin after the bound of a version because their entry process stands still when it is to end them.
+func TestRequestsOfAnEntryPausedOverTheBoundKeepTheBoundOfAVersion(t *testing.T) {
+	t.Parallel()
+	n := startNaming(t)
+	n.cutOrigin()
+	n.setQueueing(standin.Queueing{Wait: longQueueWait})
+	n.callBeside(func(ctx context.Context) {
+		n.name()
+		_ = hub.Sleep(ctx, versionBound-pauseBefore)
+		n.pause(ctx, 2*pauseBefore)
+	})
+}
