cmd/oriolehub: a process is paused for 3 s over the bound of a version

Cause: with a pause until 0.8 s after the bound, few requests could begin in the time that is left: the test failed 3 of 4 times, and passed beside the other tests of the package. Change: the pause takes 3 s, so that requests which were sent in 1.7 s before it begin during it.

--- a/cmd/oriolehub/versions_test.go
+++ b/cmd/oriolehub/versions_test.go
@@ -27,12 +27,12 @@
 	afterBound = 3 * time.Second
 	// namedVersion is the version that replaces cluster.InitialVersion.
 	namedVersion = 2
-	// suspension is the time for which an entry process stands still, from just before a version is named.
+	// suspension is the time for which an entry process stands still.
 	suspension = 3 * time.Second
 	// warmUpTime is the time for which requests are sent first, beforeNaming that between the first requests and the naming.
 	warmUpTime   = 2 * time.Second
 	beforeNaming = 2 * time.Second
-	// pauseBefore is the time before the bound at which a process is paused, until as long after it.
+	// pauseBefore is the time before the bound at which a process is paused that stands still over it.
 	pauseBefore = 800 * time.Millisecond
 	// turnPaused and turnRunning are the times for which a process with little processor time stands still and runs in turns.
 	turnPaused  = 80 * time.Millisecond
@@ -278,6 +278,6 @@
 	n.callBeside(func(ctx context.Context) {
 		n.name()
 		_ = hub.Sleep(ctx, versionBound-pauseBefore)
-		n.pause(ctx, 2*pauseBefore)
+		n.pause(ctx, suspension)
 	})
 }
