state/directory: an upstream that lacks layers holds no version

An engine that has given up an older version lists the newer one with some of its layers. Entry processes without a recent report of it took it for holding that version and sent it requests, which it refuses.

--- a/internal/state/directory/ages_test.go
+++ b/internal/state/directory/ages_test.go
@@ -188,9 +188,12 @@
 			f.assertDue(2, switchBound-6*time.Second)
 			f.assertDue(3, switchBound-time.Second)
 			f.target(3, 5)
-			f.learn(4, 500*time.Millisecond, assumed)
-			f.assertDue(3, switchBound-time.Second)
-			if !assumed {
+			if assumed {
+				f.learn(4, 7*time.Second, true)
+				f.assertDue(3, switchBound-time.Second)
+			} else {
+				f.learn(4, 500*time.Millisecond, false)
+				f.assertDue(3, switchBound-time.Second)
 				f.assertDue(4, switchBound-500*time.Millisecond)
 			}
 			f.assertDue(5, switchBound)
--- a/internal/state/directory/directory.go
+++ b/internal/state/directory/directory.go
@@ -307,9 +307,13 @@
 	instances = append(instances, d.notWrittenAgain(revision, now)...)
 	listed := make(map[Key]*Upstream, len(instances))
 	for _, i := range instances {
+		service := next.services[i.Service]
+		if service != nil && service.lacksLayers(&i) {
+			i.Version = 0
+		}
 		u := d.upstream(i)
 		listed[u.Key()] = u
-		if service := next.services[u.Service]; service != nil {
+		if service != nil {
 			service.Upstreams = append(service.Upstreams, u)
 		}
 	}
--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -41,7 +41,12 @@
 	Target Target
 }
 
-// Upstream is one listed run of an upstream, from start to exit.
+// lacksLayers reports whether i lists the layers that it has loaded and lacks some of those of the service's model.
+func (s *Service) lacksLayers(i *hub.Instance) bool {
+	return s.Engine != nil && i.Layers >= 0 && i.Layers < s.Engine.Layers
+}
+
+// Upstream is one listed run of an upstream, from start to exit. An engine that lacks layers has Version 0.
 type Upstream struct {
 	hub.Instance
 	Region string
