upstream/stager: a model of one layer is not withdrawn by loading it

Cause: for a model of one layer the order of layer 0 of the held version loads the whole model again, from staged chunks that may be of another version (WHOLE), and is repeated as long as the version is due.

Change: withdrawOlder orders nothing for such a model; entry processes keep its bound alone.

Result: TestModelOfOneLayerIsNotLoadedToWithdrawIt failed before (3 orders in 2 s) and passes; tests of the package pass (36 s).

--- a/internal/upstream/stager/withdraw.go
+++ b/internal/upstream/stager/withdraw.go
@@ -20,9 +20,9 @@
 // withdrawOlder makes the engine give up the older version that it holds if that is due to be replaced and no newer one can be loaded:
 // it orders the engine to load a single layer of a newer version, or of the same if no layer of a newer one can be staged. An engine that
 // lacks layers runs no requests, so that none begins on the older version that was sent too late, is still on its way or waits in the
-// engine's queue.
+// engine's queue. A model of one layer can't be given up in this way: the order would load all of it, from whatever is staged.
 func (s *Stager) withdrawOlder(ctx context.Context, service *directory.Service, report hub.UpstreamReport) {
-	if report.Busy || time.Since(s.orderedAt) < orderGrace || !s.mustWithdraw(service, report.Held) {
+	if service.Engine.Layers <= 1 || report.Busy || time.Since(s.orderedAt) < orderGrace || !s.mustWithdraw(service, report.Held) {
 		return
 	}
 	order := hub.LoadOrder{
