state/directory: a process asks for ages while its own may be too low

A process that had been stopped for more than four bounds and then heard of a version from the store counted the whole bound anew: others tell ages unasked only for four bounds, and it asked for none, since it had seen the version arrive. It asks now while an age that it knows matters. TestAgesAreNeededWhileAnAssumedOneMatters asserted that a seen age is never asked for; TestAgesAreNeededWhileTheyMatter asserts from when and until when ages are asked for.

Besides: TestUpstreamWithSomeLayersHoldsNoVersion went through its cases in random order, in which it could fail; ErrWithdrawn of route/channel is ErrNotAllowed, as withdrawn are versions; the order that withdraws a version lets requests finish, since no engine may be able to resume them.

--- a/internal/hub/interfaces.go
+++ b/internal/hub/interfaces.go
@@ -78,7 +78,7 @@
 	Ages() []TargetAge
 	// RecentAges returns the ages to tell any process: those of the versions that may not have replaced all older ones yet.
 	RecentAges() []TargetAge
-	// NeedsAges reports whether other processes may know ages that this process has assumed.
+	// NeedsAges reports whether other processes may know greater ages than this process.
 	NeedsAges() bool
 	// LearnAges takes ages that another process has told, as of a time between notBefore and notAfter.
 	LearnAges(ages []TargetAge, notBefore, notAfter time.Time)
--- a/internal/route/channel/call.go
+++ b/internal/route/channel/call.go
@@ -26,8 +26,8 @@
 	ErrReset = errors.New("upstream reset a new connection")
 	// ErrSilent means that the upstream has not taken a new connection in time.
 	ErrSilent = errors.New("upstream took no connection in time")
-	// ErrWithdrawn means that Call.Allowed has forbidden a call.
-	ErrWithdrawn = errors.New("call is not allowed any more")
+	// ErrNotAllowed means that Call.Allowed has forbidden a call.
+	ErrNotAllowed = errors.New("call is not allowed any more")
 	// errEnded means that the upstream has sent bytes, closed or reset a new connection before a call was sent.
 	errEnded = errors.New("connection ended before the call")
 )
--- a/internal/route/channel/send.go
+++ b/internal/route/channel/send.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	if call.Allowed != nil && !call.Allowed() {
-		return ErrWithdrawn
+		return ErrNotAllowed
 	}
 	if call.Trace != nil {
 		*call.Trace = Trace{SentAt: time.Now(), Reused: r.Reused}
@@ -117,7 +117,7 @@
 		}
 		return fmt.Errorf("%w: %w", state, cause)
 	}
-	if call.MaxConnections > 0 && !reused && err != ErrWithdrawn && (!ok || c.lostByLimit(err)) {
+	if call.MaxConnections > 0 && !reused && err != ErrNotAllowed && (!ok || c.lostByLimit(err)) {
 		p.resetByLimit(c.address, ok)
 		return fmt.Errorf("%w: %w: %w", state, ErrReset, err)
 	}
--- a/internal/route/forward/connections.go
+++ b/internal/route/forward/connections.go
@@ -42,7 +42,7 @@
 // stream that has begun may try it again. It may be called from any goroutine.
 func (x *exchange) countNotSent(c *placement.Choice, err error) (exclude bool) {
 	switch {
-	case errors.Is(err, channel.ErrWithdrawn):
+	case errors.Is(err, channel.ErrNotAllowed):
 		// The next choice leaves out the upstream for the same reason.
 	case errors.Is(err, channel.ErrNoConnection):
 		c.Load.Refused()
--- a/internal/state/directory/ages.go
+++ b/internal/state/directory/ages.go
@@ -148,12 +148,16 @@
 	return out
 }
 
-// NeedsAges reports whether an assumed age may be that of a version which has not replaced all older ones yet.
+// NeedsAges reports whether an age that this process knows may be that of a version which has not replaced all older ones yet.
 func (d *Directory) NeedsAges() bool {
-	usefulSince := time.Now().Add(-d.options.InitialTargetAge - d.options.SwitchBound)
+	now := time.Now()
 	for _, t := range d.Current().targets {
 		for _, n := range t.Named {
-			if n.source == ageAssumed && n.Since.After(usefulSince) {
+			useful := d.options.SwitchBound
+			if n.source == ageAssumed {
+				useful += d.options.InitialTargetAge
+			}
+			if now.Sub(n.Since) < useful {
 				return true
 			}
 		}
--- a/internal/state/directory/ages_test.go
+++ b/internal/state/directory/ages_test.go
@@ -35,6 +35,15 @@
 	assert.Equal(f.t, target.Due(time.Now().Add(d), switchBound), version)
 }
 
+// assertNeedsAgesFor verifies that ages are needed until d has passed, and no longer.
+func (f *fixture) assertNeedsAgesFor(d time.Duration) {
+	f.t.Helper()
+	time.Sleep(d - time.Millisecond)
+	assert.Assert(f.t, f.directory.NeedsAges())
+	time.Sleep(time.Millisecond)
+	assert.Assert(f.t, !f.directory.NeedsAges())
+}
+
 // Guards against a restarted process that takes a version for older than it is although others know its age.
 func TestToldAgesReplaceAssumedOnesAndLesserTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -219,7 +228,7 @@
 	})
 }
 
-func TestAgesAreNeededWhileAnAssumedOneMatters(t *testing.T) {
+func TestAgesAreNeededWhileTheyMatter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := withVersionFoundAtTheStart(t, 2)
 		assert.Assert(t, f.directory.NeedsAges())
@@ -228,12 +237,13 @@
 
 		f = withVersionFoundAtTheStart(t, 2)
 		f.learn(2, 0, false)
-		assert.Assert(t, !f.directory.NeedsAges())
+		f.assertNeedsAgesFor(switchBound)
 
 		f = withTestDirectory(t)
 		f.configure(1, 1)
 		f.put(mirror.DocumentDirectives, 1, []listing.Entry{})
-		f.target(2, 2)
 		assert.Assert(t, !f.directory.NeedsAges())
+		f.target(2, 2)
+		f.assertNeedsAgesFor(switchBound)
 	})
 }
--- a/internal/state/directory/layers_test.go
+++ b/internal/state/directory/layers_test.go
@@ -15,7 +15,8 @@
 func TestUpstreamWithSomeLayersHoldsNoVersion(t *testing.T) {
 	f := withTestDirectory(t)
 	f.put(mirror.DocumentConfiguration, 1, hub.Configuration{Version: 1, Services: []hub.Service{{Name: "s", Engine: &hub.EngineModel{Model: "m", Layers: 2}}}})
-	for layers, want := range map[int]uint64{-1: 2, 0: 0, 1: 0, 2: 2} {
+	for n, want := range []uint64{2, 0, 0, 2} {
+		layers := n - 1
 		i := hub.Instance{Id: "i", Service: "s", Address: "10.0.0.1:80", Born: 1, Version: 2, Layers: layers, Sequence: uint64(layers + 2)}
 		revision := uint64(layers + 3)
 		f.put(mirror.DocumentUpstreams, revision, []listing.Entry{{Key: desired.UpstreamPrefix + "i", Value: encoded(t, i), Revision: revision}})
--- a/internal/state/exchange/ages.go
+++ b/internal/state/exchange/ages.go
@@ -8,7 +8,7 @@
 	"github.com/oriolehub/oriolehub/internal/wire/message"
 )
 
-// needsAges reports whether peers may know ages of target versions that this process has assumed.
+// needsAges reports whether peers may know greater ages of target versions than this process.
 func (c *Client) needsAges() bool {
 	return c.options.TargetAges != nil && c.options.TargetAges.NeedsAges()
 }
--- a/internal/upstream/stager/withdraw.go
+++ b/internal/upstream/stager/withdraw.go
@@ -26,7 +26,7 @@
 		return
 	}
 	order := hub.LoadOrder{
-		Model: service.Engine.Model, Version: report.Held, Orders: report.Orders, AbortRunning: s.abortsRunning(), Layers: hub.LayerRange{End: 1},
+		Model: service.Engine.Model, Version: report.Held, Orders: report.Orders, Layers: hub.LayerRange{End: 1},
 	}
 	if f, layer, ok := s.completeLayer(service.Engine, report.Held); ok && s.stageLayer(ctx, service.Engine, f, layer) {
 		order.Version, order.Layers = f.version, hub.LayerRange{First: layer, End: layer + 1}
