--- a/internal/state/directory/snapshot.go
+++ b/internal/state/directory/snapshot.go
@@ -81,9 +81,9 @@
 	Named []Named
 }
 
-// Named is a version that the operator has set as target, with the time at which this process received it. For
-// a version that was set before the process started, Since is the time that another process has told, or else earlier by
-// Options.InitialTargetAge.
+// Named is a version that the operator has set as target. Since is the time at which the first process received it, as far as this one
+// has seen or been told. For a version that was set before this process started and whose age no process has told, it is earlier than the
+// start by Options.InitialTargetAge.
 type Named struct {
 	Version uint64
 	Since   time.Time
--- a/internal/upstream/stager/withdraw.go
+++ b/internal/upstream/stager/withdraw.go
@@ -11,26 +11,21 @@
 
 const (
 	// withdrawMargin is the time before the end of SwitchBound at which an engine gives up an older version if it can't load a newer
-	// one by then, maxWithdrawPart its maximum as a part of SwitchBound. The requests that have got a slot by then begin within this
-	// time.
+	// one by then: requests that have a slot already are read and begin meanwhile. maxWithdrawPart is its maximum as a part of
+	// SwitchBound.
 	withdrawMargin  = 600 * time.Millisecond
 	maxWithdrawPart = 0.1
 )
 
-// withdrawOlder makes the engine give up the older version that it holds if that is due to be replaced and no newer one can be loaded:
-// it orders the engine to load a single layer of a newer version, or of the same if no layer of a newer one can be staged. An engine that
-// lacks layers runs no requests, so that none begins on the older version that was sent too late, is still on its way or waits in the
-// engine's queue. A model of one layer can't be given up in this way: the order would load all of it, from whatever is staged.
+// withdrawOlder makes the engine give up the older version that it holds if that is due to be replaced and no newer one can be loaded. It
+// orders the engine to load a single layer: an engine that lacks layers runs no requests, so that none begins on the older version that
+// was sent too late, is still on its way or waits in the engine's queue. A model of one layer can't be given up in this way: the order
+// would load all of it, from whatever is staged.
 func (s *Stager) withdrawOlder(ctx context.Context, service *directory.Service, report hub.UpstreamReport) {
-	if service.Engine.Layers <= 1 || report.Busy || time.Since(s.orderedAt) < orderGrace || !s.mustWithdraw(service, report.Held) {
+	if service.Engine.Layers <= 1 || report.Busy || time.Since(s.orderedAt) < orderGrace || !s.dueSoon(service, report.Held) {
 		return
 	}
-	order := hub.LoadOrder{
-		Model: service.Engine.Model, Version: report.Held, Orders: report.Orders, Layers: hub.LayerRange{End: 1},
-	}
-	if f, layer, ok := s.completeLayer(service.Engine, report.Held); ok && s.stageLayer(ctx, service.Engine, f, layer) {
-		order.Version, order.Layers = f.version, hub.LayerRange{First: layer, End: layer + 1}
-	}
+	order := s.withdrawal(ctx, service.Engine, report)
 	s.orderedAt = time.Now()
 	err := s.options.Engine.Load(ctx, order)
 	line := s.options.Log.Warn()
@@ -41,12 +36,22 @@
 		Int("Waiting", report.Waiting).Msg("older version withdrawn from the engine; no newer one can be loaded")
 }
 
-// mustWithdraw reports whether the version that the engine holds is about to be due for replacement.
-func (s *Stager) mustWithdraw(service *directory.Service, held uint64) bool {
-	next, ok := service.Target.After(held)
+// withdrawal returns the order to load a single layer: one of a newer version, which it stages, or else the first one of the version that
+// the engine holds.
+func (s *Stager) withdrawal(ctx context.Context, e *hub.EngineModel, report hub.UpstreamReport) hub.LoadOrder {
+	order := hub.LoadOrder{Model: e.Model, Version: report.Held, Orders: report.Orders, Layers: hub.LayerRange{End: 1}}
+	if f, layer, ok := s.completeLayer(e, report.Held); ok && s.stageLayer(ctx, e, f, layer) {
+		order.Version, order.Layers = f.version, hub.LayerRange{First: layer, End: layer + 1}
+	}
+	return order
+}
+
+// dueSoon reports whether a version must be replaced within the margin of a withdrawal, or earlier. It is false for 0.
+func (s *Stager) dueSoon(service *directory.Service, version uint64) bool {
+	next, ok := service.Target.After(version)
 	bound := s.options.SwitchBound()
 	margin := min(withdrawMargin, fraction(bound, maxWithdrawPart))
-	return held != 0 && ok && time.Since(next.Since) >= bound-margin
+	return version != 0 && ok && time.Since(next.Since) >= bound-margin
 }
 
 // completeLayer returns the newest version above held of which all chunks of some layer have been fetched, and that layer.
@@ -88,7 +93,7 @@
 // replacement itself: entry processes send it no requests, and the engine would have to give it up at once.
 func (s *Stager) newestLoadable(service *directory.Service, held uint64) *fetch {
 	best := s.newestComplete(held)
-	if best != nil && s.mustWithdraw(service, best.version) {
+	if best != nil && s.dueSoon(service, best.version) {
 		return nil
 	}
 	return best
