--- a/internal/state/directory/ages_test.go
+++ b/internal/state/directory/ages_test.go
@@ -107,9 +107,8 @@
 		for i := range 20 {
 			teller, learner := processes[i%2], processes[(i+1)%2]
 			sent := time.Now()
-			ages := teller.directory.RecentAges()
 			time.Sleep(callTime)
-			learner.directory.LearnAges(ages, sent, time.Now())
+			learner.directory.LearnAges(teller.directory.RecentAges(), sent, time.Now())
 			learner.directory.Rebuild()
 		}
 		processes[0].assertDue(3, switchBound-20*callTime)
