upstream/stager: a report is complete before others can read it

The report was changed after it had been published to other goroutines: its fetched version already before this issue, its held version since engines can lack layers.

--- a/internal/upstream/stager/stager.go
+++ b/internal/upstream/stager/stager.go
@@ -151,6 +151,8 @@
 		s.unreachable = false
 		s.options.Log.Info().Int64("Born", report.Born).Uint64("Held", report.Held).Msg("engine answers")
 	}
+	service := s.options.Directory.Current().Service(s.options.Service)
+	s.complete(&report, service)
 	old := s.report.Swap(&report)
 	s.logRateLimit(old, &report)
 	if old != nil && old.Born != report.Born {
@@ -158,17 +160,10 @@
 		s.fire(EventReset)
 		s.orderedAt = time.Time{}
 	}
-	if f := s.newestComplete(0); f != nil {
-		report.Fetched = f.version
-	}
-	service := s.options.Directory.Current().Service(s.options.Service)
 	if service == nil || service.Engine == nil {
 		s.tell(report)
 		return
 	}
-	if !allLayersLoaded(service, report) {
-		report.Held = 0
-	}
 	told := report
 	told.Busy = report.Busy || s.loadsSoon(service, report.Held)
 	told.LoadIn = s.loadIn(service, report.Held)
@@ -177,6 +172,16 @@
 	s.reconcile(ctx, service, report)
 }
 
+// complete adds what this process knows to a report of the engine, which holds no version if it lacks layers. service may be nil.
+func (s *Stager) complete(report *hub.UpstreamReport, service *directory.Service) {
+	if f := s.newestComplete(0); f != nil {
+		report.Fetched = f.version
+	}
+	if service != nil && service.Engine != nil && !allLayersLoaded(service, *report) {
+		report.Held = 0
+	}
+}
+
 // tell passes a report on and counts the polls since it last changed.
 func (s *Stager) tell(report hub.UpstreamReport) {
 	s.options.OnReport(report)
