--- a/review/_rig3/readers.go
+++ b/review/_rig3/readers.go
@@ -8,30 +8,42 @@
 	"syscall"
 	"time"
 
+	"github.com/oriolehub/oriolehub/internal/soak/proxy"
 	"github.com/oriolehub/oriolehub/platform/standin"
 )
 
 func init() { cases["lost-readers"] = lostReaders }
 
 const (
-	// readersEntries is the number of edge machines, of one zone. lostTogether of them are lost at once.
-	readersEntries = 4
+	// readersEntries is the number of edge machines, of one zone. Two of them are disturbed at once.
+	readersEntries = 6
 	// configBound is config_ms of the small sites.
 	configBound = 2 * time.Second
-	// calmTime is the time without any disturbance before each loss: more than twice contact_ms.
+	// calmTime is the time without any disturbance before each one: more than twice contact_ms.
 	calmTime = 8 * time.Second
-	// changeAfter is the time from a loss to the change of the desired state.
+	// changeAfter is the time from a disturbance to the change of the desired state.
 	changeAfter = 50 * time.Millisecond
-	// watchTime is the time for which the machines that are left are asked after a change, askInterval that between two requests.
+	// watchTime is the time for which the other machines are asked after a change, askInterval that between two requests.
 	watchTime   = 6 * time.Second
 	askInterval = 20 * time.Millisecond
 )
 
-// lostPairs are the machines that are lost together, by round. No machine but these is disturbed.
-var lostPairs = [][]int{{0, 1}, {2, 3}, {0, 1}, {0, 1}}
+// disturbedPair is what happens in a round to two machines, by their indexes: they are lost, or the store falls silent for them.
+type disturbedPair struct {
+	machines []int
+	silent   bool
+}
+
+// disturbedPairs are the pairs by round. No machine but these is disturbed.
+var disturbedPairs = []disturbedPair{
+	{machines: []int{0, 1}},
+	{machines: []int{2, 3}},
+	{machines: []int{0, 1}},
+	{machines: []int{0, 1}, silent: true},
+}
 
-// lostReaders plays the loss of two of four edge machines at once, after which the operator takes away a key and adds another. The
-// store is sound all the while, and so are the machines that are left and their paths.
+// lostReaders plays the loss of two of six edge machines at once, or a store that falls silent for two of them, after which the operator
+// takes away a key and adds another. The store is sound all the while for the other machines, which run and are reached.
 func lostReaders(d *deployment, trouble bool) ([]string, error) {
 	site, err := standin.NewSite(standin.SiteOptions{})
 	if err != nil {
@@ -43,17 +55,26 @@
 			return nil, err
 		}
 	}
+	var paths []*proxy.Proxy
+	for range readersEntries {
+		path, err := proxy.Listen("127.0.0.1:0", site.StoreAddress)
+		if err != nil {
+			return nil, err
+		}
+		defer path.Close()
+		paths = append(paths, path)
+		d.stores = append(d.stores, path.Address())
+	}
 	if err := d.startEntries(readersEntries); err != nil {
 		return nil, err
 	}
 	var broken []string
 	key := standin.Key
-	for round, lost := range lostPairs {
+	for round, pair := range disturbedPairs {
 		time.Sleep(calmTime)
 		if trouble {
-			for _, i := range lost {
-				_ = d.processes[i].cmd.Process.Signal(syscall.SIGKILL)
-				d.record.add("round %d: edge-a-%d is lost", round+1, i+1)
+			for _, i := range pair.machines {
+				d.disturb(round, i, pair.silent, paths[i])
 			}
 		}
 		time.Sleep(changeAfter)
@@ -61,17 +82,18 @@
 		site.Configure(round+2, next)
 		acked := time.Now()
 		d.record.add("round %d: desired state %d acknowledged: %s withdrawn, %s added", round+1, round+2, key, next)
-		broken = append(broken, d.askOthers(round, lost, key, next, acked)...)
+		broken = append(broken, d.askOthers(round, pair.machines, key, next, acked)...)
 		key = next
-		if trouble {
-			for _, i := range lost {
+		for _, i := range pair.machines {
+			paths[i].Set(proxy.Pass)
+			if trouble && !pair.silent {
 				<-d.processes[i].done
 				if err := d.processes[i].start(); err != nil {
 					return nil, err
 				}
 			}
 		}
-		for _, i := range lost {
+		for _, i := range pair.machines {
 			if err := awaitReady(address(i) + portReady); err != nil {
 				return nil, err
 			}
@@ -80,13 +102,24 @@
 	return broken, nil
 }
 
-// askOthers sends requests with the withdrawn and the added key to the machines that are left, and returns how they broke the rule.
-func (d *deployment) askOthers(round int, lost []int, withdrawn, added string, acked time.Time) []string {
+// disturb kills the process of an edge machine, or lets the store fall silent for it.
+func (d *deployment) disturb(round, i int, silent bool, path *proxy.Proxy) {
+	if silent {
+		path.Set(proxy.Cut)
+		d.record.add("round %d: the store is silent for edge-a-%d", round+1, i+1)
+		return
+	}
+	_ = d.processes[i].cmd.Process.Signal(syscall.SIGKILL)
+	d.record.add("round %d: edge-a-%d is lost", round+1, i+1)
+}
+
+// askOthers sends requests with the withdrawn and the added key to the machines that are not disturbed, and returns how they broke the rule.
+func (d *deployment) askOthers(round int, disturbed []int, withdrawn, added string, acked time.Time) []string {
 	var running sync.WaitGroup
 	var mu sync.Mutex
 	var broken []string
 	for i := range readersEntries {
-		if slices.Contains(lost, i) {
+		if slices.Contains(disturbed, i) {
 			continue
 		}
 		running.Go(func() {
--- a/review/_rig3/rig.go
+++ b/review/_rig3/rig.go
@@ -66,8 +66,10 @@
 	site      *standin.Site
 	record    *record
 	processes []*process
-	// store is the address of the store for the processes, empty for that of the stand-in.
-	store string
+	// store is the address of the store for the processes, empty for that of the stand-in. stores are those for the entry
+	// processes with the same index.
+	store  string
+	stores []string
 	// zones are those of the edge machines, a for all others.
 	zones []string
 }
@@ -128,8 +130,11 @@
 		peers = append(peers, `"`+address(i)+portControl+`"`)
 	}
 	for i := range n {
-		ip, name := address(i), fmt.Sprintf("edge-a-%d", i+1)
-		text := fmt.Sprintf(entrySettings, name, d.zoneOf(i), ip+portReports, ip+portAdmin, strings.Join(peers, ","), d.storeAddress(), entryMegabytes,
+		ip, name, store := address(i), fmt.Sprintf("edge-a-%d", i+1), d.storeAddress()
+		if i < len(d.stores) {
+			store = d.stores[i]
+		}
+		text := fmt.Sprintf(entrySettings, name, d.zoneOf(i), ip+portReports, ip+portAdmin, strings.Join(peers, ","), store, entryMegabytes,
 			ip+portCallers, ip+portReady, ip+portControl)
 		if err := d.run(name, "entry", text); err != nil {
 			return err
